Set up the tool chain, the numbered tables and the wire protocol

Cause: an empty repository. Change: build, formatter, linter, test runner, generated wire code, tables of numbered errors and events, hybrid clock, seeded random numbers.

--- /dev/null
+++ b/fuzz/main.ts
@@ -0,0 +1,67 @@
+/**
+ * `npm run fuzz -- [--target T] [--seed N] [--runs N | --seconds N]
+ * [--mutation M]`: the last line is one JSON object for each target.
+ */
+import { parseArgs } from "node:util";
+import { targets } from "./targets.js";
+import type { FuzzResult } from "./target.js";
+
+const DEFAULT_RUNS = 1000;
+const EXIT_VIOLATION = 1;
+const EXIT_USAGE = 2;
+
+const { values } = parseArgs({
+  options: {
+    target: { type: "string" },
+    seed: { type: "string", default: "1" },
+    runs: { type: "string" },
+    seconds: { type: "string" },
+    mutation: { type: "string" },
+  },
+});
+
+const seed = Number(values.seed);
+const stopAfterMs =
+  values.seconds === undefined ? undefined : Number(values.seconds) * 1000;
+const unlimited = stopAfterMs === undefined ? DEFAULT_RUNS : 1_000_000_000;
+const runs = values.runs === undefined ? unlimited : Number(values.runs);
+
+function report(name: string, result: FuzzResult): void {
+  if (result.violations > 0) {
+    for (const line of result.counterexample) console.log(line);
+    const mutation =
+      values.mutation === undefined ? "" : ` --mutation ${values.mutation}`;
+    console.log(
+      `replay: npm run fuzz -- --target ${name} --seed ${seed} --runs ${runs}${mutation}`,
+    );
+    process.exitCode = EXIT_VIOLATION;
+  }
+  const { histories, commands, violations } = result;
+  console.log(
+    JSON.stringify({ target: name, seed, histories, commands, violations }),
+  );
+}
+
+const chosen =
+  values.target === undefined ? Object.keys(targets) : [values.target];
+for (const name of chosen) {
+  const load = targets[name];
+  if (load === undefined) {
+    console.error(
+      `no target ${name}; targets: ${Object.keys(targets).join(", ")}`,
+    );
+    process.exitCode = EXIT_USAGE;
+    break;
+  }
+  const target = await load();
+  const result = await target.run({
+    seed,
+    runs,
+    ...(values.mutation === undefined ? {} : { mutation: values.mutation }),
+    ...(stopAfterMs === undefined ? {} : { stopAfterMs }),
+    onProgress: (histories) => {
+      console.log(`${name}: ${histories} histories`);
+    },
+  });
+  report(name, result);
+}
--- /dev/null
+++ b/fuzz/targets.ts
@@ -0,0 +1,6 @@
+/** All fuzz targets by name, loaded on demand. */
+import type { FuzzTarget } from "./target.js";
+
+export type LoadTarget = () => Promise<FuzzTarget>;
+
+export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {};
--- /dev/null
+++ b/measure/measurements.ts
@@ -0,0 +1,8 @@
+/** All measurements by name, loaded on demand. */
+
+/** Prints a table for people and, as its last line, one JSON object. */
+export type Measure = (options: readonly string[]) => Promise<void>;
+
+export const measurements: Readonly<
+  Partial<Record<string, () => Promise<Measure>>>
+> = {};
--- /dev/null
+++ b/src/internal.ts
@@ -0,0 +1,24 @@
+/** The coordination parts, free of sockets, for use inside the product. */
+
+// shared
+export * from "./shared/errors.js";
+export * from "./shared/events.js";
+export * from "./shared/exhaustive.js";
+export * from "./shared/hybrid-clock.js";
+export * from "./shared/random.js";
+
+// configuration
+
+// claims
+
+// session
+
+// admission
+
+// placement
+
+// balance
+
+// expertmap
+
+// orders
