--- /dev/null
+++ b/src/configuration/schema.ts
@@ -0,0 +1,114 @@
+/**
+ * What operators publish: profiles, client accounts, groups and the weight
+ * between the two measures. Unknown fields make a publication invalid, so a
+ * typing error is never half-applied.
+ */
+import { z } from "zod";
+
+const NAME = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+const SHA256_HEX = /^[0-9a-f]{64}$/;
+const LONGEST_DEADLINE_MS = 3_600_000;
+const HIGHEST_PRIORITY_NUMBER = 9;
+
+const name = z.string().regex(NAME);
+const count = z.int().min(1);
+
+const modelTarget = z
+  .strictObject({
+    kind: z.literal("model"),
+    model: name,
+    adapter: name.optional(),
+    version: name.optional(),
+  })
+  .readonly();
+
+const serviceTarget = z
+  .strictObject({ kind: z.literal("service"), service: name })
+  .readonly();
+
+const profile = z
+  .strictObject({
+    name,
+    target: z.discriminatedUnion("kind", [modelTarget, serviceTarget]),
+    /** 0 is served first. */
+    priority: z.int().min(0).max(HIGHEST_PRIORITY_NUMBER),
+    /** Longest time from acceptance to the end of the answer. */
+    deadlineMs: z.int().min(1).max(LONGEST_DEADLINE_MS),
+    /** False for calls that may run at most once. */
+    repeatable: z.boolean(),
+    queue: z
+      .strictObject({
+        /** Most work waiting in one entry, in tokens. */
+        maximumTokens: count,
+        maximumWaitMs: count,
+      })
+      .readonly(),
+    /** Requests of the profile running at once from one entry. */
+    concurrency: count,
+    /** Accounts that may use it; all of them when absent. */
+    accounts: z.array(name).readonly().optional(),
+  })
+  .readonly();
+
+const account = z
+  .strictObject({
+    name,
+    /** SHA-256 of each bearer credential, in hexadecimal. */
+    credentialHashes: z.array(z.string().regex(SHA256_HEX)).min(1).readonly(),
+    defaultProfile: name.optional(),
+    /** Share of a contended resource against the other accounts. */
+    weight: z.number().positive().default(1),
+    limit: z
+      .strictObject({
+        tokensPerSecond: z.number().positive(),
+        burstTokens: z.number().positive(),
+      })
+      .readonly()
+      .optional(),
+  })
+  .readonly();
+
+const modelGroup = z
+  .strictObject({
+    kind: z.literal("model"),
+    name,
+    model: name,
+    ranks: count,
+    layers: count,
+    experts: count,
+    /** Expert slots of one rank in one layer. */
+    slotsPerRank: count,
+    bytesPerExpert: count,
+  })
+  .readonly();
+
+const serviceGroup = z
+  .strictObject({ kind: z.literal("service"), name, service: name })
+  .readonly();
+
+const balance = z
+  .strictObject({
+    /**
+     * Value of time saved against cost of moving: 1 weighs skew only, 0 cost
+     * only.
+     */
+    skewWeight: z.number().min(0).max(1),
+  })
+  .readonly();
+
+export const configurationSchema = z
+  .strictObject({
+    profiles: z.array(profile).readonly(),
+    accounts: z.array(account).readonly(),
+    groups: z
+      .array(z.discriminatedUnion("kind", [modelGroup, serviceGroup]))
+      .readonly(),
+    balance: balance.default({ skewWeight: 0.5 }),
+  })
+  .readonly();
+
+export type Configuration = z.infer<typeof configurationSchema>;
+export type Profile = z.infer<typeof profile>;
+export type ClientAccount = z.infer<typeof account>;
+export type BackendGroup = Configuration["groups"][number];
+export type ModelGroup = z.infer<typeof modelGroup>;
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -8,6 +8,7 @@
 export * from "./shared/random.js";
 
 // configuration
+export * from "./configuration/schema.js";
 
 // claims
 
