Serve a streamed request through entry, agent and runner

Cause: there was no path from a caller to a backend server. Change: daemon with the roles entry and agent, sessions over one gRPC stream for each pair, configuration read from the log, stand-ins of log, VM list, engine and plain service, a site of separate processes for tests.

--- /dev/null
+++ b/demo/configurations.ts
@@ -0,0 +1,79 @@
+/** Published configurations of the two sites that the demo shows. */
+import { createHash } from "node:crypto";
+import { configurationSchema, type Configuration } from "../src/internal.js";
+
+export const MODEL = "mixture-large";
+export const MODEL_GROUP = "model-pool";
+export const SERVICE_GROUP = "records";
+export const SERVICE = "records";
+
+export type SiteName = "dyfrwr" | "ben-ammar";
+
+const ACCOUNTS = 10;
+
+/** Credential of one of the site's client accounts. */
+export function credentialOf(site: SiteName, index: number): string {
+  return `${site}-account-${index}-credential`;
+}
+
+export function siteConfiguration(
+  site: SiteName,
+  ranks: number,
+): Configuration {
+  const skewWeight = site === "dyfrwr" ? 0.8 : 0.2;
+  return configurationSchema.parse({
+    profiles: [
+      modelProfile("drafting", 5, 60_000),
+      modelProfile(site === "dyfrwr" ? "notices" : "alerts", 0, 20_000),
+      {
+        name: "records",
+        target: { kind: "service", service: SERVICE },
+        priority: 1,
+        deadlineMs: 10_000,
+        repeatable: true,
+        queue: { maximumTokens: 100_000, maximumWaitMs: 5000 },
+        concurrency: 256,
+      },
+    ],
+    accounts: Array.from({ length: ACCOUNTS }, (_, index) => ({
+      name: `account-${index}`,
+      credentialHashes: [sha256(credentialOf(site, index))],
+      defaultProfile: "drafting",
+      weight: index < 2 ? 4 : 1,
+    })),
+    groups: [
+      {
+        kind: "model",
+        name: MODEL_GROUP,
+        model: MODEL,
+        ranks,
+        layers: 4,
+        experts: 32,
+        slotsPerRank: 4,
+        bytesPerExpert: 8192,
+      },
+      { kind: "service", name: SERVICE_GROUP, service: SERVICE },
+    ],
+    balance: { skewWeight },
+  });
+}
+
+function modelProfile(
+  name: string,
+  priority: number,
+  deadlineMs: number,
+): unknown {
+  return {
+    name,
+    target: { kind: "model", model: MODEL },
+    priority,
+    deadlineMs,
+    repeatable: true,
+    queue: { maximumTokens: 200_000, maximumWaitMs: 10_000 },
+    concurrency: 512,
+  };
+}
+
+function sha256(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
--- /dev/null
+++ b/demo/daemon-process.ts
@@ -0,0 +1,92 @@
+/** Starts one daemon as a process of its own and learns its addresses. */
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+const DAEMON = fileURLToPath(new URL("../src/daemon/main.js", import.meta.url));
+
+export interface DaemonProcess extends AsyncDisposable {
+  readonly name: string;
+  readonly peers: string;
+  readonly operators: string;
+  readonly callers: string;
+  readonly child: ChildProcess;
+  /** Everything that the daemon printed goes to this file. */
+  readonly logFile: string;
+  readonly kill: (signal: NodeJS.Signals) => void;
+  /** Resolves with the exit code; null after a signal. */
+  readonly ended: Promise<number | null>;
+}
+
+interface ReadyLine {
+  readonly ready?: boolean;
+  readonly peers?: string;
+  readonly operators?: string;
+  readonly callers?: string;
+}
+
+export async function startDaemonProcess(
+  settings: Readonly<Record<string, unknown>> & { readonly name: string },
+): Promise<DaemonProcess> {
+  const folder = await mkdtemp(path.join(tmpdir(), "apricotdeck-"));
+  const file = path.join(folder, "settings.jsonc");
+  const logFile = path.join(folder, "events.log");
+  await writeFile(file, JSON.stringify(settings, undefined, 2));
+  const child = spawn(process.execPath, [DAEMON, file], {
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  const log = createWriteStream(logFile);
+  child.stdout.pipe(log, { end: false });
+  child.stderr.pipe(log, { end: false });
+  const ended = once(child, "exit").then(([code]) => code as number | null);
+  const ready = await readReadyLine(child, ended, logFile);
+  const kill = (signal: NodeJS.Signals): void => {
+    if (child.exitCode === null) child.kill(signal);
+  };
+  return {
+    name: settings.name,
+    peers: ready.peers ?? "",
+    operators: ready.operators ?? "",
+    callers: ready.callers ?? "",
+    child,
+    logFile,
+    kill,
+    ended,
+    async [Symbol.asyncDispose]() {
+      kill("SIGKILL");
+      await ended;
+      log.end();
+    },
+  };
+}
+
+async function readReadyLine(
+  child: ChildProcess,
+  ended: Promise<number | null>,
+  logFile: string,
+): Promise<ReadyLine> {
+  const lines = createInterface({ input: child.stdout ?? process.stdin });
+  const ready = new Promise<ReadyLine>((resolve) => {
+    lines.on("line", (line) => {
+      const value = parseLine(line);
+      if (value.ready === true) resolve(value);
+    });
+  });
+  const failed = ended.then((code) => {
+    throw new Error(`daemon ended with ${String(code)}: see ${logFile}`);
+  });
+  return Promise.race([ready, failed]);
+}
+
+function parseLine(line: string): ReadyLine {
+  try {
+    return JSON.parse(line) as ReadyLine;
+  } catch {
+    return {};
+  }
+}
--- /dev/null
+++ b/src/daemon/agent/agent.ts
@@ -0,0 +1,146 @@
+/** The daemon beside one backend server. */
+import { Server } from "@grpc/grpc-js";
+import { LogClient } from "../../platform/log-client.js";
+import { pause, runTask } from "../background-task.js";
+import { ConfigurationFollower } from "../configuration-follower.js";
+import type { Daemon, DaemonAddresses } from "../entry/entry.js";
+import type { Listening } from "../listening.js";
+import { startOperatorsServer } from "../operators-server.js";
+import {
+  createContext,
+  RELEASE,
+  type ProcessContext,
+} from "../process-context.js";
+import type { AgentSettings, ListenSettings } from "../settings.js";
+import { channelOptions, serverCredentials } from "../transport.js";
+import { AgentService, AgentSessions } from "./agent-sessions.js";
+import { RunnerClient } from "./runner-client.js";
+
+const DRAIN_CHECK_MS = 50;
+
+export async function startAgent(
+  settings: AgentSettings,
+  onLeave: () => void,
+): Promise<Daemon> {
+  return Agent.create(settings, createContext(settings), onLeave);
+}
+
+class Agent implements Daemon {
+  private readonly stop = new AbortController();
+  private readonly runner: RunnerClient;
+  private readonly sessions: AgentSessions;
+  private readonly configuration: ConfigurationFollower;
+  private readonly server = new Server(channelOptions);
+  private leaving = false;
+  private peers = "";
+  private operators!: Listening;
+
+  private constructor(
+    private readonly settings: AgentSettings,
+    readonly context: ProcessContext,
+    private readonly onLeave: () => void,
+  ) {
+    const { group, limits, runner, platform } = settings;
+    this.runner = RunnerClient.create(runner.address);
+    this.sessions = AgentSessions.create({
+      context,
+      runner: this.runner,
+      group,
+      attemptLimit: limits.attempts,
+    });
+    const log = LogClient.create(platform.log);
+    this.configuration = ConfigurationFollower.create(log, context.emit);
+  }
+
+  static async create(
+    settings: AgentSettings,
+    context: ProcessContext,
+    onLeave: () => void,
+  ): Promise<Agent> {
+    const agent = new Agent(settings, context, onLeave);
+    await agent.start();
+    return agent;
+  }
+
+  get addresses(): DaemonAddresses {
+    return { peers: this.peers, operators: this.operators.address };
+  }
+
+  async leave(): Promise<void> {
+    if (this.leaving) return;
+    this.leaving = true;
+    const { graceMs } = this.settings;
+    this.context.emit(102, { graceMs });
+    this.sessions.leave(graceMs);
+    const deadline = Date.now() + graceMs;
+    while (this.sessions.runningCount > 0 && Date.now() < deadline) {
+      await pause(DRAIN_CHECK_MS, this.stop.signal);
+    }
+    // The last frames of the last answers are still on their way out.
+    await pause(DRAIN_CHECK_MS, this.stop.signal);
+    this.context.emit(103, { cutRequests: this.sessions.runningCount });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stop.abort();
+    this.server.forceShutdown();
+    await this.operators[Symbol.asyncDispose]();
+    await this.runner[Symbol.asyncDispose]();
+  }
+
+  private async start(): Promise<void> {
+    const { settings, context, configuration } = this;
+    const { signal } = this.stop;
+    const { emit, incarnation } = context;
+    this.operators = await startOperatorsServer(settings.operators, {
+      events: context.events,
+      metrics: context.metrics,
+      isReady: () => !this.leaving,
+      status: () => this.status(),
+      leave: this.onLeave,
+    });
+    void runTask({
+      name: "configuration",
+      emit,
+      signal,
+      run: (s) => configuration.run(s),
+    });
+    this.server.addService(AgentService, this.sessions.service);
+    this.peers = await bindServer(this.server, settings);
+    emit(101, { role: "agent", incarnation, release: RELEASE });
+  }
+
+  private status(): unknown {
+    const { context, configuration, settings, sessions } = this;
+    const { inForce } = configuration;
+    return {
+      name: context.name,
+      role: "agent",
+      dataCentre: context.dataCentre,
+      incarnation: context.incarnation,
+      release: RELEASE,
+      leaving: this.leaving,
+      version: inForce?.version ?? null,
+      hash: inForce?.hash ?? null,
+      group: settings.group,
+      running: sessions.runningCount,
+    };
+  }
+}
+
+/** host:port that the server listens on. */
+export async function bindServer(
+  server: Server,
+  settings: { peers: ListenSettings; transport: AgentSettings["transport"] },
+): Promise<string> {
+  const { host, port } = settings.peers;
+  const address = `${host}:${port}`;
+  const credentials = serverCredentials(settings.transport, address);
+  const given = await new Promise<number>((resolve, reject) => {
+    server.bindAsync(address, credentials, (error, bound) => {
+      if (error === null) resolve(bound);
+      else reject(error);
+    });
+  });
+  return `${host}:${given}`;
+}
--- /dev/null
+++ b/src/daemon/entry/answer-writer.ts
@@ -0,0 +1,213 @@
+/**
+ * Writes one answer to its caller. A stream goes out piece by piece; a whole
+ * answer is held back until it is complete, so that a failure can still be
+ * told by its status code.
+ */
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import type { ApricotdeckError } from "../../internal.js";
+import type { Header } from "../../wire/generated/session.js";
+import type { CallerLimits } from "./request-reader.js";
+import type { AnswerWriter } from "./work.js";
+
+export const OUTCOME_HEADER = "apricotdeck-outcome";
+export const REQUEST_HEADER = "apricotdeck-request";
+const KEEP_ALIVE_COMMENT = ": waiting\n\n";
+const END_OF_STREAM = "data: [DONE]\n\n";
+const NO_RETRY_AFTER = 0;
+
+export interface AnswerOptions {
+  readonly request: string;
+  readonly streamed: boolean;
+  readonly limits: CallerLimits;
+}
+
+export function createAnswerWriter(
+  response: ServerResponse,
+  options: AnswerOptions,
+): AnswerWriter {
+  const gone = new AbortController();
+  response.once("close", () => {
+    if (!response.writableFinished) gone.abort();
+  });
+  response.setHeader(REQUEST_HEADER, options.request);
+  const { signal } = gone;
+  return options.streamed
+    ? streamWriter(response, options, signal)
+    : wholeWriter(response, options, signal);
+}
+
+function streamWriter(
+  response: ServerResponse,
+  { limits }: AnswerOptions,
+  signal: AbortSignal,
+): AnswerWriter {
+  let head: { status: number; headers: readonly Header[] } | undefined;
+  let waiting: string[] = [];
+  let lastWriteMs = Date.now();
+  const flush = (): void => {
+    if (waiting.length === 0 || response.destroyed) return;
+    const text = waiting.join("");
+    waiting = [];
+    lastWriteMs = Date.now();
+    if (!response.write(text)) guardAgainstStall(response, limits);
+  };
+  const keepAlive = setInterval(() => {
+    if (!response.headersSent || response.destroyed) return;
+    if (Date.now() - lastWriteMs >= limits.keepAliveMs) {
+      response.write(KEEP_ALIVE_COMMENT);
+    }
+  }, limits.keepAliveMs);
+  response.once("close", () => {
+    clearInterval(keepAlive);
+  });
+  return {
+    signal,
+    head: (status, headers) => {
+      head = { status, headers };
+    },
+    piece: (data) => {
+      if (!response.headersSent) startStream(response, head);
+      waiting.push(`data: ${data.toString()}\n\n`);
+      // Pieces of one turn of the event loop share one write.
+      if (waiting.length === 1) setImmediate(flush);
+    },
+    end: () => {
+      if (!response.headersSent) startStream(response, head);
+      waiting.push(END_OF_STREAM);
+      flush();
+      response.end();
+    },
+    fail: (error, retryAfterMs = NO_RETRY_AFTER) => {
+      flush();
+      if (response.headersSent) breakStream(response, error, retryAfterMs);
+      else sendError(response, error, retryAfterMs);
+    },
+  };
+}
+
+function wholeWriter(
+  response: ServerResponse,
+  { limits }: AnswerOptions,
+  signal: AbortSignal,
+): AnswerWriter {
+  let status = 200;
+  let parts: Buffer[] = [];
+  let size = 0;
+  const passHead = (code: number, headers: readonly Header[]): void => {
+    status = code;
+    for (const { name, value } of headers) response.setHeader(name, value);
+  };
+  return {
+    signal,
+    head: passHead,
+    piece: (data) => {
+      size += data.length;
+      if (size <= limits.answerBytes) {
+        parts.push(data);
+        return;
+      }
+      if (!response.headersSent) response.writeHead(status);
+      for (const part of parts) response.write(part);
+      parts = [];
+      if (!response.write(data)) guardAgainstStall(response, limits);
+    },
+    end: () => {
+      if (response.headersSent) response.end();
+      else {
+        const body = Buffer.concat(parts);
+        response.setHeader(OUTCOME_HEADER, "answered");
+        response.writeHead(status, { "content-length": body.length });
+        response.end(body);
+      }
+    },
+    fail: (error, retryAfterMs = NO_RETRY_AFTER) => {
+      // Closing without the end of the body: never looks complete.
+      if (response.headersSent) response.destroy();
+      else sendError(response, error, retryAfterMs);
+    },
+  };
+}
+
+function startStream(
+  response: ServerResponse,
+  head: { status: number; headers: readonly Header[] } | undefined,
+): void {
+  for (const { name, value } of head?.headers ?? []) {
+    response.setHeader(name, value);
+  }
+  response.writeHead(head?.status ?? 200, { "x-accel-buffering": "no" });
+}
+
+/**
+ * The error event has no closing event behind it, and the connection is cut
+ * before the end of the body, so neither a client that reads events nor one
+ * that reads bytes takes the answer for whole.
+ */
+function breakStream(
+  response: ServerResponse,
+  error: ApricotdeckError,
+  retryAfterMs: number,
+): void {
+  const body = JSON.stringify(errorBody(error, retryAfterMs));
+  response.write(`event: error\ndata: ${body}\n\n`, () => {
+    response.destroy();
+  });
+}
+
+export function sendError(
+  response: ServerResponse,
+  error: ApricotdeckError,
+  retryAfterMs = NO_RETRY_AFTER,
+): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  const { entry } = error;
+  const body = JSON.stringify(errorBody(error, retryAfterMs));
+  response.setHeader("content-type", "application/json");
+  response.setHeader(OUTCOME_HEADER, entry.outcome);
+  if (retryAfterMs > 0) {
+    response.setHeader("retry-after", Math.ceil(retryAfterMs / 1000));
+    response.setHeader("retry-after-ms", retryAfterMs);
+  }
+  const length = { "content-length": Buffer.byteLength(body) };
+  response.writeHead(entry.status || 500, length);
+  response.end(body);
+}
+
+function errorBody(error: ApricotdeckError, retryAfterMs: number): object {
+  const { name, outcome } = error.entry;
+  return {
+    error: {
+      message: error.message,
+      type: name,
+      code: error.number,
+      outcome,
+      ...(retryAfterMs > 0 ? { retry_after_ms: retryAfterMs } : {}),
+    },
+  };
+}
+
+/**
+ * A caller that stops reading would hold its answer in memory for ever; after
+ * the stall limit the connection is cut, which the request sees as a caller
+ * that is gone.
+ */
+function guardAgainstStall(
+  response: ServerResponse,
+  limits: CallerLimits,
+): void {
+  const drained = new AbortController();
+  const timer = setTimeout(() => {
+    response.destroy();
+    drained.abort();
+  }, limits.writeStallMs);
+  const { signal } = drained;
+  once(response, "drain", { signal })
+    .catch(() => undefined)
+    .finally(() => {
+      clearTimeout(timer);
+    });
+}
--- /dev/null
+++ b/src/daemon/entry/caller-server.ts
@@ -0,0 +1,145 @@
+/**
+ * The callers' address of an entry. Limits on head, body, time and
+ * connections keep one careless or hostile caller from holding the others up.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import {
+  failure,
+  raise,
+  toFailure,
+  type ApricotdeckError,
+  type Configuration,
+} from "../../internal.js";
+import { sendJson } from "../operators-server.js";
+import { createAnswerWriter, sendError } from "./answer-writer.js";
+import {
+  authenticate,
+  isOpenTo,
+  pathOf,
+  readWork,
+  type CallerLimits,
+} from "./request-reader.js";
+import type { AnswerWriter, Work } from "./work.js";
+
+export interface CallerServerOptions {
+  readonly limits: CallerLimits;
+  /** Throws 1103 before a configuration is in force. */
+  readonly configuration: () => Configuration;
+  readonly isLeaving: () => boolean;
+  readonly serve: (work: Work, writer: AnswerWriter) => Promise<void>;
+}
+
+const MODELS_PATH = "/v1/models";
+
+export function createCallerServer(options: CallerServerOptions): Server {
+  const { limits } = options;
+  const server = createServer(
+    {
+      maxHeaderSize: limits.headBytes,
+      headersTimeout: limits.receiveMs,
+      requestTimeout: limits.receiveMs,
+      connectionsCheckingInterval: Math.min(1000, limits.receiveMs),
+    },
+    (request, response) => {
+      void handle(request, response, options);
+    },
+  );
+  server.maxConnections = limits.connections;
+  server.on("clientError", answerClientError);
+  return server;
+}
+
+async function handle(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: CallerServerOptions,
+): Promise<void> {
+  request.on("error", () => undefined);
+  response.on("error", () => undefined);
+  try {
+    if (options.isLeaving()) {
+      response.setHeader("connection", "close");
+      raise(1213);
+    }
+    const configuration = options.configuration();
+    if (pathOf(request) === MODELS_PATH) {
+      sendModels(request, response, configuration);
+      return;
+    }
+    const work = await readWork(request, configuration, options.limits);
+    const { id, streamed } = work;
+    const { limits } = options;
+    const writer = createAnswerWriter(response, {
+      request: id,
+      streamed,
+      limits,
+    });
+    await options.serve(work, writer);
+  } catch (error) {
+    refuse(request, response, toFailure(error, 1215));
+  }
+}
+
+/** The unread rest of a body isn't waited for: the connection closes. */
+function refuse(
+  request: IncomingMessage,
+  response: ServerResponse,
+  error: ApricotdeckError,
+): void {
+  if (!request.complete) response.setHeader("connection", "close");
+  sendError(response, error, error.entry.status === 503 ? 1000 : 0);
+}
+
+function sendModels(
+  request: IncomingMessage,
+  response: ServerResponse,
+  configuration: Configuration,
+): void {
+  if (request.method !== "GET") raise(1208);
+  const account = authenticate(request, configuration);
+  const models = configuration.profiles
+    .filter((profile) => isOpenTo(profile, account))
+    .flatMap(({ target }) => (target.kind === "model" ? [target.model] : []));
+  const data = [...new Set(models)].map((id) => ({
+    id,
+    object: "model",
+    created: 0,
+    owned_by: "apricotdeck",
+  }));
+  sendJson(response, 200, { object: "list", data });
+}
+
+interface ClientError extends Error {
+  readonly code?: string;
+}
+
+/** Node's parser refused the bytes before there was a request. */
+function answerClientError(error: ClientError, socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const { entry, message } = clientFailure(error);
+  const body = JSON.stringify({
+    error: { message, type: entry.name, outcome: entry.outcome },
+  });
+  const head = [
+    `HTTP/1.1 ${entry.status} Refused`,
+    "connection: close",
+    "content-type: application/json",
+    `content-length: ${Buffer.byteLength(body)}`,
+  ];
+  socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
+}
+
+function clientFailure({ code }: ClientError): ApricotdeckError {
+  if (code === "HPE_HEADER_OVERFLOW") return failure(1205);
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") return failure(1206);
+  return failure(1201, { reason: code ?? "unknown" });
+}
--- /dev/null
+++ b/src/daemon/entry/entry.ts
@@ -0,0 +1,205 @@
+/** The daemon of an entry VM. */
+import { Histogram } from "prom-client";
+import { listen, type Listening } from "../listening.js";
+import { runTask } from "../background-task.js";
+import { ConfigurationFollower } from "../configuration-follower.js";
+import { startOperatorsServer } from "../operators-server.js";
+import {
+  createContext,
+  RELEASE,
+  type ProcessContext,
+} from "../process-context.js";
+import type { EntrySettings } from "../settings.js";
+import { LogClient } from "../../platform/log-client.js";
+import { BackendDirectory } from "./backend-directory.js";
+import { createCallerServer } from "./caller-server.js";
+import { Conservation } from "./conservation.js";
+import {
+  runRequest,
+  unexpectedResult,
+  type RequestResult,
+} from "./request-task.js";
+import type { AnswerWriter, Work } from "./work.js";
+import { pause } from "../background-task.js";
+
+const DRAIN_CHECK_MS = 50;
+const DURATION_BUCKETS = [0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100];
+
+export interface DaemonAddresses {
+  readonly operators: string;
+  readonly peers?: string;
+  readonly callers?: string;
+}
+
+export interface Daemon extends AsyncDisposable {
+  readonly context: ProcessContext;
+  readonly addresses: DaemonAddresses;
+  /** Resolves when the daemon has left and ended its work. */
+  readonly leave: () => Promise<void>;
+}
+
+export async function startEntry(
+  settings: EntrySettings,
+  onLeave: () => void,
+): Promise<Daemon> {
+  const context = createContext(settings);
+  return Entry.create(settings, context, onLeave);
+}
+
+class Entry implements Daemon {
+  private readonly stop = new AbortController();
+  private readonly conservation: Conservation;
+  private readonly configuration: ConfigurationFollower;
+  private readonly directory: BackendDirectory;
+  private readonly durations: Histogram<"outcome">;
+  private leaving = false;
+  private callers!: Listening;
+  private operators!: Listening;
+
+  private constructor(
+    private readonly settings: EntrySettings,
+    readonly context: ProcessContext,
+    private readonly onLeave: () => void,
+  ) {
+    const { emit, metrics } = context;
+    const { platform, transport } = settings;
+    const log = LogClient.create(platform.log);
+    this.conservation = Conservation.create(emit);
+    this.configuration = ConfigurationFollower.create(log, emit);
+    this.directory = BackendDirectory.create({
+      context,
+      transport,
+      vmList: platform.vmList,
+    });
+    this.durations = new Histogram({
+      name: "apricotdeck_request_duration_seconds",
+      help: "Time from acceptance to the final outcome of a request, s",
+      labelNames: ["outcome"],
+      buckets: DURATION_BUCKETS,
+      registers: [metrics],
+    });
+  }
+
+  static async create(
+    settings: EntrySettings,
+    context: ProcessContext,
+    onLeave: () => void,
+  ): Promise<Entry> {
+    const entry = new Entry(settings, context, onLeave);
+    await entry.start();
+    return entry;
+  }
+
+  get addresses(): DaemonAddresses {
+    const { callers, operators } = this;
+    return { callers: callers.address, operators: operators.address };
+  }
+
+  async leave(): Promise<void> {
+    if (this.leaving) return;
+    this.leaving = true;
+    const { graceMs } = this.settings;
+    this.context.emit(102, { graceMs });
+    this.callers.stopAccepting();
+    const deadline = Date.now() + graceMs;
+    while (this.inFlight > 0 && Date.now() < deadline) {
+      await pause(DRAIN_CHECK_MS, this.stop.signal);
+    }
+    this.context.emit(103, { cutRequests: this.inFlight });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stop.abort();
+    await this.callers[Symbol.asyncDispose]();
+    await this.operators[Symbol.asyncDispose]();
+  }
+
+  private get inFlight(): number {
+    return this.conservation.counts().inFlight;
+  }
+
+  private async start(): Promise<void> {
+    const { settings, context, configuration, directory } = this;
+    const { signal } = this.stop;
+    const { emit } = context;
+    this.operators = await startOperatorsServer(settings.operators, {
+      events: context.events,
+      metrics: context.metrics,
+      isReady: () => configuration.inForce !== undefined && !this.leaving,
+      status: () => this.status(),
+      leave: this.onLeave,
+    });
+    void runTask({
+      name: "configuration",
+      emit,
+      signal,
+      run: (s) => configuration.run(s),
+    });
+    void runTask({
+      name: "vm-list",
+      emit,
+      signal,
+      run: (s) => directory.run(s),
+    });
+    const server = createCallerServer({
+      limits: settings.limits,
+      configuration: () => configuration.configuration,
+      isLeaving: () => this.leaving,
+      serve: (work, writer) => this.serve(work, writer),
+    });
+    this.callers = await listen(server, settings.callers);
+    const { incarnation } = context;
+    emit(101, { role: "entry", incarnation, release: RELEASE });
+  }
+
+  private async serve(work: Work, writer: AnswerWriter): Promise<void> {
+    const { id: request, account, profile, acceptedAtMs } = work;
+    const { emit } = this.context;
+    this.conservation.accept(request);
+    emit(121, { request, account, profile: profile.name });
+    const result = await this.runWork(work, writer);
+    this.conservation.finish(request, result.outcome);
+    const durationMs = Date.now() - acceptedAtMs;
+    const { outcome } = result;
+    this.durations.observe({ outcome }, durationMs / 1000);
+    emit(124, { request, ...result, durationMs });
+  }
+
+  private async runWork(
+    work: Work,
+    writer: AnswerWriter,
+  ): Promise<RequestResult> {
+    try {
+      return await runRequest({
+        work,
+        writer,
+        configuration: this.configuration.configuration,
+        directory: this.directory,
+        emit: this.context.emit,
+      });
+    } catch (error) {
+      return unexpectedResult(error);
+    }
+  }
+
+  private status(): unknown {
+    const { context, configuration, directory, conservation } = this;
+    const { inForce } = configuration;
+    return {
+      name: context.name,
+      role: "entry",
+      dataCentre: context.dataCentre,
+      incarnation: context.incarnation,
+      release: RELEASE,
+      leaving: this.leaving,
+      version: inForce?.version ?? null,
+      hash: inForce?.hash ?? null,
+      conservation: conservation.counts(),
+      backends: directory.all().map(({ vm, session }) => ({
+        name: vm.name,
+        live: session?.takesWork ?? false,
+        inFlight: session?.inFlight ?? 0,
+      })),
+    };
+  }
+}
--- /dev/null
+++ b/src/daemon/entry/request-reader.ts
@@ -0,0 +1,218 @@
+/** Reads a caller's request and resolves account, profile and model. */
+import { createHash } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import { v7 as uuidV7 } from "uuid";
+import { z } from "zod";
+import {
+  raise,
+  type ClientAccount,
+  type Configuration,
+  type Profile,
+} from "../../internal.js";
+import type { Header } from "../../wire/generated/session.js";
+import type { EntrySettings } from "../settings.js";
+import type { Work } from "./work.js";
+
+export type CallerLimits = EntrySettings["limits"];
+
+export const PROFILE_HEADER = "apricotdeck-profile";
+export const IDEMPOTENCY_HEADER = "idempotency-key";
+const SERVICE_PREFIX = "/services/";
+const BYTES_PER_TOKEN = 4;
+const DEFAULT_OUTPUT_TOKENS = 256;
+const MAXIMUM_OUTPUT_TOKENS = 1_000_000;
+
+const completionPaths: ReadonlySet<string> = new Set([
+  "/v1/chat/completions",
+  "/v1/completions",
+]);
+
+/** The fields that decide; all others pass to the engine unread. */
+const completionSchema = z.looseObject({
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  max_tokens: z.int().min(1).max(MAXIMUM_OUTPUT_TOKENS).nullish(),
+  max_completion_tokens: z.int().min(1).max(MAXIMUM_OUTPUT_TOKENS).nullish(),
+  prompt: z.union([z.string(), z.array(z.unknown())]).optional(),
+  messages: z
+    .array(z.looseObject({ content: z.unknown() }))
+    .min(1)
+    .optional(),
+});
+
+type Completion = z.infer<typeof completionSchema>;
+
+/** Throws 1201 to 1208 for what can't be served. */
+export async function readWork(
+  request: IncomingMessage,
+  configuration: Configuration,
+  limits: CallerLimits,
+): Promise<Work> {
+  const account = authenticate(request, configuration);
+  const path = pathOf(request);
+  const isCompletion = completionPaths.has(path);
+  if (!isCompletion && !path.startsWith(SERVICE_PREFIX)) {
+    raise(1207, { path: path.slice(0, 100) });
+  }
+  if (isCompletion && request.method !== "POST") raise(1208);
+  const profile = resolveProfile(request, configuration, account);
+  const body = await readBody(request, limits);
+  const common = commonPart(request, account, profile, body);
+  return isCompletion
+    ? completionWork(common, path)
+    : serviceWork(common, request.url ?? path);
+}
+
+export function authenticate(
+  request: IncomingMessage,
+  { accounts }: Configuration,
+): ClientAccount {
+  const [scheme = "", credential = ""] =
+    request.headers.authorization?.split(" ") ?? [];
+  if (scheme.toLowerCase() !== "bearer" || credential === "") raise(1202);
+  const hash = createHash("sha256").update(credential).digest("hex");
+  const account = accounts.find(({ credentialHashes }) =>
+    credentialHashes.includes(hash),
+  );
+  return account ?? raise(1202);
+}
+
+export function isOpenTo(profile: Profile, account: ClientAccount): boolean {
+  return profile.accounts?.includes(account.name) ?? true;
+}
+
+export function pathOf({ url }: IncomingMessage): string {
+  return url?.split("?", 1).at(0) ?? "/";
+}
+
+type Common = Omit<
+  Work,
+  "path" | "streamed" | "model" | "prompt" | "costTokens"
+>;
+
+function commonPart(
+  request: IncomingMessage,
+  account: ClientAccount,
+  profile: Profile,
+  body: Buffer,
+): Common {
+  const acceptedAtMs = Date.now();
+  return {
+    id: uuidV7(),
+    account: account.name,
+    profile,
+    method: request.method ?? "GET",
+    headers: passedHeaders(request),
+    body,
+    acceptedAtMs,
+    deadlineAtMs: acceptedAtMs + profile.deadlineMs,
+    idempotencyKey: singleHeader(request, IDEMPOTENCY_HEADER),
+  };
+}
+
+function completionWork(common: Common, path: string): Work {
+  const { target } = common.profile;
+  const completion = parseCompletion(common.body);
+  if (target.kind !== "model" || completion.model !== target.model) {
+    raise(1204, { model: completion.model.slice(0, 100) });
+  }
+  const output =
+    completion.max_completion_tokens ??
+    completion.max_tokens ??
+    DEFAULT_OUTPUT_TOKENS;
+  const prompt = promptOf(completion);
+  return {
+    ...common,
+    path,
+    model: completion.model,
+    streamed: completion.stream === true,
+    prompt,
+    costTokens: Math.ceil(prompt.length / BYTES_PER_TOKEN) + output,
+  };
+}
+
+function serviceWork(common: Common, url: string): Work {
+  const { target } = common.profile;
+  const [service = "", ...rest] = url.slice(SERVICE_PREFIX.length).split("/");
+  if (target.kind !== "service" || target.service !== service) {
+    raise(1207, { path: url.slice(0, 100) });
+  }
+  const path = `/${rest.join("/")}`;
+  const costTokens = Math.ceil(common.body.length / BYTES_PER_TOKEN) + 1;
+  const plain = { streamed: false, model: "", prompt: "" };
+  return { ...common, ...plain, path, costTokens };
+}
+
+function parseCompletion(body: Buffer): Completion {
+  const result = completionSchema.safeParse(parseJson(body));
+  if (!result.success) {
+    const issue = result.error.issues.at(0);
+    const field = issue?.path.join(".") ?? "";
+    return raise(1201, { field, expected: issue?.message ?? "" });
+  }
+  const { prompt, messages } = result.data;
+  if (prompt === undefined && messages === undefined) {
+    raise(1201, { field: "messages", expected: "messages or prompt" });
+  }
+  return result.data;
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch (error) {
+    return raise(1201, { field: "(body)", expected: "JSON" }, error);
+  }
+}
+
+function promptOf({ prompt, messages }: Completion): string {
+  if (typeof prompt === "string") return prompt;
+  if (prompt !== undefined) return JSON.stringify(prompt);
+  return (messages ?? [])
+    .map(({ content }) =>
+      typeof content === "string" ? content : JSON.stringify(content ?? ""),
+    )
+    .join("\n");
+}
+
+function resolveProfile(
+  request: IncomingMessage,
+  { profiles }: Configuration,
+  account: ClientAccount,
+): Profile {
+  const named = singleHeader(request, PROFILE_HEADER);
+  const wanted = named === "" ? account.defaultProfile : named;
+  const profile = profiles.find(({ name }) => name === wanted);
+  if (profile !== undefined && isOpenTo(profile, account)) return profile;
+  return raise(1203, { profile: (wanted ?? "").slice(0, 100) });
+}
+
+async function readBody(
+  request: IncomingMessage,
+  limits: CallerLimits,
+): Promise<Buffer> {
+  const announced = Number(request.headers["content-length"] ?? 0);
+  if (announced > limits.bodyBytes) raise(1205, { limit: limits.bodyBytes });
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of request) {
+    parts.push(part as Buffer);
+    size += (part as Buffer).length;
+    if (size > limits.bodyBytes) raise(1205, { limit: limits.bodyBytes });
+  }
+  return Buffer.concat(parts);
+}
+
+/** Only what the runner needs: credentials and hop headers stay here. */
+function passedHeaders({ headers }: IncomingMessage): Header[] {
+  const passed = ["content-type", "accept", "accept-language"] as const;
+  return passed.flatMap((name) => {
+    const value = headers[name];
+    return value === undefined ? [] : [{ name, value }];
+  });
+}
+
+function singleHeader({ headers }: IncomingMessage, name: string): string {
+  const value = headers[name];
+  return typeof value === "string" ? value.trim() : "";
+}
--- /dev/null
+++ b/src/daemon/operators-server.ts
@@ -0,0 +1,90 @@
+/**
+ * The operators' address of a daemon: metrics, health, readiness, status,
+ * events and the order to leave. Never reachable by callers.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import { Registry, collectDefaultMetrics } from "prom-client";
+import type { EventLog } from "./event-log.js";
+import type { ListenSettings } from "./settings.js";
+import { listen, type Listening } from "./listening.js";
+
+export interface OperatorsSource {
+  readonly events: EventLog;
+  readonly metrics: Registry;
+  readonly isReady: () => boolean;
+  /** Anything that JSON can carry. */
+  readonly status: () => unknown;
+  /** Begins a graceful shutdown. */
+  readonly leave: () => void;
+}
+
+type Handler = (
+  url: URL,
+  response: ServerResponse,
+  source: OperatorsSource,
+) => Promise<void> | void;
+
+const handlers: Readonly<Partial<Record<string, Handler>>> = {
+  "GET /metrics": async (_url, response, { metrics }) => {
+    response.setHeader("content-type", metrics.contentType);
+    response.end(await metrics.metrics());
+  },
+  "GET /health": (_url, response) => {
+    sendJson(response, 200, { healthy: true });
+  },
+  "GET /ready": (_url, response, { isReady }) => {
+    const ready = isReady();
+    sendJson(response, ready ? 200 : 503, { ready });
+  },
+  "GET /status": (_url, response, { status }) => {
+    sendJson(response, 200, status());
+  },
+  "GET /events": (url, response, { events }) => {
+    const value = url.searchParams.get("value");
+    const sinceMs = Number(url.searchParams.get("sinceMs") ?? 0);
+    const filter = value === null ? { sinceMs } : { sinceMs, value };
+    sendJson(response, 200, { events: events.select(filter) });
+  },
+  "POST /leave": (_url, response, { leave }) => {
+    leave();
+    sendJson(response, 202, { leaving: true });
+  },
+};
+
+export async function startOperatorsServer(
+  settings: ListenSettings,
+  source: OperatorsSource,
+): Promise<Listening> {
+  collectDefaultMetrics({ register: source.metrics });
+  const server = createServer((request, response) => {
+    void answer(request, response, source);
+  });
+  return listen(server, settings);
+}
+
+async function answer(
+  request: IncomingMessage,
+  response: ServerResponse,
+  source: OperatorsSource,
+): Promise<void> {
+  const url = new URL(request.url ?? "/", "http://operators");
+  const handler = handlers[`${request.method ?? ""} ${url.pathname}`];
+  if (handler === undefined) {
+    sendJson(response, 404, { error: "unknown path" });
+    return;
+  }
+  await handler(url, response, source);
+}
+
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/src/daemon/process-context.ts
@@ -0,0 +1,30 @@
+/** What every part of one daemon process shares. */
+import { randomUUID } from "node:crypto";
+import { Registry } from "prom-client";
+import { HybridClock, type Emit } from "../internal.js";
+import { EventLog } from "./event-log.js";
+import type { Settings } from "./settings.js";
+
+export const RELEASE = "0.1.0";
+
+export interface ProcessContext {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** New for every start, so that a restarted process is told apart. */
+  readonly incarnation: string;
+  readonly clock: HybridClock;
+  readonly events: EventLog;
+  readonly emit: Emit;
+  readonly metrics: Registry;
+}
+
+export function createContext(settings: Settings): ProcessContext {
+  const { name, dataCentre, logLevel } = settings;
+  const clock = HybridClock.create();
+  const events = EventLog.create(name, clock, logLevel);
+  const incarnation = randomUUID();
+  const { emit } = events;
+  const metrics = new Registry();
+  metrics.setDefaultLabels({ process: name, data_centre: dataCentre });
+  return { name, dataCentre, incarnation, clock, events, emit, metrics };
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,163 @@
+/**
+ * Settings of one daemon: a file in JSON with comments, checked by a schema.
+ * A wrong or unknown field stops the start, naming file, path and what was
+ * expected, because nobody can log in later to notice a mistyped name.
+ */
+import { readFileSync } from "node:fs";
+import { parse, printParseErrorCode, type ParseError } from "jsonc-parser";
+import { z } from "zod";
+import { raise } from "../internal.js";
+
+const MIB = 1024 * 1024;
+
+const port = z.int().min(0).max(65_535);
+
+const listen = z
+  .strictObject({
+    host: z.string().default("127.0.0.1"),
+    /** 0 lets the system hand out a port. */
+    port: port.default(0),
+  })
+  .readonly();
+
+const transport = z
+  .strictObject({
+    /** PEM files for mutual authentication between the daemons. */
+    certificateFile: z.string().optional(),
+    keyFile: z.string().optional(),
+    authorityFile: z.string().optional(),
+    /** Allows plaintext on addresses other than loopback. */
+    allowPlaintext: z.boolean().default(false),
+  })
+  .readonly();
+
+const platform = z
+  .strictObject({
+    log: z.url(),
+    vmList: z.url(),
+    weightStore: z.url().optional(),
+  })
+  .readonly();
+
+const common = {
+  name: z.string().min(1),
+  dataCentre: z.string().min(1),
+  region: z.string().min(1).default("default"),
+  peers: listen.prefault({}),
+  operators: listen.prefault({}),
+  platform,
+  transport: transport.prefault({}),
+  logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
+  /** Longest wait for running work after a stop was asked for, in ms. */
+  graceMs: z.int().min(0).default(30_000),
+};
+
+const callerLimits = z
+  .strictObject({
+    headBytes: z.int().min(1024).default(16_384),
+    bodyBytes: z
+      .int()
+      .min(1024)
+      .default(4 * MIB),
+    /** Longest time for a caller to send its whole request, in ms. */
+    receiveMs: z.int().min(100).default(10_000),
+    /** Longest time a caller may leave its answer unread, in ms. */
+    writeStallMs: z.int().min(100).default(30_000),
+    /** Time between comment lines on a stream without tokens, in ms. */
+    keepAliveMs: z.int().min(100).default(10_000),
+    connections: z.int().min(1).default(20_000),
+    /** Largest whole answer that is held back until it is complete. */
+    answerBytes: z
+      .int()
+      .min(1024)
+      .default(16 * MIB),
+  })
+  .readonly();
+
+const entrySettings = z
+  .strictObject({
+    role: z.literal("entry"),
+    ...common,
+    callers: listen.prefault({}),
+    limits: callerLimits.prefault({}),
+  })
+  .readonly();
+
+const runner = z
+  .strictObject({
+    address: z.url(),
+    kind: z.enum(["model", "service"]),
+    /** Whether the engine refuses an order with an old fencing number. */
+    checksFencing: z.boolean().default(false),
+    /** Longest time an order already sent can still take effect, in ms. */
+    orderEffectMs: z.int().min(0).default(30_000),
+  })
+  .readonly();
+
+const agentSettings = z
+  .strictObject({
+    role: z.literal("agent"),
+    ...common,
+    /** Group of backend servers that the runner belongs to. */
+    group: z.string().min(1),
+    /** Ranks of the group that the runner hosts. */
+    ranks: z.array(z.int().min(0)).readonly().default([]),
+    runner,
+    limits: z
+      .strictObject({
+        /** Requests running at once; the last word on new work. */
+        attempts: z.int().min(1).default(256),
+      })
+      .readonly()
+      .prefault({}),
+  })
+  .readonly();
+
+export const settingsSchema = z.discriminatedUnion("role", [
+  entrySettings,
+  agentSettings,
+]);
+
+export type Settings = z.infer<typeof settingsSchema>;
+export type EntrySettings = z.infer<typeof entrySettings>;
+export type AgentSettings = z.infer<typeof agentSettings>;
+export type ListenSettings = z.infer<typeof listen>;
+export type TransportSettings = z.infer<typeof transport>;
+
+/** Throws 1001 or 1002. */
+export function loadSettings(file: string): Settings {
+  return parseSettings(readText(file), file);
+}
+
+export function parseSettings(text: string, file: string): Settings {
+  const errors: ParseError[] = [];
+  const value: unknown = parse(text, errors, { allowTrailingComma: true });
+  const syntax = errors.at(0);
+  if (syntax !== undefined) {
+    const line = text.slice(0, syntax.offset).split("\n").length;
+    raise(1002, { file, line, found: printParseErrorCode(syntax.error) });
+  }
+  const result = settingsSchema.safeParse(value, { reportInput: true });
+  if (result.success) return result.data;
+  return raise(1002, { file, ...describeIssue(result.error.issues.at(0)) });
+}
+
+function describeIssue(
+  issue: z.core.$ZodIssue | undefined,
+): Record<string, string> {
+  if (issue === undefined) return {};
+  const found = JSON.stringify(issue.input);
+  return {
+    path: issue.path.join(".") || "(top)",
+    expected: issue.message,
+    found: found.length > 200 ? `${found.slice(0, 200)}…` : found,
+  };
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (error) {
+    return raise(1001, { file }, error);
+  }
+}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -1,6 +1,7 @@
 /** The coordination parts, free of sockets, for use inside the product. */
 
 // shared
+export * from "./shared/deferred.js";
 export * from "./shared/errors.js";
 export * from "./shared/events.js";
 export * from "./shared/exhaustive.js";
