Add placement, admission and the retry allowance as pure modules

Cause: requests had neither a rule for choosing a backend server nor one for starting, waiting or being refused.

Change: placement compares the holders of a prompt's prefix with a few sampled runners by predicted time; admission queues fairly by cost with priorities, deadlines and bounds; retries come out of an allowance refilled by successes; the agent has a limit of its own. Clock, randomness and sending are arguments.

--- a/src/index.ts
+++ b/src/index.ts
@@ -1,6 +1,11 @@
 /** Public interface of the library: the coordination parts. */
 export {
+  Admission,
+  AgentLimit,
   ApricotdeckError,
+  Placement,
+  RetryAllowance,
+  defaultPlacementSettings,
   errorTable,
   eventTable,
   HybridClock,
@@ -8,6 +13,10 @@
   createRandom,
 } from "./internal.js";
 export type {
+  AdmissionInputs,
+  AdmissionRequest,
+  CacheEvent,
+  Choice,
   ClockReading,
   Emit,
   ErrorEntry,
@@ -15,6 +24,14 @@
   EventEntry,
   EventFields,
   EventNumber,
+  Offer,
   Outcome,
+  Placed,
+  PlacementInputs,
+  PlacementRequest,
+  PlacementSettings,
   Random,
+  Refusal,
+  RunnerDescription,
+  RunnerLoad,
 } from "./internal.js";
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -15,8 +15,17 @@
 // session
 
 // admission
+export * from "./admission/types.js";
+export * from "./admission/account-limits.js";
+export * from "./admission/admission.js";
+export * from "./admission/agent-limit.js";
+export * from "./admission/output-estimate.js";
+export * from "./admission/retry-allowance.js";
 
 // placement
+export * from "./placement/types.js";
+export * from "./placement/defaults.js";
+export * from "./placement/placement.js";
 
 // balance
 
--- /dev/null
+++ b/src/placement/placement.ts
@@ -0,0 +1,289 @@
+/**
+ * Chooses the backend server for one request, at one entry, without asking
+ * anybody. Made for several thousand requests a second over 820 runners with
+ * reports that are a second old: each choice compares the holders of the
+ * request's prefix with a few runners drawn at random, by the predicted time
+ * to the end of the answer.
+ */
+import { Left, Right, type Either } from "purify-ts/Either";
+import { failure, type ApricotdeckError } from "../internal.js";
+import { DEFAULT_TUNING } from "./defaults.js";
+import { Pool } from "./pool.js";
+import { PrefixIndex, type Match } from "./prefix-index.js";
+import { RunnerState } from "./runner.js";
+import { predict, type Prediction } from "./prediction.js";
+import type {
+  CacheEvent,
+  Choice,
+  Placed,
+  PlacementInputs,
+  PlacementRequest,
+  PlacementTuning,
+  RunnerDescription,
+  RunnerLoad,
+} from "./types.js";
+
+const NO_MATCHES: readonly Match[] = [];
+
+export class Placement {
+  private readonly runners = new Map<string, RunnerState>();
+  private readonly pools = new Map<string, Pool>();
+  private readonly prefixes = PrefixIndex.create();
+  private readonly tuning: PlacementTuning;
+  /** Reused by every choice, so that a decision allocates little. */
+  private readonly candidates: RunnerState[] = [];
+
+  private constructor(private readonly inputs: PlacementInputs) {
+    this.tuning = { ...DEFAULT_TUNING, ...inputs.tuning };
+  }
+
+  static create(inputs: PlacementInputs): Placement {
+    return new Placement(inputs);
+  }
+
+  get prefixCount(): number {
+    return this.prefixes.size;
+  }
+
+  get ejectedCount(): number {
+    let count = 0;
+    for (const { health } of this.runners.values()) {
+      if (health.isEjected) count += 1;
+    }
+    return count;
+  }
+
+  /** Takes in a runner, or what has changed of it. */
+  setRunner(description: RunnerDescription): void {
+    const known = this.runners.get(description.runner);
+    if (known !== undefined) this.leavePools(known);
+    const state = known ?? RunnerState.create(description, this.inputs.random);
+    state.description = description;
+    this.runners.set(description.runner, state);
+    for (const key of description.pools) this.poolOf(key).add(state);
+  }
+
+  /** A runner that is leaving or gone gets nothing from here on. */
+  removeRunner(runner: string): void {
+    const state = this.runners.get(runner);
+    if (state === undefined) return;
+    this.leavePools(state);
+    this.runners.delete(runner);
+  }
+
+  choose(request: PlacementRequest): Either<ApricotdeckError, Choice> {
+    const pool = this.pools.get(request.pool);
+    if (pool === undefined || pool.size === 0) return noRunner(request);
+    const matches = this.matchesOf(request);
+    const best =
+      this.bestOfSample(request, pool, matches) ??
+      this.bestOfAll(request, pool, matches) ??
+      lastResort(request, pool);
+    if (best === undefined) return noRunner(request);
+    const prediction = this.predict(best, request, pool, matches);
+    return Right(toChoice(best, prediction));
+  }
+
+  /** The chosen runner was sent the request. */
+  onStarted({ request, choice }: Placed): void {
+    const state = this.runners.get(choice.runner);
+    if (state === undefined) return;
+    state.addOwn(this.inputs.now(), 1);
+    state.health.onPlaced();
+    this.prefixes.add(state, request.prefix);
+    const tokens = request.promptTokens + request.outputTokens;
+    this.pools.get(request.pool)?.onRequest(choice.nominalMs, tokens);
+  }
+
+  /**
+   * The answer came whole, `serviceMs` after the runner had started it.
+   * `cachedTokens` is what the engine says it found in its cache, if it does.
+   */
+  onEnded(placed: Placed, serviceMs: number, cachedTokens?: number): void {
+    const state = this.release(placed);
+    if (state === undefined) return;
+    const { request, choice } = placed;
+    if (choice.nominalMs > 0) {
+      const ratio = serviceMs / choice.nominalMs;
+      const { slownessMemoryMs } = this.tuning;
+      state.onServed(this.inputs.now(), ratio, slownessMemoryMs);
+    }
+    if (cachedTokens === 0 && choice.cachedTokens > 0) {
+      this.prefixes.remove(state, request.prefix);
+      this.prefixes.add(state, request.prefix);
+    }
+    if (state.health.onSucceeded()) {
+      this.inputs.emit(152, { runner: state.name });
+    }
+  }
+
+  /** The runner broke the attempt, or its session did. */
+  onFailed(placed: Placed): void {
+    const state = this.release(placed);
+    if (state === undefined) return;
+    if (!state.health.onFailed(this.inputs.now())) return;
+    this.inputs.emit(151, { runner: state.name, pool: placed.request.pool });
+  }
+
+  /** The agent refused at its own limit: full, not faulty. */
+  onRefused(placed: Placed): void {
+    const state = this.release(placed);
+    if (state === undefined) return;
+    const before = state.reportedCount;
+    state.onFull(this.inputs.now(), this.limitOf(state));
+    this.tellPools(state, before);
+    state.health.onNoVerdict();
+  }
+
+  /** The caller went away: says nothing about the runner. */
+  onCancelled(placed: Placed): void {
+    this.release(placed)?.health.onNoVerdict();
+  }
+
+  onReport(runner: string, load: RunnerLoad): void {
+    const state = this.runners.get(runner);
+    if (state === undefined) return;
+    const before = state.reportedCount;
+    const { now, settings } = this.inputs;
+    state.onReport(now(), load, settings.blockTokens);
+    this.tellPools(state, before);
+  }
+
+  onCacheEvent(event: CacheEvent): void {
+    const state = this.runners.get(event.runner);
+    if (state !== undefined) this.prefixes.onEvent(state, event);
+  }
+
+  private matchesOf(request: PlacementRequest): readonly Match[] {
+    if (request.prefix.length === 0) return NO_MATCHES;
+    return this.prefixes.find(request.prefix, this.tuning.holders);
+  }
+
+  private bestOfSample(
+    request: PlacementRequest,
+    pool: Pool,
+    matches: readonly Match[],
+  ): RunnerState | undefined {
+    this.candidates.length = 0;
+    for (const { runner } of matches) {
+      if (runner.description.pools.includes(request.pool)) {
+        this.candidates.push(runner);
+      }
+    }
+    pool.sample(this.tuning.samples, this.inputs.random, this.candidates);
+    return this.best(this.candidates, request, pool, matches);
+  }
+
+  /** Every sampled runner is left out or excluded: look at the whole pool. */
+  private bestOfAll(
+    request: PlacementRequest,
+    pool: Pool,
+    matches: readonly Match[],
+  ): RunnerState | undefined {
+    if (pool.size <= this.tuning.samples) return undefined;
+    return this.best(pool.runners, request, pool, matches);
+  }
+
+  private best(
+    candidates: readonly RunnerState[],
+    request: PlacementRequest,
+    pool: Pool,
+    matches: readonly Match[],
+  ): RunnerState | undefined {
+    const nowMs = this.inputs.now();
+    let best: RunnerState | undefined;
+    let bestMs = Number.POSITIVE_INFINITY;
+    for (const candidate of candidates) {
+      if (!candidate.health.mayTake(nowMs)) continue;
+      if (request.excluded?.includes(candidate.name) === true) continue;
+      const { scoreMs } = this.predict(candidate, request, pool, matches);
+      if (scoreMs >= bestMs) continue;
+      best = candidate;
+      bestMs = scoreMs;
+    }
+    return best;
+  }
+
+  private predict(
+    state: RunnerState,
+    request: PlacementRequest,
+    pool: Pool,
+    matches: readonly Match[],
+  ): Prediction {
+    return predict(state, request, pool, matches, {
+      nowMs: this.inputs.now(),
+      settings: this.inputs.settings,
+      tuning: this.tuning,
+      limit: this.limitOf(state),
+    });
+  }
+
+  private limitOf(state: RunnerState): number {
+    const { slots } = state.description;
+    return slots + Math.ceil(slots * this.inputs.settings.queueShare);
+  }
+
+  private release({ choice }: Placed): RunnerState | undefined {
+    const state = this.runners.get(choice.runner);
+    state?.addOwn(this.inputs.now(), -1);
+    return state;
+  }
+
+  private tellPools(state: RunnerState, countBefore: number): void {
+    const difference = state.reportedCount - countBefore;
+    if (difference === 0) return;
+    for (const key of state.description.pools) {
+      this.poolOf(key).onReportChanged(difference);
+    }
+  }
+
+  private leavePools(state: RunnerState): void {
+    for (const key of state.description.pools) this.poolOf(key).remove(state);
+  }
+
+  private poolOf(key: string): Pool {
+    const known = this.pools.get(key);
+    if (known !== undefined) return known;
+    const pool = Pool.create(this.inputs.settings.dataCentre);
+    this.pools.set(key, pool);
+    return pool;
+  }
+}
+
+/**
+ * All runners are left out: the one whose probe is due first. A pool that
+ * fails as a whole is more likely to suffer from one common cause than from
+ * many faults, and refusing everything would keep it out for good.
+ */
+function lastResort(
+  request: PlacementRequest,
+  pool: Pool,
+): RunnerState | undefined {
+  let best: RunnerState | undefined;
+  for (const runner of pool.runners) {
+    if (request.excluded?.includes(runner.name) === true) continue;
+    if (best === undefined || runner.health.probeAtMs < best.health.probeAtMs) {
+      best = runner;
+    }
+  }
+  return best;
+}
+
+function noRunner(request: PlacementRequest): Either<ApricotdeckError, never> {
+  return Left(failure(1209, { pool: request.pool }));
+}
+
+function toChoice(state: RunnerState, prediction: Prediction): Choice {
+  const { waitMs, nominalMs, serviceMs } = prediction;
+  const { cachedTokens, importFrom, hasRoom } = prediction;
+  return {
+    runner: state.name,
+    group: state.description.group,
+    waitMs,
+    nominalMs,
+    serviceMs,
+    cachedTokens,
+    importFrom,
+    hasRoom,
+  };
+}
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -240,6 +240,27 @@
     "The work can't be finished within its deadline.",
     "Retry after the given time, or raise the deadline.",
   ),
+  1503: entry(
+    "queue-wait-exceeded",
+    503,
+    "not-run",
+    "The request waited as long as its profile lets it.",
+    "Retry after the given time.",
+  ),
+  1504: entry(
+    "account-limit-reached",
+    429,
+    "not-run",
+    "The client account has used up its tokens for now.",
+    "Retry after the given time, or raise the limit of the account.",
+  ),
+  1505: entry(
+    "queue-displaced",
+    429,
+    "not-run",
+    "The queue is full and the client account has more than its share in it.",
+    "Retry after the given time.",
+  ),
 
   // 1600: expert map
 
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -101,6 +101,27 @@
   }),
 
   // 150: admission and placement
+  151: entry("runner-ejected", "warn", "A failing runner gets no work.", {
+    runner: "backend server",
+    pool: "model or plain service whose request failed last",
+  }),
+  152: entry("runner-recovered", "info", "An ejected runner passed probes.", {
+    runner: "backend server",
+  }),
+  153: entry("queue-started", "info", "Requests of a pool have to wait.", {
+    pool: "model or plain service",
+  }),
+  154: entry("queue-emptied", "info", "No request of a pool waits any more.", {
+    pool: "model or plain service",
+    durationMs: "time since the first one waited, ms",
+    refused: "requests refused or given up meanwhile",
+  }),
+  155: entry("retries-exhausted", "warn", "The retry allowance is used up.", {
+    pool: "model or plain service",
+  }),
+  156: entry("retries-restored", "info", "Successes refilled the allowance.", {
+    pool: "model or plain service",
+  }),
 
   // 160: expert map
 
