Decide publications as a deterministic function of the log

Cause: operators race one another, appends are repeated and land late, the log trims old records and releases of different age read one stream. None of this may revert an accepted configuration or make two readers differ.

Change: a publication links the chain only if it was made from the latest link; linking depends on the envelope alone, so that a release that does not understand a content still agrees on the order, keeps the content and goes on under the older one.

Conclusion: the tests show each failure decided as described; the chain needs no memory of nonces, because a repeat's base is never the latest again.

--- a/src/internal.ts
+++ b/src/internal.ts
@@ -9,6 +9,16 @@
 
 // configuration
 export * from "./configuration/schema.js";
+export * from "./configuration/types.js";
+export * from "./configuration/content-hash.js";
+export * from "./configuration/check.js";
+export * from "./configuration/envelope.js";
+export * from "./configuration/formats.js";
+export * from "./configuration/rules.js";
+export * from "./configuration/state.js";
+export * from "./configuration/acceptance.js";
+export * from "./configuration/anchor.js";
+export * from "./configuration/verdict.js";
 
 // claims
 
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -78,6 +78,34 @@
     "No configuration is in force in this process yet.",
     "Retry later; operators look at `apricotdeck status`.",
   ),
+  1104: entry(
+    "configuration-version-fell",
+    0,
+    "none",
+    "An older configuration was about to replace the one in force.",
+    "The one in force stays; send a support bundle.",
+  ),
+  1105: entry(
+    "configuration-record-unreadable",
+    0,
+    "none",
+    "A record of the configuration stream can't be read.",
+    "Nothing is changed by it; look at who else writes to the stream.",
+  ),
+  1106: entry(
+    "configuration-not-understood",
+    0,
+    "none",
+    "The publication is of a format newer than this release.",
+    "The older content stays in force here; upgrade this process.",
+  ),
+  1107: entry(
+    "checkpoint-disagrees",
+    0,
+    "none",
+    "A checkpoint contradicts what this process read from the log.",
+    "It is not used; send a support bundle.",
+  ),
 
   // 1200: requests and answers
   1201: entry(
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -54,6 +54,30 @@
     error: "error number",
     reason: "reason for the operator",
   }),
+  113: entry(
+    "configuration-not-understood",
+    "warn",
+    "A publication of a newer release was kept; the older content stays.",
+    {
+      offset: "offset in the log",
+      formatVersion: "format of the publication",
+    },
+  ),
+  114: entry(
+    "configuration-undecided",
+    "warn",
+    "Earlier records are lost; a usable checkpoint is awaited.",
+    {
+      heldFrom: "first offset that the log still holds",
+      version: "version in force here, -1 when none",
+    },
+  ),
+  115: entry(
+    "checkpoint-appended",
+    "info",
+    "The state was written to the log, ahead of its retention.",
+    { asOf: "last offset that the checkpoint covers" },
+  ),
 
   // 120: requests
   121: entry("request-accepted", "info", "An entry took a caller's request.", {
--- /dev/null
+++ b/tests/configuration/acceptance.test.ts
@@ -0,0 +1,219 @@
+import { Right } from "purify-ts";
+import * as assert from "uvu/assert";
+import {
+  acceptanceRules,
+  adoptSnapshot,
+  applyRecord,
+  applyRecords,
+  createCheckpoint,
+  examineConfiguration,
+  initialConfigurationState,
+  skipTrimmed,
+  type AcceptanceRules,
+  type Applied,
+  type Checkpoint,
+  type LogRecord,
+} from "../../src/internal.js";
+import { describe, it } from "../support/describe.js";
+import { publication, recordAt, weighted } from "./support.js";
+
+/** A release that knows one format more, which accepts anything. */
+const newerRelease: AcceptanceRules = {
+  ...acceptanceRules,
+  formats: new Map([
+    ...acceptanceRules.formats,
+    [2, () => Right(examineConfiguration(weighted(0.1)).unsafeCoerce())],
+  ]),
+};
+
+function read(records: readonly LogRecord[], rules = acceptanceRules): Applied {
+  return applyRecords(initialConfigurationState, records, rules);
+}
+
+function kinds({ verdicts }: Applied): readonly string[] {
+  return verdicts.map(({ kind }) => kind);
+}
+
+const first = recordAt(0, publication({ nonce: "a" }));
+
+function checkpointAfter(records: readonly LogRecord[]): Checkpoint {
+  const checkpoint = createCheckpoint(read(records).state);
+  assert.ok(checkpoint);
+  return checkpoint;
+}
+
+describe("acceptance of publications", () => {
+  it("puts a valid one based on the latest version in force", () => {
+    const second = publication({ nonce: "b", basedOn: 0 });
+    const { state } = read([first, recordAt(1, second)]);
+    assert.is(state.inForce?.version, 1);
+  });
+
+  describe("when two operators publish from the same version", () => {
+    // Both see version 0 in force and publish; both appends succeed. Log order
+    // decides: the first is in force everywhere, the second operator is told
+    // which version came first.
+    it("accepts the first and tells the other", () => {
+      const records = [
+        first,
+        recordAt(1, publication({ nonce: "b", basedOn: 0 })),
+        recordAt(2, publication({ nonce: "c", basedOn: 0 })),
+      ];
+      const { state, verdicts } = read(records);
+      assert.is(state.inForce?.version, 1);
+      const verdict = verdicts.at(-1);
+      const told = { offset: 2, nonce: "c", author: "operator" };
+      const expected = { kind: "superseded", basedOn: 0, latest: 1 };
+      assert.equal(verdict, { ...told, ...expected });
+    });
+  });
+
+  describe("when the answer of an append is lost and it is repeated", () => {
+    // The operator's tool sees a timeout although the record landed, and sends
+    // the same record again. It must count once, also when another operator
+    // published in between: else the repeat would revert that publication.
+    it("counts the repeat as a duplicate", () => {
+      const again = recordAt(1, publication({ nonce: "a" }));
+      const applied = read([first, again]);
+      assert.equal(kinds(applied), ["accepted", "duplicate"]);
+      assert.is(applied.state.inForce?.version, 0);
+    });
+
+    it("does not let the repeat revert a later version", () => {
+      const records = [
+        first,
+        recordAt(1, publication({ nonce: "b", basedOn: 0 })),
+        recordAt(2, publication({ nonce: "a" })),
+      ];
+      assert.is(read(records).state.inForce?.version, 1);
+    });
+  });
+
+  it("keeps the older content when one is invalid, and says why", () => {
+    const invalid = publication({ basedOn: 0, configuration: { groups: 1 } });
+    const later = publication({ basedOn: 0, nonce: "c" });
+    const applied = read([first, recordAt(1, invalid), recordAt(2, later)]);
+    assert.equal(kinds(applied), ["accepted", "invalid", "accepted"]);
+  });
+
+  it("passes over what it can't read", () => {
+    const noise = { offset: 1, appendedAtMs: 1, data: new Uint8Array([123]) };
+    const applied = read([first, noise]);
+    assert.equal(kinds(applied), ["accepted", "unreadable"]);
+  });
+
+  it("applies no record twice", () => {
+    const { state } = read([first]);
+    assert.equal(applyRecord(state, first), { state, verdicts: [] });
+  });
+});
+
+describe("releases of different age reading one log", () => {
+  const newer = recordAt(
+    1,
+    publication({ nonce: "b", basedOn: 0, formatVersion: 2 }),
+  );
+
+  // An upgraded tool publishes a format that some processes don't know yet.
+  // These keep the older content whole and say so; they must still see that a
+  // publication based on the older version came too late.
+  it("keep what they don't understand and judge the next one alike", () => {
+    const late = recordAt(2, publication({ nonce: "c", basedOn: 0 }));
+    const next = recordAt(3, publication({ nonce: "d", basedOn: 1 }));
+    const older = read([first, newer, late]);
+    assert.equal(kinds(older), ["accepted", "not-understood", "superseded"]);
+    assert.is(older.state.inForce?.version, 0);
+    assert.is(older.state.notUnderstood?.version, 1);
+    const upgraded = read([first, newer, late], newerRelease);
+    assert.equal(kinds(upgraded), ["accepted", "accepted", "superseded"]);
+    assert.is(applyRecord(older.state, next).state.inForce?.version, 3);
+    assert.is(applyRecord(older.state, next).state.notUnderstood, null);
+  });
+
+  it("hand a content on that they don't understand", () => {
+    const checkpoint = checkpointAfter([first, newer]);
+    const start = skipTrimmed(initialConfigurationState, 5);
+    const holding = { ...checkpoint, asOf: 4 };
+    const record = recordAt(5, holding);
+    assert.is(applyRecord(start, record).state.inForce?.version, 0);
+    const upgraded = applyRecord(start, record, newerRelease);
+    assert.is(upgraded.state.inForce?.version, 1);
+  });
+});
+
+describe("a reader for which the log no longer holds everything", () => {
+  const second = recordAt(1, publication({ nonce: "b", basedOn: 0 }));
+  const third = recordAt(2, publication({ nonce: "c", basedOn: 1 }));
+
+  it("starts from a checkpoint and decides what came before it", () => {
+    const checkpoint = checkpointAfter([first, second]);
+    const start = skipTrimmed(initialConfigurationState, 2);
+    const waiting = applyRecord(start, third);
+    assert.equal(waiting.verdicts, []);
+    assert.is(waiting.state.inForce, null);
+    const applied = applyRecord(waiting.state, recordAt(3, checkpoint));
+    assert.equal(kinds(applied), ["accepted"]);
+    assert.is(applied.state.inForce?.version, 2);
+  });
+
+  // A writer is paused with a checkpoint as of version 0 in hand. Versions 1
+  // and 2 are accepted and the log trims version 1; then its append lands. A
+  // reader that took it would judge version 2 by the wrong base.
+  it("does not start from a late checkpoint that leaves a gap", () => {
+    const stale = checkpointAfter([first]);
+    const start = skipTrimmed(initialConfigurationState, 2);
+    const waiting = applyRecords(start, [third, recordAt(3, stale)]);
+    assert.is(waiting.state.inForce, null);
+    assert.is(createCheckpoint(waiting.state), undefined);
+  });
+
+  it("keeps what it has in force and goes on from a checkpoint", () => {
+    const paused = skipTrimmed(read([first]).state, 2);
+    assert.is(paused.inForce?.version, 0);
+    const checkpoint = checkpointAfter([first, second, third]);
+    const applied = applyRecord(paused, recordAt(3, checkpoint));
+    assert.is(applied.state.inForce?.version, 2);
+  });
+
+  it("takes a publication whose author saw that nothing was left", () => {
+    const start = skipTrimmed(initialConfigurationState, 9);
+    const anew = publication({ nonce: "n", seenThrough: 9 });
+    const records = [recordAt(9, anew), recordAt(10, anew)];
+    const applied = applyRecords(start, records);
+    assert.equal(kinds(applied), ["accepted", "duplicate"]);
+  });
+});
+
+describe("a snapshot of a peer", () => {
+  const second = recordAt(1, publication({ nonce: "b", basedOn: 0 }));
+
+  // The log is down while a process starts: it runs under the snapshot of a
+  // peer, and what it reads when the log is back joins on without a gap.
+  it("lets a process start while the log is down", () => {
+    const snapshot = checkpointAfter([first]);
+    const { state } = adoptSnapshot(initialConfigurationState, snapshot, 0);
+    assert.is(state.inForce?.version, 0);
+    assert.is(applyRecord(state, second).state.inForce?.version, 1);
+  });
+
+  it("changes nothing when it is behind", () => {
+    const { state } = read([first, second]);
+    const behind = checkpointAfter([first]);
+    assert.is(adoptSnapshot(state, behind, 0).state, state);
+  });
+
+  it("is not used when the log no longer joins on to it", () => {
+    const snapshot = checkpointAfter([first]);
+    const start = skipTrimmed(initialConfigurationState, 5);
+    assert.is(adoptSnapshot(start, snapshot, 5).state.inForce, null);
+  });
+});
+
+describe("a checkpoint that contradicts the log", () => {
+  it("is reported and not used", () => {
+    const wrong = { ...checkpointAfter([first]), head: null };
+    const applied = read([first, recordAt(1, wrong)]);
+    assert.equal(kinds(applied), ["accepted", "checkpoint-disagrees"]);
+    assert.is(applied.state.inForce?.version, 0);
+  });
+});
