--- a/src/internal.ts
+++ b/src/internal.ts
@@ -10,14 +10,33 @@
 
 // configuration
 export * from "./configuration/schema.js";
+export * from "./configuration/types.js";
+export * from "./configuration/content-hash.js";
+export * from "./configuration/check.js";
+export * from "./configuration/envelope.js";
+export * from "./configuration/formats.js";
+export * from "./configuration/rules.js";
+export * from "./configuration/state.js";
+export * from "./configuration/acceptance.js";
+export * from "./configuration/anchor.js";
+export * from "./configuration/verdict.js";
 
 // claims
 
 // session
 
 // admission
+export * from "./admission/types.js";
+export * from "./admission/account-limits.js";
+export * from "./admission/admission.js";
+export * from "./admission/agent-limit.js";
+export * from "./admission/output-estimate.js";
+export * from "./admission/retry-allowance.js";
 
 // placement
+export * from "./placement/types.js";
+export * from "./placement/defaults.js";
+export * from "./placement/placement.js";
 
 // balance
 
