Add the command-line tool

Cause: operators had no way to publish, to see state or to read one story over all processes. Change: check, publish, show, history, status, drain, timeline, explain and bundle, with JSON output and documented exit codes. Conclusion: racing operators and a lost append answer end with one truthful result each.

--- a/demo/configurations.ts
+++ b/demo/configurations.ts
@@ -10,6 +10,7 @@
 export type SiteName = "dyfrwr" | "ben-ammar";
 
 const ACCOUNTS = 10;
+const EXPERTS = 32;
 
 /** Credential of one of the site's client accounts. */
 export function credentialOf(site: SiteName, index: number): string {
@@ -48,8 +49,9 @@
         model: MODEL,
         ranks,
         layers: 4,
-        experts: 32,
-        slotsPerRank: 4,
+        experts: EXPERTS,
+        // One spare slot a rank for replicas.
+        slotsPerRank: Math.ceil(EXPERTS / ranks) + 1,
         bytesPerExpert: 8192,
       },
       { kind: "service", name: SERVICE_GROUP, service: SERVICE },
--- /dev/null
+++ b/src/cli/exit-codes.ts
@@ -0,0 +1,13 @@
+/** Exit codes of the command-line tool (docs/COMMANDS.md). */
+export const exitCodes = {
+  done: 0,
+  /** Refused, invalid or superseded; the reason was printed. */
+  refused: 1,
+  usage: 2,
+  /** Some processes could not be reached or were not ready in time. */
+  incomplete: 3,
+  /** The platform could not be reached, or an internal failure. */
+  failed: 4,
+} as const;
+
+export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -6,11 +6,8 @@
 import type { Daemon, DaemonAddresses } from "../entry/entry.js";
 import type { Listening } from "../listening.js";
 import { startOperatorsServer } from "../operators-server.js";
-import {
-  createContext,
-  RELEASE,
-  type ProcessContext,
-} from "../process-context.js";
+import { RELEASE } from "../../release.js";
+import { createContext, type ProcessContext } from "../process-context.js";
 import type { AgentSettings, ListenSettings } from "../settings.js";
 import { channelOptions, serverCredentials } from "../transport.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
--- a/src/daemon/entry/agent-session.ts
+++ b/src/daemon/entry/agent-session.ts
@@ -13,7 +13,7 @@
 import type { ProcessContext } from "../process-context.js";
 import type { TransportSettings } from "../settings.js";
 import { channelOptions, clientCredentials } from "../transport.js";
-import { RELEASE } from "../process-context.js";
+import { RELEASE } from "../../release.js";
 
 export type AttemptFrame = Extract<
   NonNullable<AgentFrame["body"]>,
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -4,11 +4,8 @@
 import { runTask } from "../background-task.js";
 import { ConfigurationFollower } from "../configuration-follower.js";
 import { startOperatorsServer } from "../operators-server.js";
-import {
-  createContext,
-  RELEASE,
-  type ProcessContext,
-} from "../process-context.js";
+import { RELEASE } from "../../release.js";
+import { createContext, type ProcessContext } from "../process-context.js";
 import type { EntrySettings } from "../settings.js";
 import { LogClient } from "../../platform/log-client.js";
 import { BackendDirectory } from "./backend-directory.js";
--- a/src/daemon/process-context.ts
+++ b/src/daemon/process-context.ts
@@ -5,8 +5,6 @@
 import { EventLog } from "./event-log.js";
 import type { Settings } from "./settings.js";
 
-export const RELEASE = "0.1.0";
-
 export interface ProcessContext {
   readonly name: string;
   readonly dataCentre: string;
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -334,6 +334,20 @@
     "Not every process reported the expected state in time.",
     "Run `apricotdeck status` and look at the named processes.",
   ),
+  2003: entry(
+    "verdict-unknown",
+    0,
+    "none",
+    "The log didn't show the publication in time; it may still appear.",
+    "Run `apricotdeck history` before publishing again.",
+  ),
+  2004: entry(
+    "process-unknown",
+    0,
+    "none",
+    "The list of VMs holds no process of this name.",
+    "Run `apricotdeck status` for the names.",
+  ),
 } as const satisfies Readonly<Record<number, ErrorEntry>>;
 
 export type ErrorNumber = keyof typeof errorTable;
--- a/standins/log.ts
+++ b/standins/log.ts
@@ -20,6 +20,8 @@
   loseAppendAnswers: number;
   /** So many appends are refused without effect. */
   refuseAppends: number;
+  /** Appends wait until so many have come, then all take effect in a row. */
+  gatherAppends: number;
 }
 
 export interface LogStandIn extends StandInServer {
@@ -46,6 +48,7 @@
 interface LogState {
   readonly streams: Map<string, Stream>;
   readonly faults: LogFaults;
+  readonly gathered: (() => void)[];
   appends: number;
 }
 
@@ -57,7 +60,9 @@
       slowMs: 0,
       loseAppendAnswers: 0,
       refuseAppends: 0,
+      gatherAppends: 0,
     },
+    gathered: [],
     appends: 0,
   };
   const server = await startServer((call) => answer(state, call), port);
@@ -86,8 +91,22 @@
     return;
   }
   const stream = streamOf(state, call.url.pathname.replace("/streams/", ""));
-  if (call.method === "POST") append(state, stream, body.toString(), call);
-  else await read(state, stream, call);
+  if (call.method === "POST") {
+    await gather(state);
+    append(state, stream, body.toString(), call);
+  } else await read(state, stream, call);
+}
+
+async function gather({ faults, gathered }: LogState): Promise<void> {
+  if (faults.gatherAppends === 0) return;
+  const turn = new Promise<void>((resolve) => {
+    gathered.push(resolve);
+  });
+  if (gathered.length >= faults.gatherAppends) {
+    faults.gatherAppends = 0;
+    for (const proceed of gathered.splice(0)) proceed();
+  }
+  await turn;
 }
 
 function append(
--- /dev/null
+++ b/tests/cli/tool.test.ts
@@ -0,0 +1,140 @@
+import { mkdtemp, readFile, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { gunzipSync } from "node:zlib";
+import * as assert from "uvu/assert";
+import {
+  credentialOf,
+  MODEL,
+  MODEL_GROUP,
+  SERVICE_GROUP,
+  siteConfiguration,
+} from "../../demo/configurations.js";
+import { startSite, type Site } from "../../demo/site.js";
+import { describe, it } from "../support/describe.js";
+import { runTool, runToolJson } from "../support/tool.js";
+
+function startSmallSite(): Promise<Site> {
+  return startSite({
+    dataCentres: ["lac"],
+    entriesPerDataCentre: 1,
+    runners: 1,
+    services: 0,
+    stepMs: 2,
+    modelGroup: MODEL_GROUP,
+    serviceGroup: SERVICE_GROUP,
+  });
+}
+
+async function configurationFile(value: unknown): Promise<string> {
+  const folder = await mkdtemp(path.join(tmpdir(), "apricotdeck-"));
+  const file = path.join(folder, "site.jsonc");
+  await writeFile(file, `// a site\n${JSON.stringify(value)}`);
+  return file;
+}
+
+async function ask(site: Site): Promise<string> {
+  const address = site.entries[0].process.callers;
+  const response = await fetch(`http://${address}/v1/completions`, {
+    method: "POST",
+    headers: { authorization: `Bearer ${credentialOf("ben-ammar", 0)}` },
+    body: JSON.stringify({ model: MODEL, prompt: "dossier", max_tokens: 4 }),
+  });
+  assert.is(response.status, 200);
+  await response.text();
+  return response.headers.get("apricotdeck-request") ?? "";
+}
+
+describe("the command-line tool", () => {
+  it("names path, found and expected value of a wrong configuration", async () => {
+    const configuration = siteConfiguration("ben-ammar", 1);
+    const wrong = { ...configuration, balance: { skewWeight: 3 } };
+    const file = await configurationFile(wrong);
+    const { code, stdout } = await runTool(undefined, "check", file);
+    assert.is(code, 1);
+    assert.match(stdout, /1101 .*path=balance\.skewWeight, found=3, expected=/);
+  });
+
+  it("publishes, tells the story of a request and writes a bundle", async () => {
+    await using site = await startSmallSite();
+    const file = await configurationFile(siteConfiguration("ben-ammar", 1));
+
+    const published = await runTool(site, "publish", file, "--author", "ops");
+    assert.is(published.code, 0, published.stderr);
+    assert.match(published.stdout, /version 0 is in force at 2 processes/);
+    await site.settled();
+
+    const request = await ask(site);
+    const timeline = await runTool(site, "timeline", "--request", request);
+    const names = [...timeline.stdout.matchAll(/ (request|attempt)-\w+ /g)];
+    assert.equal(
+      names.map(([name]) => name.trim()),
+      [
+        "request-accepted",
+        "attempt-dispatched",
+        "attempt-started",
+        "request-finished",
+      ],
+    );
+
+    const status = (await runToolJson(site, "status")) as {
+      balanced: boolean;
+      conservation: { accepted: number; answered: number };
+    };
+    assert.ok(status.balanced);
+    assert.is(status.conservation.answered, status.conservation.accepted);
+
+    const bundle = path.join(path.dirname(file), "bundle.json.gz");
+    assert.is((await runTool(site, "bundle", bundle)).code, 0);
+    const text = gunzipSync(await readFile(bundle)).toString();
+    const { credentialHashes } = siteConfiguration("ben-ammar", 1).accounts[0];
+    assert.not.ok(text.includes(credentialHashes[0]));
+    assert.ok(text.includes(request));
+  });
+
+  /*
+   * Two operators edit the same version and publish at the same time. Each
+   * sees a prompt; only the one whose record the log put first may hear
+   * "in force", the other must be told that somebody was faster.
+   */
+  it("lets exactly one of two racing operators win", async () => {
+    await using site = await startSmallSite();
+    const file = await configurationFile(siteConfiguration("ben-ammar", 1));
+    site.log.faults.gatherAppends = 2;
+    const results = await Promise.all([
+      runTool(site, "publish", file, "--author", "first"),
+      runTool(site, "publish", file, "--author", "second"),
+    ]);
+    const codes = results.map(({ code }) => code).sort();
+    assert.equal(codes, [0, 1]);
+    const refused = results.find(({ code }) => code === 1);
+    assert.match(refused?.stdout ?? "", /1102 configuration-superseded/);
+  });
+
+  /*
+   * The log takes a publication but its answer is lost on the way back. The
+   * operator must neither be told that it failed nor publish it twice.
+   */
+  it("learns by reading that an append landed whose answer was lost", async () => {
+    await using site = await startSmallSite();
+    const file = await configurationFile(siteConfiguration("ben-ammar", 1));
+    site.log.faults.loseAppendAnswers = 1;
+    const { code, stderr } = await runTool(site, "publish", file);
+    assert.is(code, 0, stderr);
+    const { history } = (await runToolJson(site, "history")) as {
+      history: { verdict: string }[];
+    };
+    assert.equal(
+      history.map(({ verdict }) => verdict),
+      ["accepted"],
+    );
+  });
+
+  it("explains error and event numbers", async () => {
+    const error = await runTool(undefined, "explain", "1203");
+    assert.match(error.stdout, /profile-unknown/);
+    const event = await runTool(undefined, "explain", "124");
+    assert.match(event.stdout, /request-finished/);
+    assert.is((await runTool(undefined, "explain", "9")).code, 1);
+  });
+});
