Plan incremental moves of experts and measure them against baselines

Cause: the load of experts drifts, and a full repack moves most of them. Change: a step model with a lower bound on skew, a forecast of expert load, a bounded local search for each layer, a planner that weighs time saved against the weight store's time, and `npm run measure -- skew` with generated traces and traces from files. Baselines: static map, periodic full repack.

--- a/measure/measurements.ts
+++ b/measure/measurements.ts
@@ -5,4 +5,6 @@
 
 export const measurements: Readonly<
   Partial<Record<string, () => Promise<Measure>>>
-> = {};
+> = {
+  skew: async () => (await import("./skew.js")).measureSkew,
+};
--- /dev/null
+++ b/measure/skew-run.ts
@@ -0,0 +1,176 @@
+/**
+ * One policy on one trace in virtual time. Reports come one window late. A new
+ * map takes effect only after its weights were fetched at the weight store's
+ * rate and the ranks agreed on the switch, always at a window's start.
+ */
+import {
+  createEvenMap,
+  movesBetween,
+  rankTimes,
+  refineMap,
+  repack,
+  skewLowerBound,
+  skewOf,
+  stepTime,
+  countReplicas,
+  type ExpertMap,
+  type GroupShape,
+  type MoveCosts,
+  type RankReport,
+} from "../src/internal.js";
+import type { Policy } from "./skew-policies.js";
+import type { Trace, TraceWindow } from "./traces.js";
+
+export interface RunResult {
+  /** Step time over evenly spread step time: mean and 99th percentile. */
+  readonly skewMean: number;
+  readonly skewP99: number;
+  /** Mean over the second half, when starting up is over. */
+  readonly skewSettled: number;
+  /** Max over mean rank time if ranks only met at the end of a step. */
+  readonly wholeStepSkewMean: number;
+  readonly moves: number;
+  readonly bytes: number;
+  readonly switches: number;
+  readonly stallSeconds: number;
+  readonly plannerMsMean: number;
+  readonly plannerMsMax: number;
+}
+
+export const WINDOW_SECONDS = 10;
+/** From the end of the transfer to the step in which all ranks switch. */
+const AGREEMENT_SECONDS = 1;
+const START_STEPS = 400;
+
+interface Pending {
+  readonly map: ExpertMap;
+  readonly moves: number;
+  readonly window: number;
+}
+
+export function runPolicy(
+  shape: GroupShape,
+  trace: Trace,
+  policy: Policy,
+  costs: MoveCosts,
+): RunResult {
+  let map = startMap(shape, trace);
+  let pending: Pending | undefined;
+  let previous: { map: ExpertMap; reports: readonly RankReport[] } | undefined;
+  const skews: number[] = [];
+  const wholeSteps: number[] = [];
+  const plannerMs: number[] = [];
+  let moves = 0;
+  let switches = 0;
+  trace.windows.forEach((window, index) => {
+    if (pending !== undefined && index >= pending.window) {
+      map = pending.map;
+      moves += pending.moves;
+      switches++;
+      pending = undefined;
+    }
+    const times = rankTimes(map, window.tokens, window);
+    const time = stepTime(shape, times, window.speeds);
+    skews.push(skewOf(time));
+    wholeSteps.push(time.slowestWholeStep / time.mean);
+    const started = performance.now();
+    if (previous !== undefined) policy.observe(previous.map, previous.reports);
+    const next = policy.decide(map, pending !== undefined);
+    plannerMs.push(performance.now() - started);
+    previous = { map, reports: reportsOf(map, window, index) };
+    if (next !== undefined) pending = schedule(map, next, index, costs);
+  });
+  return {
+    skewMean: mean(skews),
+    skewP99: percentile(skews, 0.99),
+    skewSettled: mean(skews.slice(Math.floor(skews.length / 2))),
+    wholeStepSkewMean: mean(wholeSteps),
+    moves,
+    bytes: moves * costs.bytesPerExpert,
+    switches,
+    stallSeconds: switches * costs.switchSeconds,
+    plannerMsMean: mean(plannerMs),
+    plannerMsMax: Math.max(...plannerMs),
+  };
+}
+
+/** Mean of the lower bound over the windows of a trace. */
+export function lowerBoundOf(shape: GroupShape, trace: Trace): number {
+  return mean(
+    trace.windows.map((window) => skewLowerBound(shape, window.tokens, window)),
+  );
+}
+
+function schedule(
+  from: ExpertMap,
+  to: ExpertMap,
+  window: number,
+  costs: MoveCosts,
+): Pending {
+  const moves = movesBetween(from, to).length;
+  const bytes = moves * costs.bytesPerExpert;
+  const seconds = bytes / costs.storeBytesPerSecond + AGREEMENT_SECONDS;
+  const windows = Math.ceil(seconds / WINDOW_SECONDS);
+  return { map: to, moves, window: window + 1 + windows };
+}
+
+function startMap(
+  shape: GroupShape,
+  { startTokens, windows }: Trace,
+): ExpertMap {
+  const even = createEvenMap(shape);
+  if (startTokens === undefined) return even;
+  const [{ speeds, requestTokens }] = windows;
+  const ranks = { speeds, requestTokens };
+  const packed = repack(even, startTokens, ranks);
+  return refineMap(packed, startTokens, ranks, START_STEPS);
+}
+
+/** What each rank reports of a window, as its engine counts it. */
+function reportsOf(
+  map: ExpertMap,
+  window: TraceWindow,
+  index: number,
+): readonly RankReport[] {
+  const { ranks, layers, slotsPerRank, experts } = map.shape;
+  const times = rankTimes(map, window.tokens, window);
+  const replicas = Array.from({ length: layers }, (_, layer) =>
+    countReplicas(map, layer),
+  );
+  const reports: RankReport[] = [];
+  for (let rank = 0; rank < ranks; rank++) {
+    if (window.lostReports.has(rank)) continue;
+    const tokens = new Float64Array(layers * slotsPerRank);
+    let busySeconds = 0;
+    for (let layer = 0; layer < layers; layer++) {
+      busySeconds += times[layer * ranks + rank];
+      const start = (layer * ranks + rank) * slotsPerRank;
+      for (let position = 0; position < slotsPerRank; position++) {
+        const expert = map.slots[start + position];
+        if (expert < 0) continue;
+        tokens[layer * slotsPerRank + position] =
+          window.tokens[layer * experts + expert] / replicas[layer][expert];
+      }
+    }
+    const requestTokens = window.requestTokens[rank];
+    const mapVersion = map.version;
+    reports.push({
+      rank,
+      window: index,
+      mapVersion,
+      tokens,
+      busySeconds,
+      requestTokens,
+    });
+  }
+  return reports;
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function percentile(values: readonly number[], share: number): number {
+  const sorted = values.toSorted((a, b) => a - b);
+  return sorted[Math.min(Math.floor(share * sorted.length), sorted.length - 1)];
+}
--- /dev/null
+++ b/measure/skew.ts
@@ -0,0 +1,221 @@
+/**
+ * `npm run measure -- skew [--trace NAME|FILE] [--policy P] [--seed N]
+ * [--size small|large] [--ranks R] [--slots S] [--layers L] [--experts E]
+ * [--windows W] [--skew-weight X] [--curve]`
+ */
+import { parseArgs } from "node:util";
+import {
+  checkShape,
+  raise,
+  type GroupShape,
+  type MoveCosts,
+} from "../src/internal.js";
+import type { Measure } from "./measurements.js";
+import { policies, type PolicySettings } from "./skew-policies.js";
+import { lowerBoundOf, runPolicy, type RunResult } from "./skew-run.js";
+import { generateTrace, traceNames, type Trace } from "./traces.js";
+import { readTrace, toTrace } from "./traces-file.js";
+
+interface Size {
+  readonly shape: GroupShape;
+  readonly costs: MoveCosts;
+}
+
+/** Expert weights of 44 MB: 3 matrices of 7168 x 2048 at one byte. */
+const BYTES_PER_EXPERT = 44e6;
+const SWITCH_SECONDS = 0.05;
+
+const sizes: Readonly<Record<string, Size>> = {
+  small: {
+    shape: { ranks: 12, layers: 24, experts: 64, slotsPerRank: 8 },
+    costs: {
+      bytesPerExpert: BYTES_PER_EXPERT,
+      storeBytesPerSecond: 1e9,
+      switchSeconds: SWITCH_SECONDS,
+      stagingExpertsPerRank: 64,
+    },
+  },
+  large: {
+    shape: { ranks: 64, layers: 60, experts: 128, slotsPerRank: 3 },
+    costs: {
+      bytesPerExpert: BYTES_PER_EXPERT,
+      storeBytesPerSecond: 4e9,
+      switchSeconds: SWITCH_SECONDS,
+      stagingExpertsPerRank: 64,
+    },
+  },
+};
+
+const optionTypes = {
+  trace: { type: "string" },
+  policy: { type: "string" },
+  seed: { type: "string", default: "1" },
+  size: { type: "string", default: "small" },
+  ranks: { type: "string" },
+  slots: { type: "string" },
+  layers: { type: "string" },
+  experts: { type: "string" },
+  windows: { type: "string", default: "360" },
+  "skew-weight": { type: "string", default: "0.5" },
+  "repack-period": { type: "string", default: "30" },
+  curve: { type: "boolean", default: false },
+} as const;
+
+interface Options {
+  readonly traces: readonly Trace[];
+  readonly size: Size;
+  readonly settings: PolicySettings;
+  readonly policyNames: readonly string[];
+  readonly seed: number;
+  readonly curve: boolean;
+}
+
+interface TraceResult {
+  readonly trace: string;
+  readonly skewWeight: number;
+  readonly lowerBound: number;
+  readonly policies: Readonly<Record<string, RunResult>>;
+}
+
+export const measureSkew: Measure = async (args) => {
+  const options = await readOptions(args);
+  const results: TraceResult[] = [];
+  for (const trace of options.traces) {
+    for (const skewWeight of curveWeights(options)) {
+      const result = measureTrace(options, trace, skewWeight);
+      print(result);
+      results.push(result);
+    }
+  }
+  const { shape, costs } = options.size;
+  const { seed } = options;
+  console.log(
+    JSON.stringify({ measurement: "skew", seed, shape, costs, results }),
+  );
+};
+
+function curveWeights({ curve, settings }: Options): readonly number[] {
+  if (!curve) return [settings.skewWeight];
+  return [0, 0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 0.9, 1];
+}
+
+function measureTrace(
+  { size, settings, policyNames }: Options,
+  trace: Trace,
+  skewWeight: number,
+): TraceResult {
+  const results: Record<string, RunResult> = {};
+  for (const name of policyNames) {
+    const create = policies[name];
+    if (create === undefined) continue;
+    const policy = create({ ...settings, skewWeight });
+    results[name] = runPolicy(size.shape, trace, policy, size.costs);
+  }
+  const lowerBound = lowerBoundOf(size.shape, trace);
+  return { trace: trace.name, skewWeight, lowerBound, policies: results };
+}
+
+const COLUMNS =
+  "policy       skew mean  settled   p99     whole-step  moves   GB       switches  plan ms mean/max";
+
+function print(result: TraceResult): void {
+  const { trace, skewWeight, lowerBound } = result;
+  console.log(
+    `\n${trace}, skewWeight ${skewWeight}, lower bound ${lowerBound.toFixed(4)}`,
+  );
+  console.log(COLUMNS);
+  for (const [name, run] of Object.entries(result.policies)) {
+    const cells = [
+      name.padEnd(13),
+      run.skewMean.toFixed(4).padEnd(11),
+      run.skewSettled.toFixed(4).padEnd(10),
+      run.skewP99.toFixed(4).padEnd(8),
+      run.wholeStepSkewMean.toFixed(4).padEnd(12),
+      run.moves.toString().padEnd(8),
+      (run.bytes / 1e9).toFixed(1).padEnd(9),
+      run.switches.toString().padEnd(10),
+      `${run.plannerMsMean.toFixed(2)} / ${run.plannerMsMax.toFixed(2)}`,
+    ];
+    console.log(cells.join(""));
+  }
+}
+
+async function readOptions(args: readonly string[]): Promise<Options> {
+  const values = parse(args);
+  const seed = integer("seed", values.seed, 0);
+  const base = Object.hasOwn(sizes, values.size)
+    ? sizes[values.size]
+    : raise(1804, { option: "size", value: values.size });
+  const { traces, shape } = await readTraces(values, base.shape, seed);
+  const size = { ...base, shape };
+  if (values.policy !== undefined && policies[values.policy] === undefined) {
+    raise(1804, { option: "policy", value: values.policy });
+  }
+  const settings = {
+    shape,
+    costs: size.costs,
+    skewWeight: share("skew-weight", values["skew-weight"]),
+    repackPeriod: integer("repack-period", values["repack-period"], 1),
+  };
+  const policyNames =
+    values.policy === undefined ? Object.keys(policies) : [values.policy];
+  return { traces, size, settings, policyNames, seed, curve: values.curve };
+}
+
+function parse(args: readonly string[]) {
+  try {
+    return parseArgs({ args: [...args], options: optionTypes }).values;
+  } catch (thrown) {
+    const reason = thrown instanceof Error ? thrown.message : "";
+    return raise(1804, { reason }, thrown);
+  }
+}
+
+type Values = ReturnType<typeof parse>;
+
+async function readTraces(
+  values: Values,
+  base: GroupShape,
+  seed: number,
+): Promise<{ traces: readonly Trace[]; shape: GroupShape }> {
+  const ranks = integer("ranks", values.ranks ?? String(base.ranks), 1);
+  const slots = integer("slots", values.slots ?? String(base.slotsPerRank), 1);
+  const sized = { ranks, slotsPerRank: slots };
+  const { trace = "" } = values;
+  if (trace !== "" && !traceNames.includes(trace)) {
+    const parsed = await readTrace(trace);
+    const { layers, experts } = parsed;
+    const shape = checked({ ...sized, layers, experts });
+    return { traces: [toTrace(trace, shape, parsed)], shape };
+  }
+  const layers = integer("layers", values.layers ?? String(base.layers), 1);
+  const experts = integer("experts", values.experts ?? String(base.experts), 1);
+  const shape = checked({ ...sized, layers, experts });
+  const windows = integer("windows", values.windows, 1);
+  const names = trace === "" ? traceNames : [trace];
+  const traces = names.flatMap(
+    (name) => generateTrace(name, shape, windows, seed) ?? [],
+  );
+  return { traces, shape };
+}
+
+function checked(shape: GroupShape): GroupShape {
+  return checkShape(shape).caseOf({
+    Left: (problem) => {
+      throw problem;
+    },
+    Right: (good) => good,
+  });
+}
+
+function integer(option: string, text: string, least: number): number {
+  const value = Number(text);
+  if (Number.isInteger(value) && value >= least) return value;
+  return raise(1804, { option, value: text });
+}
+
+function share(option: string, text: string): number {
+  const value = Number(text);
+  if (value >= 0 && value <= 1) return value;
+  return raise(1804, { option, value: text });
+}
--- /dev/null
+++ b/src/balance/layer-search.ts
@@ -0,0 +1,317 @@
+/**
+ * Local search in one layer: always relieve the slowest rank, by the change
+ * that lowers the time of the ranks it touches most for each expert fetched.
+ * Changes: give an expert one more replica in place of a redundant one (one
+ * fetch), or swap two experts between ranks (two fetches).
+ *
+ * Made for 64 ranks of 3 slots and 128 experts a layer: about 1,400 changes
+ * are weighed a step, each in a few additions, so that 60 layers fit into the
+ * planner's 50 ms.
+ */
+import { EMPTY_SLOT, type GroupShape } from "./types.js";
+
+/** A change that gains less of the layer's time isn't worth a fetch. */
+const LEAST_RELATIVE_GAIN = 1e-4;
+
+const NO_SWAP = -1;
+
+/** One change and the slowest rank's time after it. */
+export interface SearchStep {
+  readonly slots: readonly number[];
+  readonly experts: readonly number[];
+  readonly slowest: number;
+}
+
+interface Change {
+  readonly slot: number;
+  /** Expert that the slot takes. */
+  readonly expert: number;
+  /** Slot that gives up the expert and takes the other's, or NO_SWAP. */
+  readonly swappedSlot: number;
+}
+
+export class LayerSearch {
+  private readonly slots: Int16Array;
+  private readonly replicas: Int16Array;
+  /** Ranks of each expert: expert * ranks + n, for n below `replicas`. */
+  private readonly holders: Int16Array;
+  private readonly holds: Uint8Array;
+  private readonly tokens: Float64Array;
+  private readonly times: Float64Array;
+  private readonly slowness: Float64Array;
+  private best: Change | undefined;
+  private bestGain = 0;
+
+  private constructor(private readonly shape: GroupShape) {
+    const { ranks, experts, slotsPerRank } = shape;
+    this.slots = new Int16Array(ranks * slotsPerRank);
+    this.replicas = new Int16Array(experts);
+    this.holders = new Int16Array(experts * ranks);
+    this.holds = new Uint8Array(experts * ranks);
+    this.tokens = new Float64Array(experts);
+    this.times = new Float64Array(ranks);
+    this.slowness = new Float64Array(ranks);
+  }
+
+  /** The working memory of one search, reused for layer after layer. */
+  static create(shape: GroupShape): LayerSearch {
+    return new LayerSearch(shape);
+  }
+
+  /**
+   * Loads a layer: its slots, the tokens of its experts, the request work in
+   * this layer and the speed of each rank.
+   */
+  load(
+    slots: ArrayLike<number>,
+    tokens: ArrayLike<number>,
+    requestTokens: ArrayLike<number>,
+    speeds: ArrayLike<number>,
+  ): void {
+    this.replicas.fill(0);
+    this.holds.fill(0);
+    this.tokens.set(tokens);
+    this.slots.fill(EMPTY_SLOT);
+    for (let slot = 0; slot < this.slots.length; slot++) {
+      if (slots[slot] !== EMPTY_SLOT) this.hold(slot, slots[slot]);
+    }
+    for (let rank = 0; rank < this.shape.ranks; rank++) {
+      this.slowness[rank] = 1 / speeds[rank];
+      this.times[rank] = requestTokens[rank] / speeds[rank];
+    }
+    for (let slot = 0; slot < this.slots.length; slot++) {
+      const expert = this.slots[slot];
+      if (expert === EMPTY_SLOT) continue;
+      const rank = this.rankOf(slot);
+      this.times[rank] += this.share(expert) * this.slowness[rank];
+    }
+  }
+
+  get slowest(): number {
+    return this.times[this.slowestRank()];
+  }
+
+  /** Standard deviation of the slowest rank's time, from that of the tokens. */
+  slowestDeviation(variance: ArrayLike<number>): number {
+    const slowest = this.slowestRank();
+    const start = slowest * this.shape.slotsPerRank;
+    let total = 0;
+    for (let slot = start; slot < start + this.shape.slotsPerRank; slot++) {
+      const expert = this.slots[slot];
+      if (expert === EMPTY_SLOT) continue;
+      total += variance[expert] / this.replicas[expert] ** 2;
+    }
+    return Math.sqrt(total) * this.slowness[slowest];
+  }
+
+  /** Slots of the layer as the steps so far left them. */
+  get currentSlots(): ArrayLike<number> {
+    return this.slots;
+  }
+
+  /** Takes up to `limit` steps, each relieving the slowest rank. */
+  improve(limit: number): readonly SearchStep[] {
+    const steps: SearchStep[] = [];
+    while (steps.length < limit) {
+      const change = this.bestChange();
+      if (change === undefined) break;
+      steps.push(this.apply(change));
+    }
+    return steps;
+  }
+
+  private rankOf(slot: number): number {
+    return Math.floor(slot / this.shape.slotsPerRank);
+  }
+
+  private share(expert: number): number {
+    return this.tokens[expert] / this.replicas[expert];
+  }
+
+  private slowestRank(): number {
+    let slowest = 0;
+    for (let rank = 1; rank < this.times.length; rank++) {
+      if (this.times[rank] > this.times[slowest]) slowest = rank;
+    }
+    return slowest;
+  }
+
+  private bestChange(): Change | undefined {
+    const slowest = this.slowestRank();
+    const start = slowest * this.shape.slotsPerRank;
+    this.best = undefined;
+    this.bestGain = this.times[slowest] * LEAST_RELATIVE_GAIN;
+    for (let slot = start; slot < start + this.shape.slotsPerRank; slot++) {
+      const expert = this.slots[slot];
+      if (expert === EMPTY_SLOT) continue;
+      this.considerReplicas(slowest, expert);
+      this.considerSwaps(slowest, slot, expert);
+      if (this.replicas[expert] > 1) this.considerDropping(slowest, slot);
+    }
+    return this.best;
+  }
+
+  /** One more replica of an expert of the slowest rank, on another rank. */
+  private considerReplicas(slowest: number, expert: number): void {
+    for (let slot = 0; slot < this.slots.length; slot++) {
+      const rank = this.rankOf(slot);
+      if (rank === slowest || this.isHeld(expert, rank)) continue;
+      if (this.isRedundant(slot)) this.considerPlacing(slowest, slot, expert);
+    }
+  }
+
+  /** The slowest rank gives up a redundant replica for a cooler expert. */
+  private considerDropping(slowest: number, slot: number): void {
+    for (let expert = 0; expert < this.replicas.length; expert++) {
+      if (this.isHeld(expert, slowest)) continue;
+      this.considerPlacing(slowest, slot, expert);
+    }
+  }
+
+  private isRedundant(slot: number): boolean {
+    const expert = this.slots[slot];
+    return expert === EMPTY_SLOT || this.replicas[expert] > 1;
+  }
+
+  private isHeld(expert: number, rank: number): boolean {
+    return this.holds[expert * this.shape.ranks + rank] === 1;
+  }
+
+  private considerPlacing(slowest: number, slot: number, added: number): void {
+    const before = this.times[slowest];
+    const dropped = this.slots[slot];
+    const target = this.rankOf(slot);
+    const replicas = this.replicas[added];
+    const addedShare = this.tokens[added] / (replicas + 1);
+    const relief = this.tokens[added] / replicas - addedShare;
+    const droppedShare = dropped === EMPTY_SLOT ? 0 : this.share(dropped);
+    const work = addedShare - droppedShare;
+    let touched = this.times[target] + work * this.slowness[target];
+    if (before - touched <= this.bestGain) return;
+    if (target !== slowest) {
+      touched = Math.max(touched, before - relief * this.slowness[slowest]);
+    }
+    const burden = this.slowestAfterDrop(dropped, added, target, relief);
+    touched = Math.max(touched, burden);
+    const gain = before - touched;
+    if (gain <= this.bestGain) return;
+    this.bestGain = gain;
+    this.best = { slot, expert: added, swappedSlot: NO_SWAP };
+  }
+
+  /** Slowest of the ranks that take over the share of a dropped replica. */
+  private slowestAfterDrop(
+    dropped: number,
+    added: number,
+    target: number,
+    relief: number,
+  ): number {
+    if (dropped === EMPTY_SLOT) return 0;
+    const replicas = this.replicas[dropped];
+    const extra = this.tokens[dropped] / (replicas - 1) - this.share(dropped);
+    const first = dropped * this.shape.ranks;
+    let slowest = 0;
+    for (let index = first; index < first + replicas; index++) {
+      const rank = this.holders[index];
+      if (rank === target) continue;
+      const work = this.isHeld(added, rank) ? extra - relief : extra;
+      const time = this.times[rank] + work * this.slowness[rank];
+      if (time > slowest) slowest = time;
+    }
+    return slowest;
+  }
+
+  private considerSwaps(slowest: number, own: number, expert: number): void {
+    const before = this.times[slowest];
+    const share = this.share(expert);
+    for (let slot = 0; slot < this.slots.length; slot++) {
+      const other = this.slots[slot];
+      if (other === EMPTY_SLOT || this.isHeld(other, slowest)) continue;
+      const work = share - this.share(other);
+      if (work <= 0) continue;
+      const rank = this.rankOf(slot);
+      const gives = before - work * this.slowness[slowest];
+      const takes = this.times[rank] + work * this.slowness[rank];
+      const touched = Math.max(gives, takes);
+      // Two fetches have to gain twice as much as one.
+      const gain = (before - touched) / 2;
+      if (gain <= this.bestGain || this.isHeld(expert, rank)) continue;
+      this.bestGain = gain;
+      this.best = { slot, expert, swappedSlot: own };
+    }
+  }
+
+  private apply(change: Change): SearchStep {
+    const { slot, expert, swappedSlot } = change;
+    if (swappedSlot === NO_SWAP) {
+      this.replace(slot, expert);
+      return { slots: [slot], experts: [expert], slowest: this.slowest };
+    }
+    const other = this.slots[slot];
+    this.swap(swappedSlot, slot);
+    return {
+      slots: [slot, swappedSlot],
+      experts: [expert, other],
+      slowest: this.slowest,
+    };
+  }
+
+  private replace(slot: number, added: number): void {
+    const dropped = this.slots[slot];
+    this.shiftWork(added, -1);
+    if (dropped !== EMPTY_SLOT) {
+      this.shiftWork(dropped, -1);
+      this.release(slot);
+      this.shiftWork(dropped, 1);
+    }
+    this.hold(slot, added);
+    this.shiftWork(added, 1);
+  }
+
+  private swap(one: number, two: number): void {
+    const expertOne = this.slots[one];
+    const expertTwo = this.slots[two];
+    const work = this.share(expertOne) - this.share(expertTwo);
+    const rankOne = this.rankOf(one);
+    const rankTwo = this.rankOf(two);
+    this.times[rankOne] -= work * this.slowness[rankOne];
+    this.times[rankTwo] += work * this.slowness[rankTwo];
+    this.release(one);
+    this.release(two);
+    this.hold(one, expertTwo);
+    this.hold(two, expertOne);
+  }
+
+  /** Adds (1) or takes off (-1) an expert's work on all of its ranks. */
+  private shiftWork(expert: number, sign: number): void {
+    const replicas = this.replicas[expert];
+    if (replicas === 0) return;
+    const work = (sign * this.tokens[expert]) / replicas;
+    const first = expert * this.shape.ranks;
+    for (let index = first; index < first + replicas; index++) {
+      const rank = this.holders[index];
+      this.times[rank] += work * this.slowness[rank];
+    }
+  }
+
+  private hold(slot: number, expert: number): void {
+    const first = expert * this.shape.ranks;
+    const rank = this.rankOf(slot);
+    this.holders[first + this.replicas[expert]] = rank;
+    this.replicas[expert]++;
+    this.holds[first + rank] = 1;
+    this.slots[slot] = expert;
+  }
+
+  private release(slot: number): void {
+    const expert = this.slots[slot];
+    const first = expert * this.shape.ranks;
+    const rank = this.rankOf(slot);
+    const last = first + this.replicas[expert] - 1;
+    const index = this.holders.indexOf(rank, first);
+    this.holders[index] = this.holders[last];
+    this.replicas[expert]--;
+    this.holds[first + rank] = 0;
+    this.slots[slot] = EMPTY_SLOT;
+  }
+}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -19,6 +19,16 @@
 // placement
 
 // balance
+export * from "./balance/types.js";
+export * from "./balance/balancer.js";
+export * from "./balance/expert-map.js";
+export * from "./balance/load-forecast.js";
+export * from "./balance/lower-bound.js";
+export * from "./balance/planner.js";
+export * from "./balance/rank-reports.js";
+export * from "./balance/repack.js";
+export * from "./balance/request-shares.js";
+export * from "./balance/step-model.js";
 
 // expertmap
 
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -246,6 +246,34 @@
   // 1700: orders and fencing
 
   // 1800: expert balance and traces
+  1801: entry(
+    "trace-invalid",
+    0,
+    "none",
+    "A line of the trace can't be used.",
+    'Correct the named line: {"window": i, "counts": [[tokens of each expert] of each layer]}.',
+  ),
+  1802: entry(
+    "trace-unreadable",
+    0,
+    "none",
+    "The trace file can't be read.",
+    "Check the path and the permissions of the file.",
+  ),
+  1803: entry(
+    "expert-map-invalid",
+    0,
+    "none",
+    "An expert map or the shape of its group breaks a rule.",
+    "Check ranks, experts and slots of the group; the detail names the layer.",
+  ),
+  1804: entry(
+    "measurement-option-invalid",
+    0,
+    "none",
+    "An option of the measurement can't be used.",
+    "Correct the named option.",
+  ),
 
   // 1900: platform services
   1901: entry(
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -107,6 +107,30 @@
   // 170: orders and fencing
 
   // 180: expert balance
+  181: entry("experts-moved", "info", "A better expert map was planned.", {
+    map: "version of the new map",
+    moves: "experts to fetch",
+    bytes: "bytes to fetch from the weight store",
+    transferSeconds: "time of the fetch at the weight store's rate, s",
+    skewBefore: "forecast of step time over even step time, old map",
+    skewAfter: "forecast of step time over even step time, new map",
+    savedSeconds: "step time saved over the horizon, s",
+    skewWeight: "weight of skew against cost in force",
+  }),
+  182: entry("experts-stayed", "debug", "The expert map stays as it is.", {
+    map: "version of the map",
+    reason:
+      "no-reports, switch-pending, balanced, within-noise, no-better-map or not-worth-cost",
+    skew: "forecast of step time over even step time",
+  }),
+  183: entry("rank-slow", "warn", "A rank is slower than the others.", {
+    rank: "number of the rank",
+    speed: "speed over that of the median rank",
+  }),
+  184: entry("balance-report-gap", "debug", "Rank reports are missing.", {
+    map: "version of the map that the reports were counted under",
+    missing: "ranks without a usable report in the window",
+  }),
 
   // 190: platform services
   191: entry("log-outage", "warn", "The log service doesn't answer.", {
--- /dev/null
+++ b/tests/balance/reports.test.ts
@@ -0,0 +1,177 @@
+import * as assert from "uvu/assert";
+import {
+  Balancer,
+  collectTokens,
+  createEvenMap,
+  evenRequests,
+  levelRequests,
+  LoadForecast,
+  RankSpeeds,
+  UNKNOWN_TOKENS,
+  type EventNumber,
+  type ExpertMap,
+  type RankReport,
+} from "../../src/internal.js";
+import { describe, it } from "../support/describe.js";
+
+const SHAPE = { ranks: 3, layers: 1, experts: 3, slotsPerRank: 2 };
+const MAP: ExpertMap = { version: 4, shape: SHAPE, slots: [0, 1, 1, 2, 0, 2] };
+
+function report(
+  rank: number,
+  tokens: readonly number[],
+  changes: Partial<RankReport> = {},
+): RankReport {
+  return {
+    rank,
+    window: 0,
+    mapVersion: 4,
+    tokens,
+    busySeconds: 1,
+    requestTokens: 0,
+    ...changes,
+  };
+}
+
+describe("tokens of experts", () => {
+  it("are summed over replicas", () => {
+    const reports = [report(0, [1, 2]), report(1, [2, 5]), report(2, [1, 5])];
+    assert.equal([...collectTokens(MAP, reports)], [2, 4, 10]);
+  });
+
+  it("are estimated from the replicas whose reports came", () => {
+    const reports = [report(0, [1, 2])];
+    assert.equal([...collectTokens(MAP, reports)], [2, 4, UNKNOWN_TOKENS]);
+  });
+});
+
+describe("speeds of ranks", () => {
+  it("show a rank that takes longer for the same work", () => {
+    const speeds = RankSpeeds.create(SHAPE);
+    for (let window = 0; window < 20; window++) {
+      speeds.observe([
+        report(0, [5, 5]),
+        report(1, [5, 5], { busySeconds: 2 }),
+        report(2, [5, 5]),
+      ]);
+    }
+    const [first, slow, last] = speeds.current();
+    assert.is(first, 1);
+    assert.is(last, 1);
+    assert.ok(Math.abs(slow - 0.5) < 0.01);
+  });
+
+  it("of nearly equal ranks count as equal", () => {
+    const speeds = RankSpeeds.create(SHAPE);
+    speeds.observe([
+      report(0, [5, 5]),
+      report(1, [5, 5], { busySeconds: 1.03 }),
+      report(2, [5, 5]),
+    ]);
+    assert.equal([...speeds.current()], [1, 1, 1]);
+  });
+});
+
+describe("the load forecast", () => {
+  it("keeps its estimate of experts that no report told of", () => {
+    const forecast = LoadForecast.create(SHAPE);
+    forecast.observe([10, 20, 30]);
+    for (let window = 0; window < 30; window++) {
+      forecast.observe([10, 20, UNKNOWN_TOKENS]);
+    }
+    const { tokens } = forecast.predict(8);
+    assert.ok(Math.abs(tokens[2] - 30) < 1e-6);
+  });
+
+  it("doesn't take more traffic for another share of it", () => {
+    const forecast = LoadForecast.create(SHAPE);
+    for (let window = 0; window < 40; window++) {
+      const traffic = window < 20 ? 100 : 1000;
+      forecast.observe([traffic, 2 * traffic, 3 * traffic]);
+    }
+    const { tokens } = forecast.predict(8);
+    assert.ok(Math.abs(tokens[0] / tokens[2] - 1 / 3) < 1e-6);
+    assert.ok(Math.abs(tokens[2] - 3000) < 30);
+  });
+
+  it("trusts the trend once a drift lasts, and the slow mean in a swing", () => {
+    const drift = LoadForecast.create(SHAPE);
+    const swing = LoadForecast.create(SHAPE);
+    for (let window = 0; window < 120; window++) {
+      drift.observe([1000 + 10 * window, 3000 - 10 * window, 2000]);
+      const side = Math.floor(window / 6) % 2 === 0 ? 500 : -500;
+      swing.observe([2000 + side, 2000 - side, 2000]);
+    }
+    assert.is(drift.weights.indexOf(Math.max(...drift.weights)), 2);
+    assert.is(swing.weights.indexOf(Math.max(...swing.weights)), 1);
+  });
+});
+
+describe("the balancer", () => {
+  const costs = {
+    bytesPerExpert: 1,
+    storeBytesPerSecond: 1,
+    switchSeconds: 0,
+    stagingExpertsPerRank: 1,
+  };
+
+  function start() {
+    const events: EventNumber[] = [];
+    const balancer = Balancer.create(SHAPE, (number) => {
+      events.push(number);
+    });
+    return { balancer, events };
+  }
+
+  it("stays, and says so, until reports have come", () => {
+    const { balancer, events } = start();
+    const plan = balancer.decide({
+      map: MAP,
+      switchPending: false,
+      costs,
+      skewWeight: 1,
+    });
+    assert.is(plan.kind === "stay" && plan.reason, "no-reports");
+    assert.equal(events, [182]);
+  });
+
+  it("leaves out tokens that were counted under another map", () => {
+    // Reports come late: some were counted before the last switch. Read with
+    // the new map, their tokens would go to experts that never had them, and
+    // the next plan would move experts for a load that isn't there.
+    const { balancer, events } = start();
+    balancer.observe(MAP, [report(0, [9, 9], { mapVersion: 3 })]);
+    assert.equal(events, [184]);
+    assert.equal([...Array.from(balancer.ranks.requestTokens)], [0, 0, 0]);
+  });
+
+  it("names a slow rank once", () => {
+    const { balancer, events } = start();
+    for (let window = 0; window < 9; window++) {
+      balancer.observe(MAP, [
+        report(0, [5, 5]),
+        report(1, [5, 5], { busySeconds: 2 }),
+        report(2, [5, 5]),
+      ]);
+    }
+    assert.equal(events, [183]);
+  });
+});
+
+describe("request shares", () => {
+  it("level out expert work and speed", () => {
+    const work = { expertTokens: [10, 20, 60], speeds: [1, 1, 0.5] };
+    const shares = levelRequests(work, 30);
+    assert.equal([...shares], [20, 10, 0]);
+  });
+
+  it("use every rank when there is enough to share", () => {
+    const work = { expertTokens: [10, 20, 30], speeds: [1, 1, 1] };
+    assert.equal([...levelRequests(work, 60)], [30, 20, 10]);
+    assert.equal([...evenRequests(3, 60)], [20, 20, 20]);
+  });
+
+  it("start from a map that knows nothing as well", () => {
+    assert.is(createEvenMap(SHAPE).version, 0);
+  });
+});
