--- a/demo/site.ts
+++ b/demo/site.ts
@@ -23,6 +23,8 @@
   readonly modelGroup: string;
   readonly serviceGroup: string;
   readonly logLevel?: string;
+  /** Engines that run elsewhere, in place of one stand-in for each runner. */
+  readonly engineAddresses?: readonly string[];
   readonly graceMs?: number;
 }
 
@@ -63,6 +65,7 @@
 }
 
 const POLL_MS = 50;
+const IDLE_STEP_MS = 1000;
 
 export async function startSite(options: SiteOptions): Promise<Site> {
   const log = await startLog();
@@ -78,7 +81,10 @@
   const runners = await startMany(options.runners, async (index) => {
     const name = `runner-${index}`;
     const dataCentre = place(index);
-    const engine = await startEngine({ stepMs: options.stepMs });
+    const elsewhere = options.engineAddresses?.at(index);
+    // A step of zero would spin for an engine that nobody calls.
+    const stepMs = elsewhere === undefined ? options.stepMs : IDLE_STEP_MS;
+    const engine = await startEngine({ stepMs });
     const agent = await startDaemonProcess({
       role: "agent",
       name,
@@ -86,7 +92,10 @@
       ...common,
       group: options.modelGroup,
       ranks: [index],
-      runner: { address: engine.address, kind: "model" },
+      runner: {
+        address: elsewhere ?? engine.address,
+        kind: "model",
+      },
     });
     return { name, dataCentre, engine, agent };
   });
--- a/measure/measurements.ts
+++ b/measure/measurements.ts
@@ -6,5 +6,6 @@
 export const measurements: Readonly<
   Partial<Record<string, () => Promise<Measure>>>
 > = {
+  path: async () => (await import("./path.js")).measurePath,
   skew: async () => (await import("./skew.js")).measureSkew,
 };
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -37,6 +37,7 @@
 
 export interface EngineOptions {
   readonly port?: number;
+  /** Time of one step; 0 steps as fast as the process can. */
   readonly stepMs: number;
   readonly limits?: Partial<EngineLimits>;
   /** False when a group drives the steps of its engines in lock-step. */
@@ -117,16 +118,20 @@
 /** Steps at fixed times, catching up where a timer came late. */
 function driveSteps(step: () => void, stepMs: () => number): () => void {
   let next = performance.now() + stepMs();
+  let stopped = false;
   const tick = (): void => {
-    while (performance.now() >= next) {
-      step();
-      next += stepMs();
+    if (stopped) return;
+    const now = performance.now();
+    if (stepMs() === 0) step();
+    else {
+      for (; next <= now; next += stepMs()) step();
     }
-    timer = setTimeout(tick, Math.max(0, next - performance.now()));
+    if (stepMs() === 0) setImmediate(tick);
+    else setTimeout(tick, Math.max(0, next - performance.now()));
   };
-  let timer = setTimeout(tick, stepMs());
+  setTimeout(tick, stepMs());
   return () => {
-    clearTimeout(timer);
+    stopped = true;
   };
 }
 
