Show that bad input gets prompt typed answers

Cause: the limits of the callers' address had no test. Change: twenty tests with raw bytes: sizes, JSON, credentials, smuggling, slow heads and bodies.

--- /dev/null
+++ b/tests/callers/bad-input.test.ts
@@ -0,0 +1,235 @@
+import * as assert from "uvu/assert";
+import {
+  credentialOf,
+  MODEL,
+  siteConfiguration,
+} from "../../demo/configurations.js";
+import { createCallerServer } from "../../src/daemon/entry/caller-server.js";
+import { listen, type Listening } from "../../src/daemon/listening.js";
+import {
+  parseSettings,
+  type EntrySettings,
+} from "../../src/daemon/settings.js";
+import type { AnswerWriter, Work } from "../../src/daemon/entry/work.js";
+import { describe, it } from "../support/describe.js";
+import { sendRaw } from "../support/raw-call.js";
+
+type Limits = EntrySettings["limits"];
+
+const credential = credentialOf("dyfrwr", 0);
+const authorization = `authorization: Bearer ${credential}`;
+
+function limitsOf(changes: Partial<Limits>): Limits {
+  const settings = parseSettings(
+    JSON.stringify({
+      role: "entry",
+      name: "entry",
+      dataCentre: "lac",
+      platform: { log: "http://127.0.0.1:1", vmList: "http://127.0.0.1:1" },
+      limits: { headBytes: 2048, bodyBytes: 2048, receiveMs: 300, ...changes },
+    }),
+    "test",
+  ) as EntrySettings;
+  return settings.limits;
+}
+
+interface TestServer extends AsyncDisposable {
+  readonly address: string;
+  /** Requests that were let through. */
+  readonly served: Work[];
+}
+
+async function startServer(changes: Partial<Limits> = {}): Promise<TestServer> {
+  const served: Work[] = [];
+  const configuration = siteConfiguration("dyfrwr", 4);
+  const server = createCallerServer({
+    limits: limitsOf(changes),
+    configuration: () => configuration,
+    isLeaving: () => false,
+    serve: (work: Work, writer: AnswerWriter) => {
+      served.push(work);
+      writer.head(200, [{ name: "content-type", value: "application/json" }]);
+      writer.piece(Buffer.from("{}"));
+      writer.end();
+      return Promise.resolve();
+    },
+  });
+  const listening: Listening = await listen(server, {
+    host: "127.0.0.1",
+    port: 0,
+  });
+  return {
+    address: listening.address,
+    served,
+    [Symbol.asyncDispose]: () => listening[Symbol.asyncDispose](),
+  };
+}
+
+function completion(body: string, headers: readonly string[] = []): string {
+  return [
+    "POST /v1/completions HTTP/1.1",
+    "host: entry",
+    "connection: close",
+    authorization,
+    `content-length: ${Buffer.byteLength(body)}`,
+    ...headers,
+    "",
+    body,
+  ].join("\r\n");
+}
+
+const goodBody = JSON.stringify({ model: MODEL, prompt: "note" });
+
+interface BadInput {
+  readonly name: string;
+  readonly parts: readonly string[];
+  readonly status: number;
+  readonly error: RegExp;
+}
+
+const badInputs: readonly BadInput[] = [
+  {
+    name: "an oversized head",
+    parts: [completion(goodBody, [`x-large: ${"a".repeat(4096)}`])],
+    status: 413,
+    error: /request-too-large/,
+  },
+  {
+    name: "an announced body over the limit, before it is sent",
+    parts: [completion("").replace("length: 0", "length: 9999999")],
+    status: 413,
+    error: /request-too-large/,
+  },
+  {
+    name: "a chunked body over the limit",
+    parts: [
+      completion("").replace("content-length: 0", "transfer-encoding: chunked"),
+      `1000\r\n${"a".repeat(4096)}\r\n0\r\n\r\n`,
+    ],
+    status: 413,
+    error: /request-too-large/,
+  },
+  {
+    name: "bad JSON",
+    parts: [completion("{")],
+    status: 400,
+    error: /request-malformed/,
+  },
+  {
+    name: "JSON of another shape",
+    parts: [completion(`{"model":["a"],"prompt":"x"}`)],
+    status: 400,
+    error: /field=model/,
+  },
+  {
+    name: "a negative number of tokens",
+    parts: [completion(`{"model":"${MODEL}","prompt":"x","max_tokens":-1}`)],
+    status: 400,
+    error: /field=max_tokens/,
+  },
+  {
+    name: "an unknown model",
+    parts: [completion(`{"model":"other","prompt":"x"}`)],
+    status: 404,
+    error: /model-unknown/,
+  },
+  {
+    name: "an unknown profile",
+    parts: [completion(goodBody, ["apricotdeck-profile: nobody"])],
+    status: 404,
+    error: /profile-unknown/,
+  },
+  {
+    name: "a missing credential",
+    parts: [completion(goodBody).replace(`${authorization}\r\n`, "")],
+    status: 401,
+    error: /credential-rejected/,
+  },
+  {
+    name: "a wrong credential",
+    parts: [completion(goodBody).replace(credential, "guess")],
+    status: 401,
+    error: /credential-rejected/,
+  },
+  {
+    name: "an unknown path",
+    parts: [completion(goodBody).replace("/v1/completions", "/v1/files")],
+    status: 404,
+    error: /path-unknown/,
+  },
+  {
+    name: "a method that the path doesn't take",
+    parts: [completion(goodBody).replace("POST", "PUT")],
+    status: 405,
+    error: /method-not-allowed/,
+  },
+  {
+    name: "a header with a line break in its name",
+    parts: [completion(goodBody, ["x-\rbad: 1"])],
+    status: 400,
+    error: /request-malformed/,
+  },
+  {
+    name: "both a content length and chunks",
+    parts: [completion(goodBody, ["transfer-encoding: chunked"])],
+    status: 400,
+    error: /request-malformed/,
+  },
+  {
+    name: "two content lengths that differ",
+    parts: [completion(goodBody, ["content-length: 1"])],
+    status: 400,
+    error: /request-malformed/,
+  },
+  {
+    name: "no HTTP at all",
+    parts: ["\u0016\u0003\u0001hello\r\n\r\n"],
+    status: 400,
+    error: /request-malformed/,
+  },
+  {
+    name: "a body that never comes",
+    parts: [completion("").replace("length: 0", "length: 20")],
+    status: 408,
+    error: /request-too-slow/,
+  },
+  {
+    name: "a head that never ends",
+    parts: ["POST /v1/completions HTTP/1.1\r\nhost: entry\r\n"],
+    status: 408,
+    error: /request-too-slow/,
+  },
+];
+
+describe("bad input from callers", () => {
+  for (const { name, parts, status, error } of badInputs) {
+    it(`answers ${name} with ${status} and serves nothing`, async () => {
+      await using server = await startServer();
+      const answer = await sendRaw(server.address, parts);
+      assert.is(answer.status, status, answer.text);
+      assert.match(answer.text, error);
+      assert.match(answer.text, /"outcome":"not-run"/);
+      assert.is(server.served.length, 0);
+    });
+  }
+
+  it("passes no credential and no hop header on to the runner", async () => {
+    await using server = await startServer();
+    const extra = ["x-forwarded-for: 10.0.0.1", "te: trailers"];
+    const answer = await sendRaw(server.address, [completion(goodBody, extra)]);
+    assert.is(answer.status, 200);
+    assert.equal(server.served[0].headers, []);
+  });
+
+  it("takes bytes behind a short content length for another request", async () => {
+    await using server = await startServer();
+    const smuggled = completion(goodBody);
+    const short = completion("{}")
+      .replace("connection: close\r\n", "")
+      .concat(smuggled.replace(authorization, "authorization: Bearer guess"));
+    const answer = await sendRaw(server.address, [short]);
+    assert.match(answer.text, /request-malformed/);
+    assert.match(answer.text, /credential-rejected/);
+    assert.is(server.served.length, 0);
+  });
+});
