Switch the expert map by unanimous votes kept in the engines

Cause: ranks of a lock-step group must use one map in every step although agents, engines and messages fail at any moment. Change: a member's vote is a register of its engine, written once (armed or refused), so votes are facts that anyone relays; all yes commits, any no aborts, silence is neither. Weights are staged before a step is picked. A group that forms anew seals the engines, picks the map from what they then say, and joins one incarnation.

--- /dev/null
+++ b/src/expertmap/agent.ts
@@ -0,0 +1,376 @@
+/**
+ * The expert map side of one agent: takes messages, answers of its engine and
+ * the time, and gives effects. It does no input or output itself.
+ *
+ * One order to the engine is out at a time, and each answer carries the
+ * engine's state, so every decision rests on what the engine said last.
+ */
+import {
+  ballotKey,
+  GroupFormer,
+  hashMap,
+  MapProposer,
+  MapSwitch,
+  sameBallot,
+  Staging,
+  StepCheck,
+  unreachable,
+  WeightFetch,
+  weightsOf,
+  type ApricotdeckError,
+  type Ballot,
+  type Emit,
+  type EngineAnswer,
+  type EngineCall,
+  type EngineMapState,
+  type ExpertMap,
+  type FetchSettings,
+  type GroupMember,
+  type MapEffect,
+  type MapMessage,
+  type Random,
+  type SealedMessage,
+  type StepReport,
+  type SwitchSafeguards,
+  type VersionedMap,
+  type WeightPart,
+} from "../internal.js";
+import type { Either } from "purify-ts";
+
+export interface GroupAgentSettings {
+  readonly member: string;
+  /** Incarnation of this agent, new for every start. */
+  readonly agent: string;
+  readonly initial: VersionedMap;
+  readonly fetch: FetchSettings;
+  readonly emit: Emit;
+  readonly random: Random;
+  readonly safeguards: SwitchSafeguards & { readonly mayGoForward: boolean };
+}
+
+/** The engine is read this often when nothing else is asked of it. */
+const READ_INTERVAL_MS = 50;
+/** Reports kept for a second look when they run ahead of what is known. */
+const LARGEST_UNKNOWN = 256;
+
+export class GroupAgent {
+  private state: EngineMapState | undefined;
+  private outstanding: EngineCall | undefined;
+  private readAt = 0;
+  private sealAsked: { formation: Ballot; from: Set<string> } | undefined;
+  private fetchFor = "";
+  private effects: MapEffect[] = [];
+  private unknownReports: StepReport[] = [];
+  private readonly votes: MapSwitch;
+  private readonly proposer: MapProposer;
+  private readonly former: GroupFormer;
+  private readonly staging: Staging;
+  private readonly fetch: WeightFetch;
+  private readonly steps = StepCheck.create();
+
+  private constructor(private readonly settings: GroupAgentSettings) {
+    const { member, agent, random, emit, safeguards } = settings;
+    this.votes = MapSwitch.create({ member, agent, emit, safeguards });
+    this.proposer = MapProposer.create(agent, this.votes);
+    this.staging = Staging.create(member, agent);
+    this.fetch = WeightFetch.create(settings.fetch, random);
+    const { mayGoForward } = safeguards;
+    this.former = GroupFormer.create(
+      { member, agent, random, emit, mayGoForward },
+      settings.initial,
+    );
+  }
+
+  static create(settings: GroupAgentSettings): GroupAgent {
+    return new GroupAgent(settings);
+  }
+
+  /** What the engine said last; undefined before its first answer. */
+  get engineState(): EngineMapState | undefined {
+    return this.state;
+  }
+
+  get fetchedBytes(): number {
+    return this.fetch.totalBytes;
+  }
+
+  setMembers(members: readonly GroupMember[]): void {
+    this.former.setMembers(members);
+  }
+
+  setInitial(initial: VersionedMap): void {
+    this.former.setInitial(initial);
+  }
+
+  /** Puts a change to the group; its end comes as an `ended` effect. */
+  proposeMap(
+    map: ExpertMap,
+    deadline: number,
+    now: number,
+  ): Either<ApricotdeckError, void> {
+    return this.proposer.start(map, this.state, deadline, now);
+  }
+
+  receive(
+    from: string,
+    message: MapMessage,
+    now: number,
+  ): readonly MapEffect[] {
+    if (this.state !== undefined) this.take(from, message, this.state, now);
+    return this.proceed(now);
+  }
+
+  tick(now: number): readonly MapEffect[] {
+    return this.proceed(now);
+  }
+
+  engineAnswered(answer: EngineAnswer, now: number): readonly MapEffect[] {
+    const call = this.outstanding;
+    this.outstanding = undefined;
+    this.readAt = now;
+    this.observe(answer.state, now);
+    if (call?.kind === "arm") this.votes.armAnswered(call.proposal);
+    if (call?.kind === "seal") this.tellSealed(answer);
+    if (call?.kind === "stage" && answer.staged !== null) {
+      this.startFetch(call, answer.staged);
+    }
+    return this.proceed(now);
+  }
+
+  /** Whether the order took effect isn't known; the next answer tells. */
+  engineFailed(now: number): readonly MapEffect[] {
+    this.outstanding = undefined;
+    this.readAt = now;
+    return this.proceed(now);
+  }
+
+  partArrived(
+    part: WeightPart,
+    heldBytes: number,
+    now: number,
+  ): readonly MapEffect[] {
+    this.fetch.arrived(part, heldBytes);
+    return this.proceed(now);
+  }
+
+  partFailed(
+    part: WeightPart,
+    retryAfterMs: number,
+    now: number,
+  ): readonly MapEffect[] {
+    this.fetch.failed(part, now, retryAfterMs);
+    return this.proceed(now);
+  }
+
+  /** Checks reports of the own engine's ranks against the committed maps. */
+  checkSteps(reports: readonly StepReport[]): void {
+    const again = this.unknownReports;
+    this.unknownReports = [];
+    for (const report of [...again, ...reports]) {
+      const verdict = this.steps.check(report);
+      if (verdict.kind === "violation") {
+        this.violated("one-map-in-every-step", verdict.detail);
+      }
+      if (verdict.kind === "unknown") this.unknownReports.push(report);
+    }
+    this.unknownReports = this.unknownReports.slice(-LARGEST_UNKNOWN);
+  }
+
+  private take(
+    from: string,
+    message: MapMessage,
+    state: EngineMapState,
+    now: number,
+  ): void {
+    const send = this.send(now);
+    switch (message.kind) {
+      case "stage": {
+        const reply = this.staging.stage(from, message, state, now);
+        if (reply !== undefined) send(from, reply);
+        return;
+      }
+      case "staged":
+        this.proposer.receive(from, message, now);
+        return;
+      case "votes":
+        this.votes.receive(from, message, state, now, send);
+        return;
+      case "seal":
+        this.former.heard(message.formation, now);
+        this.askSeal(from, message.formation);
+        return;
+      case "join":
+        this.former.heard(message.formation, now);
+        if (sameBallot(state.group, message.formation)) {
+          send(from, { kind: "joined", formation: message.formation });
+        } else if (!this.staging.join(message, state)) {
+          send(from, { kind: "unable", formation: message.formation });
+        }
+        return;
+      case "sealed":
+      case "joined":
+      case "unable":
+        this.former.receive(from, message, now);
+        return;
+      default:
+        unreachable(message);
+    }
+  }
+
+  private observe(state: EngineMapState, now: number): void {
+    const previous = this.state;
+    this.state = state;
+    this.votes.observe(state, now);
+    this.expectSteps(state);
+    const changed =
+      state.group !== null &&
+      (previous?.version !== state.version ||
+        !sameBallot(previous.group, state.group));
+    if (changed) {
+      const { version, mapHash, since } = state;
+      const group = ballotKey(state.group);
+      this.settings.emit(163, { group, version, mapHash, since });
+    }
+    if (state.heldMs > 0 && (previous?.heldMs ?? 0) === 0) {
+      this.settings.emit(164, { step: state.step, heldMs: state.heldMs });
+    }
+    this.checkSteps([]);
+  }
+
+  private expectSteps(state: EngineMapState): void {
+    if (state.group === null) return;
+    const { group, version, mapHash, since, armed } = state;
+    const periods = [{ group, version, mapHash, since }];
+    if (armed?.committed === true) {
+      const { step, ...proposal } = armed.proposal;
+      periods.push({ ...proposal, since: step });
+    }
+    for (const period of periods) {
+      const contradiction = this.steps.expect(period);
+      if (contradiction === undefined) continue;
+      this.violated("one-map-in-every-step", contradiction);
+    }
+  }
+
+  private askSeal(from: string, formation: Ballot): void {
+    const asked = this.sealAsked;
+    if (asked !== undefined && sameBallot(asked.formation, formation)) {
+      asked.from.add(from);
+    } else this.sealAsked = { formation, from: new Set([from]) };
+  }
+
+  private tellSealed(answer: EngineAnswer): void {
+    const { state, map, armedMap } = answer;
+    const asked = this.sealAsked;
+    this.sealAsked = undefined;
+    const armed = state.armed?.proposal ?? null;
+    const message: SealedMessage = {
+      kind: "sealed",
+      formation: state.sealed,
+      group: state.group,
+      version: state.version,
+      map,
+      armed,
+      armedMap,
+      rejected: armed !== null && this.votes.rejected(armed),
+    };
+    for (const to of asked?.from ?? []) this.send(0)(to, message);
+  }
+
+  private startFetch(
+    call: EngineCall & { readonly kind: "stage" },
+    staged: NonNullable<EngineAnswer["staged"]>,
+  ): void {
+    this.fetchFor = call.mapHash;
+    const named = new Set(staged.map((item) => keyOf(item)));
+    const wanted = call.weights.filter((item) => named.has(keyOf(item)));
+    this.fetch.start(wanted, staged);
+  }
+
+  private proceed(now: number): readonly MapEffect[] {
+    if (this.state !== undefined) this.advance(this.state, now);
+    if (this.outstanding === undefined) this.callEngine(now);
+    const { effects } = this;
+    this.effects = [];
+    return effects;
+  }
+
+  private advance(state: EngineMapState, now: number): void {
+    const send = this.send(now);
+    this.former.tick(state, now, send);
+    const end = this.proposer.tick(state, now, send);
+    if (end !== undefined) this.effects.push({ kind: "ended", ...end });
+    this.votes.tick(now, send);
+    if (state.stagingHash !== this.fetchFor) return;
+    const part = this.fetch.next(now);
+    if (part !== undefined) this.effects.push({ kind: "fetch", part });
+  }
+
+  private callEngine(now: number): void {
+    const call = this.nextCall(now);
+    if (call === undefined) return;
+    this.outstanding = call;
+    this.effects.push({ kind: "engine", call });
+  }
+
+  private nextCall(now: number): EngineCall | undefined {
+    const { state, sealAsked, votes, staging } = this;
+    if (state === undefined) return this.readCall(now);
+    if (sealAsked !== undefined) {
+      return { kind: "seal", formation: sealAsked.formation };
+    }
+    const mapByHash = (hash: string): ExpertMap | undefined =>
+      staging.mapByHash(hash);
+    return (
+      votes.wantedCall(state, mapByHash, now) ??
+      staging.wantedCall(state) ??
+      this.resumeCall(state) ??
+      this.readCall(now)
+    );
+  }
+
+  /**
+   * Learns from the engine how far the weights have come: after a new start of
+   * this agent, and when the engine lacks weights that were thought fetched
+   * because it started again in between.
+   */
+  private resumeCall(state: EngineMapState): EngineCall | undefined {
+    const { fetchFor, staging, settings } = this;
+    const { stagingHash, stagingComplete, members } = state;
+    const fetching = stagingHash === fetchFor && !this.fetch.idle;
+    if (stagingComplete || fetching) return undefined;
+    const { formation } = staging;
+    const joins =
+      formation !== undefined && hashMap(formation.map) === stagingHash;
+    const map = joins ? formation.map : staging.mapByHash(stagingHash);
+    if (map === undefined) return undefined;
+    const list = joins ? formation.members : members;
+    const own = list.find(({ member }) => member === settings.member);
+    const weights = weightsOf(map, own?.ranks ?? []);
+    return { kind: "stage", mapHash: stagingHash, weights };
+  }
+
+  private readCall(now: number): EngineCall | undefined {
+    const due =
+      this.state === undefined || now >= this.readAt + READ_INTERVAL_MS;
+    return due ? { kind: "read" } : undefined;
+  }
+
+  private send(now: number): (to: string, message: MapMessage) => void {
+    return (to, message) => {
+      if (to !== this.settings.member) {
+        this.effects.push({ kind: "send", to, message });
+      } else if (this.state !== undefined) {
+        this.take(to, message, this.state, now);
+      }
+    };
+  }
+
+  private violated(rule: string, detail: string): void {
+    this.settings.emit(104, { rule, detail });
+  }
+}
+
+function keyOf(weight: WeightPart["weight"]): string {
+  return `${weight.rank}/${weight.layer}/${weight.expert}`;
+}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -21,5 +21,16 @@
 // balance
 
 // expertmap
+export * from "./expertmap/ballot.js";
+export * from "./expertmap/types.js";
+export * from "./expertmap/map.js";
+export * from "./expertmap/votes.js";
+export * from "./expertmap/fetch.js";
+export * from "./expertmap/switch.js";
+export * from "./expertmap/proposer.js";
+export * from "./expertmap/formation.js";
+export * from "./expertmap/staging.js";
+export * from "./expertmap/step-check.js";
+export * from "./expertmap/agent.js";
 
 // orders
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -242,8 +242,85 @@
   ),
 
   // 1600: expert map
+  1601: entry(
+    "expert-map-invalid",
+    0,
+    "none",
+    "The expert map doesn't fit the group.",
+    "Give every expert a slot and every rank the configured number of slots.",
+  ),
+  1602: entry(
+    "expert-map-not-staged",
+    0,
+    "none",
+    "Not every member had the weights of the new map in time.",
+    "Look at the weight store and at the named members; propose again.",
+  ),
+  1603: entry(
+    "expert-map-busy",
+    0,
+    "none",
+    "Another proposal of this agent is still running.",
+    "Wait for its end.",
+  ),
+  1604: entry(
+    "expert-map-overtaken",
+    0,
+    "none",
+    "The group formed anew or took another map before the proposal was put.",
+    "Plan from the map in force and propose again.",
+  ),
+  1606: entry(
+    "group-not-formed",
+    0,
+    "none",
+    "The engine hasn't joined its group.",
+    "Wait for the formation; see docs/OPERATIONS/stuck-map-switch.md.",
+  ),
+  1607: entry(
+    "engine-unreachable",
+    0,
+    "none",
+    "The engine gave no usable answer.",
+    "Check the engine; whether the order took effect is read back.",
+  ),
+  1608: entry(
+    "weights-unavailable",
+    0,
+    "none",
+    "The weight store gave no part of an expert's weights.",
+    "Check the weight store; the fetch goes on where it stopped.",
+  ),
 
   // 1700: orders and fencing
+  1701: entry(
+    "order-fenced",
+    0,
+    "none",
+    "A newer holder has given orders; this fencing number is too old.",
+    "None needed; the newer holder's orders stand.",
+  ),
+  1702: entry(
+    "order-not-yet",
+    0,
+    "none",
+    "The agent can't give orders to its engine yet.",
+    "Send the order again after the given time.",
+  ),
+  1703: entry(
+    "order-unconfirmed",
+    0,
+    "none",
+    "The engine's state doesn't show the order in time.",
+    "Read the state of the engine; send the order again.",
+  ),
+  1704: entry(
+    "lease-not-held",
+    0,
+    "none",
+    "This process holds no lease for orders, or it has lapsed.",
+    "Acquire the lease first.",
+  ),
 
   // 1800: expert balance and traces
 
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -103,8 +103,65 @@
   // 150: admission and placement
 
   // 160: expert map
+  160: entry("map-proposal-ended", "info", "A proposed map got its end.", {
+    mapHash: "content hash of the map",
+    end: "committed, aborted, or the error number",
+    durationMs: "time since proposeMap, ms",
+  }),
+  161: entry("map-vote", "info", "The vote of this member is fixed.", {
+    proposal: "number and author",
+    yes: "true for yes",
+  }),
+  162: entry("map-outcome", "info", "The outcome of a proposal is known.", {
+    proposal: "number and author",
+    outcome: "committed or aborted",
+    version: "version that was proposed",
+    step: "first step on the new map",
+  }),
+  163: entry("map-in-force", "info", "The engine runs on another map.", {
+    group: "incarnation of the group",
+    version: "version of the map",
+    mapHash: "content hash of the map",
+    since: "first step on it",
+  }),
+  164: entry("step-held", "warn", "The engine holds at an undecided step.", {
+    step: "step that is held",
+    heldMs: "time held so far, ms",
+  }),
+  165: entry("weight-fetch-failed", "warn", "A part of weights didn't come.", {
+    layer: "layer",
+    expert: "expert",
+    error: "error number",
+    reason: "text of the failure",
+  }),
+  166: entry("formation-started", "warn", "This agent forms the group anew.", {
+    formation: "number and author",
+    members: "members of the group",
+  }),
 
   // 170: orders and fencing
+  170: entry("order-confirmed", "info", "The engine shows the order.", {
+    fencing: "fencing number of the order",
+    kind: "kind of the order",
+    value: "what was ordered",
+    durationMs: "time since it was taken, ms",
+  }),
+  171: entry("order-refused", "warn", "An order was refused.", {
+    fencing: "fencing number of the order",
+    highest: "highest fencing number known",
+    error: "error number",
+  }),
+  172: entry("order-waits", "info", "Orders wait until old ones are past.", {
+    waitMs: "time to wait, ms",
+    reason: "start or lost answer",
+  }),
+  173: entry("lease-acquired", "info", "This process holds the lease.", {
+    fencing: "fencing number",
+  }),
+  174: entry("lease-lost", "warn", "This process holds the lease no longer.", {
+    fencing: "fencing number",
+    reason: "expired or superseded",
+  }),
 
   // 180: expert balance
 
