--- a/fuzz/expertmap-world.ts
+++ b/fuzz/expertmap-world.ts
@@ -3,10 +3,9 @@
  * faults switched on and off from outside.
  */
 import {
+  createEvenMap,
   createRandom,
-  dealExperts,
   GroupAgent,
-  hashMap,
   randomBelow,
   type EngineCall,
   type EngineMapState,
@@ -28,8 +27,7 @@
 export const TICK_MS = 10;
 const CALL_TIMEOUT_TICKS = 30;
 const BYTES_PER_EXPERT = 100;
-const RANKS = 3;
-const EXPERTS = 4;
+const SHAPE = { ranks: 3, layers: 1, experts: 4, slotsPerRank: 2 };
 
 export interface WorldSettings {
   readonly seed: number;
@@ -56,11 +54,9 @@
 
 /** A map that the group could be told to use. */
 export function candidateMap(choice: number): ExpertMap {
-  const { slotsPerRank, layers } = dealExperts(1, RANKS, 2, EXPERTS);
-  const rotated = layers.map((slots) =>
-    slots.map((expert) => (expert + choice) % EXPERTS),
-  );
-  return { slotsPerRank, layers: rotated };
+  const { version, shape, slots } = createEvenMap(SHAPE);
+  const turn = (expert: number): number => (expert + choice) % SHAPE.experts;
+  return { version, shape, slots: Array.from(slots).map(turn) };
 }
 
 export class World {
@@ -362,8 +358,3 @@
     });
   }
 }
-
-/** Hash of a candidate, for the printed history. */
-export function candidateHash(choice: number): string {
-  return hashMap(candidateMap(choice));
-}
--- a/src/expertmap/agent.ts
+++ b/src/expertmap/agent.ts
@@ -11,11 +11,13 @@
   hashMap,
   MapProposer,
   MapSwitch,
+  ranksOf,
   sameBallot,
   Staging,
   StepCheck,
   unreachable,
   WeightFetch,
+  weightKey,
   weightsOf,
   type ApricotdeckError,
   type Ballot,
@@ -282,8 +284,8 @@
     staged: NonNullable<EngineAnswer["staged"]>,
   ): void {
     this.fetchFor = call.mapHash;
-    const named = new Set(staged.map((item) => keyOf(item)));
-    const wanted = call.weights.filter((item) => named.has(keyOf(item)));
+    const named = new Set(staged.map(weightKey));
+    const wanted = call.weights.filter((item) => named.has(weightKey(item)));
     this.fetch.start(wanted, staged);
   }
 
@@ -345,8 +347,7 @@
     const map = joins ? formation.map : staging.mapByHash(stagingHash);
     if (map === undefined) return undefined;
     const list = joins ? formation.members : members;
-    const own = list.find(({ member }) => member === settings.member);
-    const weights = weightsOf(map, own?.ranks ?? []);
+    const weights = weightsOf(map, ranksOf(list, settings.member));
     return { kind: "stage", mapHash: stagingHash, weights };
   }
 
@@ -370,7 +371,3 @@
     this.settings.emit(104, { rule, detail });
   }
 }
-
-function keyOf(weight: WeightPart["weight"]): string {
-  return `${weight.rank}/${weight.layer}/${weight.expert}`;
-}
--- a/src/expertmap/staging.ts
+++ b/src/expertmap/staging.ts
@@ -5,6 +5,7 @@
  */
 import {
   hashMap,
+  ranksOf,
   sameBallot,
   weightsOf,
   type Ballot,
@@ -122,8 +123,7 @@
   ): EngineCall | undefined {
     const mapHash = hashMap(map);
     if (state.stagingHash === mapHash) return undefined;
-    const own = members.find(({ member }) => member === this.member);
-    const weights = weightsOf(map, own?.ranks ?? []);
+    const weights = weightsOf(map, ranksOf(members, this.member));
     return { kind: "stage", mapHash, weights };
   }
 
--- a/src/expertmap/types.ts
+++ b/src/expertmap/types.ts
@@ -1,12 +1,5 @@
 /** Types of the expert map switch: maps, proposals, votes, messages, effects. */
-import type { ApricotdeckError, Ballot } from "../internal.js";
-
-/** Which expert each slot of each rank holds, layer by layer. */
-export interface ExpertMap {
-  readonly slotsPerRank: number;
-  /** `layers[layer][rank * slotsPerRank + slot]` is an expert. */
-  readonly layers: readonly (readonly number[])[];
-}
+import type { ApricotdeckError, Ballot, ExpertMap } from "../internal.js";
 
 /** A backend server of the group and the ranks that its engine runs. */
 export interface GroupMember {
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -78,6 +78,34 @@
     "No configuration is in force in this process yet.",
     "Retry later; operators look at `apricotdeck status`.",
   ),
+  1104: entry(
+    "configuration-version-fell",
+    0,
+    "none",
+    "An older configuration was about to replace the one in force.",
+    "The one in force stays; send a support bundle.",
+  ),
+  1105: entry(
+    "configuration-record-unreadable",
+    0,
+    "none",
+    "A record of the configuration stream can't be read.",
+    "Nothing is changed by it; look at who else writes to the stream.",
+  ),
+  1106: entry(
+    "configuration-not-understood",
+    0,
+    "none",
+    "The publication is of a format newer than this release.",
+    "The older content stays in force here; upgrade this process.",
+  ),
+  1107: entry(
+    "checkpoint-disagrees",
+    0,
+    "none",
+    "A checkpoint contradicts what this process read from the log.",
+    "It is not used; send a support bundle.",
+  ),
 
   // 1200: requests and answers
   1201: entry(
@@ -240,15 +268,29 @@
     "The work can't be finished within its deadline.",
     "Retry after the given time, or raise the deadline.",
   ),
+  1503: entry(
+    "queue-wait-exceeded",
+    503,
+    "not-run",
+    "The request waited as long as its profile lets it.",
+    "Retry after the given time.",
+  ),
+  1504: entry(
+    "account-limit-reached",
+    429,
+    "not-run",
+    "The client account has used up its tokens for now.",
+    "Retry after the given time, or raise the limit of the account.",
+  ),
+  1505: entry(
+    "queue-displaced",
+    429,
+    "not-run",
+    "The queue is full and the client account has more than its share in it.",
+    "Retry after the given time.",
+  ),
 
   // 1600: expert map
-  1601: entry(
-    "expert-map-invalid",
-    0,
-    "none",
-    "The expert map doesn't fit the group.",
-    "Give every expert a slot and every rank the configured number of slots.",
-  ),
   1602: entry(
     "expert-map-not-staged",
     0,
@@ -323,6 +365,34 @@
   ),
 
   // 1800: expert balance and traces
+  1801: entry(
+    "trace-invalid",
+    0,
+    "none",
+    "A line of the trace can't be used.",
+    'Correct the named line: {"window": i, "counts": [[tokens of each expert] of each layer]}.',
+  ),
+  1802: entry(
+    "trace-unreadable",
+    0,
+    "none",
+    "The trace file can't be read.",
+    "Check the path and the permissions of the file.",
+  ),
+  1803: entry(
+    "expert-map-invalid",
+    0,
+    "none",
+    "An expert map or the shape of its group breaks a rule.",
+    "Check ranks, experts and slots of the group; the detail names the layer.",
+  ),
+  1804: entry(
+    "measurement-option-invalid",
+    0,
+    "none",
+    "An option of the measurement can't be used.",
+    "Correct the named option.",
+  ),
 
   // 1900: platform services
   1901: entry(
@@ -362,6 +432,20 @@
     "Not every process reported the expected state in time.",
     "Run `apricotdeck status` and look at the named processes.",
   ),
+  2003: entry(
+    "verdict-unknown",
+    0,
+    "none",
+    "The log didn't show the publication in time; it may still appear.",
+    "Run `apricotdeck history` before publishing again.",
+  ),
+  2004: entry(
+    "process-unknown",
+    0,
+    "none",
+    "The list of VMs holds no process of this name.",
+    "Run `apricotdeck status` for the names.",
+  ),
 } as const satisfies Readonly<Record<number, ErrorEntry>>;
 
 export type ErrorNumber = keyof typeof errorTable;
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -54,6 +54,30 @@
     error: "error number",
     reason: "reason for the operator",
   }),
+  113: entry(
+    "configuration-not-understood",
+    "warn",
+    "A publication of a newer release was kept; the older content stays.",
+    {
+      offset: "offset in the log",
+      formatVersion: "format of the publication",
+    },
+  ),
+  114: entry(
+    "configuration-undecided",
+    "warn",
+    "Earlier records are lost; a usable checkpoint is awaited.",
+    {
+      heldFrom: "first offset that the log still holds",
+      version: "version in force here, -1 when none",
+    },
+  ),
+  115: entry(
+    "checkpoint-appended",
+    "info",
+    "The state was written to the log, ahead of its retention.",
+    { asOf: "last offset that the checkpoint covers" },
+  ),
 
   // 120: requests
   121: entry("request-accepted", "info", "An entry took a caller's request.", {
@@ -101,6 +125,27 @@
   }),
 
   // 150: admission and placement
+  151: entry("runner-ejected", "warn", "A failing runner gets no work.", {
+    runner: "backend server",
+    pool: "model or plain service whose request failed last",
+  }),
+  152: entry("runner-recovered", "info", "An ejected runner passed probes.", {
+    runner: "backend server",
+  }),
+  153: entry("queue-started", "info", "Requests of a pool have to wait.", {
+    pool: "model or plain service",
+  }),
+  154: entry("queue-emptied", "info", "No request of a pool waits any more.", {
+    pool: "model or plain service",
+    durationMs: "time since the first one waited, ms",
+    refused: "requests refused or given up meanwhile",
+  }),
+  155: entry("retries-exhausted", "warn", "The retry allowance is used up.", {
+    pool: "model or plain service",
+  }),
+  156: entry("retries-restored", "info", "Successes refilled the allowance.", {
+    pool: "model or plain service",
+  }),
 
   // 160: expert map
   160: entry("map-proposal-ended", "info", "A proposed map got its end.", {
@@ -164,6 +209,30 @@
   }),
 
   // 180: expert balance
+  181: entry("experts-moved", "info", "A better expert map was planned.", {
+    map: "version of the new map",
+    moves: "experts to fetch",
+    bytes: "bytes to fetch from the weight store",
+    transferSeconds: "time of the fetch at the weight store's rate, s",
+    skewBefore: "forecast of step time over even step time, old map",
+    skewAfter: "forecast of step time over even step time, new map",
+    savedSeconds: "step time saved over the horizon, s",
+    skewWeight: "weight of skew against cost in force",
+  }),
+  182: entry("experts-stayed", "debug", "The expert map stays as it is.", {
+    map: "version of the map",
+    reason:
+      "no-reports, switch-pending, balanced, within-noise, no-better-map or not-worth-cost",
+    skew: "forecast of step time over even step time",
+  }),
+  183: entry("rank-slow", "warn", "A rank is slower than the others.", {
+    rank: "number of the rank",
+    speed: "speed over that of the median rank",
+  }),
+  184: entry("balance-report-gap", "debug", "Rank reports are missing.", {
+    map: "version of the map that the reports were counted under",
+    missing: "ranks without a usable report in the window",
+  }),
 
   // 190: platform services
   191: entry("log-outage", "warn", "The log service doesn't answer.", {
--- a/standins/engine-group.ts
+++ b/standins/engine-group.ts
@@ -7,7 +7,9 @@
  * step some ranks may be ahead of others.
  */
 import {
+  expertsOf,
   hashMap,
+  ranksOf,
   sameBallot,
   type Ballot,
   type EngineCall,
@@ -187,8 +189,8 @@
     const { register } = engine;
     const { stepMs, tokenMs, speed, demand } = this.settings;
     const tokens = demand(register.step);
-    const own = register.members.find((item) => item.member === engine.member);
-    const durations = (own?.ranks ?? []).map((rank) => {
+    const ranks = ranksOf(register.members, engine.member);
+    const durations = ranks.map((rank) => {
       const counts = rankCounts(map, rank, tokens);
       const load = counts.flat().reduce((sum, value) => sum + value, 0);
       const durationMs = stepMs + (load * tokenMs) / speed(rank);
@@ -230,23 +232,25 @@
   rank: number,
   tokens: readonly (readonly number[])[],
 ): readonly (readonly number[])[] {
-  const first = rank * map.slotsPerRank;
   return tokens.map((experts, layer) => {
-    const slots = map.layers[layer] ?? [];
-    const replicas = countReplicas(slots);
+    const replicas = countReplicas(map, layer);
     const counts = experts.map(() => 0);
-    for (const expert of slots.slice(first, first + map.slotsPerRank)) {
-      const share = (experts[expert] ?? 0) / (replicas.get(expert) ?? 1);
-      counts[expert] = (counts[expert] ?? 0) + share;
+    for (const expert of expertsOf(map, layer, rank)) {
+      counts[expert] = (experts[expert] ?? 0) / (replicas.get(expert) ?? 1);
     }
     return counts;
   });
 }
 
-function countReplicas(slots: readonly number[]): ReadonlyMap<number, number> {
+function countReplicas(
+  map: ExpertMap,
+  layer: number,
+): ReadonlyMap<number, number> {
   const replicas = new Map<number, number>();
-  for (const expert of slots) {
-    replicas.set(expert, (replicas.get(expert) ?? 0) + 1);
+  for (let rank = 0; rank < map.shape.ranks; rank += 1) {
+    for (const expert of expertsOf(map, layer, rank)) {
+      replicas.set(expert, (replicas.get(expert) ?? 0) + 1);
+    }
   }
   return replicas;
 }
--- a/standins/map-register.ts
+++ b/standins/map-register.ts
@@ -7,6 +7,7 @@
   hashMap,
   higherBallot,
   lowestBallot,
+  ranksOf,
   sameBallot,
   unreachable,
   weightKey,
@@ -256,9 +257,7 @@
 
   private ownWeights(): readonly WeightName[] {
     if (this.inForce === undefined) return [];
-    const own = this.members.find(
-      ({ member }) => member === this.settings.member,
-    );
-    return weightsOf(this.inForce.map, own?.ranks ?? []);
+    const ranks = ranksOf(this.members, this.settings.member);
+    return weightsOf(this.inForce.map, ranks);
   }
 }
--- a/tests/expertmap/votes.test.ts
+++ b/tests/expertmap/votes.test.ts
@@ -1,7 +1,7 @@
 import * as assert from "uvu/assert";
 import {
   chooseMap,
-  dealExperts,
+  createEvenMap,
   hashMap,
   lowestBallot,
   mergeVotes,
@@ -14,8 +14,9 @@
 import { describe, it } from "../support/describe.js";
 
 const group = { number: 1, author: "a#1" };
-const present = dealExperts(1, 2, 2, 4);
-const next = { slotsPerRank: 2, layers: [[3, 2, 1, 0]] };
+const shape = { ranks: 2, layers: 1, experts: 4, slotsPerRank: 2 };
+const present = createEvenMap(shape);
+const next = { version: 2, shape, slots: [3, 2, 1, 0] };
 
 const proposal: Proposal = {
   id: { number: 1, author: "a#1" },
