--- a/src/internal.ts
+++ b/src/internal.ts
@@ -21,6 +21,16 @@
 export * from "./configuration/verdict.js";
 
 // claims
+export * from "./claims/types.js";
+export * from "./claims/keys.js";
+export * from "./claims/codec.js";
+export * from "./claims/table.js";
+export * from "./claims/batcher.js";
+export * from "./claims/append-schedule.js";
+export * from "./claims/abandoned.js";
+export * from "./claims/gate.js";
+export * from "./claims/coordinator-types.js";
+export * from "./claims/coordinator.js";
 
 // session
 
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -222,6 +222,69 @@
   ),
 
   // 1300: claims of requests that may not be repeated
+  1301: entry(
+    "idempotency-key-malformed",
+    400,
+    "not-run",
+    "The idempotency key isn't a UUID of version 7.",
+    "Send a UUIDv7 (RFC 9562) in the header Idempotency-Key.",
+  ),
+  1302: entry(
+    "idempotency-key-too-old",
+    409,
+    "unknown",
+    "The idempotency key is older than what can still be looked up.",
+    "Check the effect of the earlier call before it is sent under a new key.",
+  ),
+  1303: entry(
+    "idempotency-key-from-future",
+    400,
+    "unknown",
+    "The idempotency key was made ahead of the clocks here.",
+    "Correct the clock of the caller.",
+  ),
+  1304: entry(
+    "call-not-started-here",
+    503,
+    "unknown",
+    "This call started nothing, but an earlier one under its key may have.",
+    "Repeat with the same key; that is always safe.",
+  ),
+  1305: entry(
+    "call-not-taken",
+    503,
+    "not-run",
+    "No backend server took the call; its key is closed.",
+    "Send the call again under a new key.",
+  ),
+  1306: entry(
+    "idempotency-key-closed",
+    409,
+    "not-run",
+    "The call was given up earlier and its key is closed.",
+    "Send the call again under a new key.",
+  ),
+  1307: entry(
+    "claim-undecided",
+    503,
+    "unknown",
+    "The log service didn't tell in time whose claim came first.",
+    "Repeat with the same key; that is always safe.",
+  ),
+  1308: entry(
+    "claimed-outcome-unknown",
+    504,
+    "unknown",
+    "The agent that holds the call can't tell whether it was started.",
+    "Repeat with the same key, or check the effect of the call.",
+  ),
+  1309: entry(
+    "answer-no-longer-held",
+    409,
+    "broken-off",
+    "The call was run, but its answer is no longer held.",
+    "Look at the effect of the call; don't send it under a new key.",
+  ),
 
   // 1400: sessions between entry and agent
   1401: entry(
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -107,6 +107,33 @@
   }),
 
   // 130: claims
+  131: entry("claim-won", "debug", "A call's own claim came first.", {
+    call: "request id",
+    attempt: "attempt id",
+  }),
+  132: entry("claim-attached", "info", "A repeat gets another's answer.", {
+    call: "request id",
+    attempt: "attempt that holds the claim",
+  }),
+  133: entry(
+    "abandoned-claim-landed",
+    "info",
+    "A claim landed after its call was given up; it is released.",
+    { attempt: "attempt id" },
+  ),
+  134: entry(
+    "claim-replaced",
+    "info",
+    "An attempt that can't start gave way.",
+    {
+      attempt: "attempt id",
+      proof: "tombstone, refused or not-dispatched",
+    },
+  ),
+  135: entry("claim-given-up", "warn", "A call's bounded wait was over.", {
+    call: "request id",
+    phase: "claiming, asking, pausing or closing",
+  }),
 
   // 140: sessions
   141: entry("session-opened", "info", "A session to an agent is live.", {
