--- a/src/internal.ts
+++ b/src/internal.ts
@@ -1,6 +1,7 @@
 /** The coordination parts, free of sockets, for use inside the product. */
 
 // shared
+export * from "./shared/deferred.js";
 export * from "./shared/errors.js";
 export * from "./shared/events.js";
 export * from "./shared/exhaustive.js";
@@ -35,8 +36,17 @@
 // session
 
 // admission
+export * from "./admission/types.js";
+export * from "./admission/account-limits.js";
+export * from "./admission/admission.js";
+export * from "./admission/agent-limit.js";
+export * from "./admission/output-estimate.js";
+export * from "./admission/retry-allowance.js";
 
 // placement
+export * from "./placement/types.js";
+export * from "./placement/defaults.js";
+export * from "./placement/placement.js";
 
 // balance
 
