Claim calls that may not be repeated through the log

Cause: a caller that repeats a call at another entry, an append whose answer is lost and an entry that wakes late could each start one call twice.

Change: claims are group-committed per shard; the first of a generation in log order wins, and only a claim that was read back is dispatched. A repeat asks the named agent to give the answer or to rule the attempt out by a tombstone, and only that proof lets the call be claimed anew. Not run is said of a caller's key only after its close was read back, since another entry may know the key too.

The fuzz target claims runs the real machines against the engines' record of starts.

--- /dev/null
+++ b/fuzz/claims/log.ts
@@ -0,0 +1,93 @@
+/** A log with the faults of the platform's: the claims target's only truth. */
+import type { LogRecord } from "../../src/internal.js";
+import type { VirtualTime } from "../virtual-time.js";
+
+const HOP_MS = 1;
+const MINIMUM_RETENTION_MS = 600_000;
+
+export interface AppendFaults {
+  /** The record lands, but its writer hears nothing. */
+  readonly loseAnswer: boolean;
+  /** The record lands so much later. */
+  readonly delayMs: number;
+  readonly duplicate: boolean;
+}
+
+export const NO_FAULTS: AppendFaults = {
+  loseAnswer: false,
+  delayMs: 0,
+  duplicate: false,
+};
+
+interface Stream {
+  readonly startOffset: number;
+  readonly records: readonly LogRecord[];
+}
+
+const EMPTY: Stream = { startOffset: 0, records: [] };
+
+export class FuzzLog {
+  isDown = false;
+  nextAppend: AppendFaults = NO_FAULTS;
+  private readonly streams = new Map<number, Stream>();
+
+  private constructor(
+    private readonly time: VirtualTime,
+    private readonly onAppended: () => void,
+  ) {}
+
+  static create(time: VirtualTime, onAppended: () => void): FuzzLog {
+    return new FuzzLog(time, onAppended);
+  }
+
+  append(
+    stream: number,
+    data: Uint8Array,
+    onAnswer: (ok: boolean) => void,
+  ): void {
+    if (this.isDown) {
+      this.time.after(HOP_MS, () => {
+        onAnswer(false);
+      });
+      return;
+    }
+    const { delayMs, loseAnswer, duplicate } = this.nextAppend;
+    this.nextAppend = NO_FAULTS;
+    this.time.after(HOP_MS + delayMs, () => {
+      this.store(stream, data);
+      if (duplicate) this.store(stream, data);
+      if (!loseAnswer && delayMs === 0)
+        this.time.after(HOP_MS, () => {
+          onAnswer(true);
+        });
+    });
+  }
+
+  read(
+    stream: number,
+    from: number,
+  ): { readonly startOffset: number; readonly records: readonly LogRecord[] } {
+    const { startOffset, records } = this.streams.get(stream) ?? EMPTY;
+    const first = Math.max(from - startOffset, 0);
+    return { startOffset, records: records.slice(first) };
+  }
+
+  /** Drops what is older than the retention. */
+  trim(): void {
+    const limitMs = this.time.nowMs - MINIMUM_RETENTION_MS;
+    for (const [name, { startOffset, records }] of this.streams) {
+      const kept = records.filter((record) => record.appendedAtMs >= limitMs);
+      const dropped = records.length - kept.length;
+      const start = startOffset + dropped;
+      this.streams.set(name, { startOffset: start, records: kept });
+    }
+  }
+
+  private store(name: number, data: Uint8Array): void {
+    const { startOffset, records } = this.streams.get(name) ?? EMPTY;
+    const offset = startOffset + records.length;
+    const record = { offset, appendedAtMs: this.time.nowMs, data };
+    this.streams.set(name, { startOffset, records: [...records, record] });
+    this.onAppended();
+  }
+}
--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -3,4 +3,6 @@
 
 export type LoadTarget = () => Promise<FuzzTarget>;
 
-export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {};
+export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {
+  claims: async () => (await import("./claims/claims.js")).claimsTarget,
+};
--- a/src/claims/append-schedule.ts
+++ b/src/claims/append-schedule.ts
@@ -36,6 +36,10 @@
     return new AppendSchedule(incarnation, appendsPerSecond);
   }
 
+  get isIdle(): boolean {
+    return this.batchers.every((batcher) => batcher.isIdle);
+  }
+
   add(shard: number, ...entries: readonly ClaimLogEntry[]): void {
     this.batchers[shard].add(...entries);
   }
--- a/src/claims/batcher.ts
+++ b/src/claims/batcher.ts
@@ -88,7 +88,11 @@
     if (this.inFlight === undefined) return;
     const { batch } = this.inFlight;
     const entries = batch.entries.filter((item) => !isSame(item, entry));
-    this.inFlight = { ...this.inFlight, batch: { ...batch, entries } };
+    // All read back: the append took effect, whatever became of its answer.
+    this.inFlight =
+      entries.length === 0
+        ? undefined
+        : { ...this.inFlight, batch: { ...batch, entries } };
   }
 
   private expire(nowMs: number): void {
--- a/src/claims/coordinator.ts
+++ b/src/claims/coordinator.ts
@@ -80,6 +80,16 @@
     return this.tables[shard].nextOffset;
   }
 
+  /** Whether neither a call nor an append waits for anything. */
+  get isIdle(): boolean {
+    return this.calls.size === 0 && this.schedule.isIdle;
+  }
+
+  /** What the log says about a call, as far as it was read. */
+  statusOf(identity: CallIdentity): ClaimStatus {
+    return this.tables[shardOf(identity)].status(identity);
+  }
+
   /** Takes a call over; its effects carry the call's name. */
   begin(request: ClaimRequest, nowMs: number): readonly ClaimEffect[] {
     this.proceed(request, nowMs);
@@ -177,13 +187,9 @@
     return effects;
   }
 
-  private status(identity: CallIdentity): ClaimStatus {
-    return this.tables[shardOf(identity)].status(identity);
-  }
-
   /** The next step of a call by what the log says now. */
   private proceed(request: ClaimRequest, nowMs: number): void {
-    const status = this.status(request);
+    const status = this.statusOf(request);
     switch (status.kind) {
       case "free":
         this.claimFirst(request, status.nextGeneration, nowMs);
@@ -290,8 +296,8 @@
 
   /** Whether all records of the call were read and the claim stands. */
   private holds(identity: CallIdentity, claim: ClaimEntry): boolean {
-    const status = this.tables[shardOf(identity)]?.status(identity);
-    return status?.kind === "claimed" && status.claim.attempt === claim.attempt;
+    const status = this.statusOf(identity);
+    return status.kind === "claimed" && status.claim.attempt === claim.attempt;
   }
 
   private dispatch(
@@ -307,9 +313,12 @@
 
   private ask(request: ClaimRequest, claim: ClaimEntry, nowMs: number): void {
     const { call } = request;
-    this.setPhase(request, { kind: "asking", claim }, nowMs);
-    const sinceMs = this.calls.get(call)?.awaited.sinceMs ?? nowMs;
-    const tombstone = nowMs - sinceMs >= START_GRACE_MS;
+    const { awaited } = this.setPhase(
+      request,
+      { kind: "asking", claim },
+      nowMs,
+    );
+    const tombstone = nowMs - awaited.sinceMs >= START_GRACE_MS;
     this.effects.push({ kind: "ask", call, claim, tombstone });
   }
 
@@ -383,12 +392,9 @@
       return;
     }
     this.attempts.set(attempt, request.call);
-    this.setPhase(request, { kind: "closing", claim }, nowMs);
-    const state = this.calls.get(request.call);
-    if (state !== undefined) {
-      const giveUpAtMs = nowMs + CLOSE_WAIT_MS;
-      this.calls.set(request.call, { ...state, giveUpAtMs });
-    }
+    const state = this.setPhase(request, { kind: "closing", claim }, nowMs);
+    const giveUpAtMs = nowMs + CLOSE_WAIT_MS;
+    this.calls.set(request.call, { ...state, giveUpAtMs });
     const close = { kind: "close", account, key, generation, attempt } as const;
     this.schedule.add(shardOf(request), close);
   }
@@ -425,7 +431,11 @@
     this.calls.delete(call);
   }
 
-  private setPhase(request: ClaimRequest, phase: Phase, nowMs: number): void {
+  private setPhase(
+    request: ClaimRequest,
+    phase: Phase,
+    nowMs: number,
+  ): CallState {
     const known = this.calls.get(request.call);
     const { attempt } = phase.claim;
     const awaited =
@@ -433,7 +443,9 @@
         ? known.awaited
         : { attempt, sinceMs: nowMs };
     const giveUpAtMs = known?.giveUpAtMs ?? request.giveUpAtMs;
-    this.calls.set(request.call, { request, phase, awaited, giveUpAtMs });
+    const state = { request, phase, awaited, giveUpAtMs };
+    this.calls.set(request.call, state);
+    return state;
   }
 }
 
