--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -5,4 +5,5 @@
 
 export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {
   expertmap: async () => (await import("./expertmap.js")).expertmap,
+  claims: async () => (await import("./claims/claims.js")).claimsTarget,
 };
