--- a/scripts/generate-docs.ts
+++ b/scripts/generate-docs.ts
@@ -3,6 +3,10 @@
 import { fileURLToPath } from "node:url";
 import { errorTable, type ErrorEntry } from "../src/shared/errors.js";
 import { eventTable, type EventEntry } from "../src/shared/events.js";
+import { metricTable, type MetricEntry } from "../src/shared/metrics.js";
+import { configurationSchema } from "../src/configuration/schema.js";
+import { settingsSchema } from "../src/daemon/settings.js";
+import { settingRows } from "./setting-rows.js";
 
 const NOTE =
   "<!-- Made from the code by `npm run generate`; edits here are lost. -->";
@@ -49,5 +53,43 @@
   return ["# Events", "", NOTE, "", ...table(head, rows)];
 }
 
+function metricPage(): string[] {
+  const entries = Object.values<MetricEntry>(metricTable);
+  const rows = entries.map(({ name, kind, unit, labels, meaning }) => [
+    `\`${name}\``,
+    kind,
+    unit,
+    labels.join(", ") || "–",
+    meaning,
+  ]);
+  const head = ["Metric", "Kind", "Unit", "Labels", "Meaning"];
+  const note =
+    "Every metric also carries the labels `process` and `data_centre`. The usual process metrics of the runtime come with them.";
+  return ["# Metrics", "", NOTE, "", note, "", ...table(head, rows)];
+}
+
+function configurationPage(): string[] {
+  const head = ["Field", "Type", "Default", "Limits", "Meaning"];
+  return [
+    "# Configuration",
+    "",
+    NOTE,
+    "",
+    "## Published configuration",
+    "",
+    "Checked by `apricotdeck check FILE`, published by `apricotdeck publish FILE`. JSON with comments; unknown fields are errors.",
+    "",
+    ...table(head, settingRows(configurationSchema)),
+    "",
+    "## Settings of a daemon",
+    "",
+    "The file given to `apricotdeckd`. JSON with comments; unknown fields are errors and the daemon does not start. Times end in `Ms` (milliseconds), sizes in `Bytes`.",
+    "",
+    ...table(head, settingRows(settingsSchema)),
+  ];
+}
+
+write("METRICS.md", metricPage());
+write("CONFIGURATION.md", configurationPage());
 write("ERRORS.md", errorPage());
 write("EVENTS.md", eventPage());
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -30,34 +30,52 @@
   .strictObject({
     name,
     target: z.discriminatedUnion("kind", [modelTarget, serviceTarget]),
-    /** 0 is served first. */
-    priority: z.int().min(0).max(HIGHEST_PRIORITY_NUMBER),
-    /** Longest time from acceptance to the end of the answer. */
-    deadlineMs: z.int().min(1).max(LONGEST_DEADLINE_MS),
-    /** False for calls that may run at most once. */
-    repeatable: z.boolean(),
+    priority: z
+      .int()
+      .min(0)
+      .max(HIGHEST_PRIORITY_NUMBER)
+      .describe("0 is served first."),
+    deadlineMs: z
+      .int()
+      .min(1)
+      .max(LONGEST_DEADLINE_MS)
+      .describe("Longest time from acceptance to the end of the answer."),
+    repeatable: z
+      .boolean()
+      .describe("False for calls that may run at most once."),
     queue: z
       .strictObject({
-        /** Most work waiting in one entry, in tokens. */
-        maximumTokens: count,
+        maximumTokens: count.describe(
+          "Most work waiting in one entry, in tokens.",
+        ),
         maximumWaitMs: count,
       })
       .readonly(),
-    /** Requests of the profile running at once from one entry. */
-    concurrency: count,
-    /** Accounts that may use it; all of them when absent. */
-    accounts: z.array(name).readonly().optional(),
+    concurrency: count.describe(
+      "Requests of the profile running at once from one entry.",
+    ),
+    accounts: z
+      .array(name)
+      .readonly()
+      .optional()
+      .describe("Accounts that may use it; all of them when absent."),
   })
   .readonly();
 
 const account = z
   .strictObject({
     name,
-    /** SHA-256 of each bearer credential, in hexadecimal. */
-    credentialHashes: z.array(z.string().regex(SHA256_HEX)).min(1).readonly(),
+    credentialHashes: z
+      .array(z.string().regex(SHA256_HEX))
+      .min(1)
+      .readonly()
+      .describe("SHA-256 of each bearer credential, in hexadecimal."),
     defaultProfile: name.optional(),
-    /** Share of a contended resource against the other accounts. */
-    weight: z.number().positive().default(1),
+    weight: z
+      .number()
+      .positive()
+      .default(1)
+      .describe("Share of a contended resource against the other accounts."),
     limit: z
       .strictObject({
         tokensPerSecond: z.number().positive(),
@@ -76,8 +94,7 @@
     ranks: count,
     layers: count,
     experts: count,
-    /** Expert slots of one rank in one layer. */
-    slotsPerRank: count,
+    slotsPerRank: count.describe("Expert slots of one rank in one layer."),
     bytesPerExpert: count,
   })
   .readonly();
@@ -88,11 +105,13 @@
 
 const balance = z
   .strictObject({
-    /**
-     * Value of time saved against cost of moving: 1 weighs skew only, 0 cost
-     * only.
-     */
-    skewWeight: z.number().min(0).max(1),
+    skewWeight: z
+      .number()
+      .min(0)
+      .max(1)
+      .describe(
+        "Value of time saved against cost of moving: 1 weighs skew only, 0 cost only.",
+      ),
   })
   .readonly();
 
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -1,5 +1,4 @@
 /** The daemon of an entry VM. */
-import { Histogram } from "prom-client";
 import { listen, type Listening } from "../listening.js";
 import { runTask } from "../background-task.js";
 import { ConfigurationFollower } from "../configuration-follower.js";
@@ -20,7 +19,6 @@
 import { pause } from "../background-task.js";
 
 const DRAIN_CHECK_MS = 50;
-const DURATION_BUCKETS = [0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100];
 
 export interface DaemonAddresses {
   readonly operators: string;
@@ -48,7 +46,6 @@
   private readonly conservation: Conservation;
   private readonly configuration: ConfigurationFollower;
   private readonly directory: BackendDirectory;
-  private readonly durations: Histogram<"outcome">;
   private leaving = false;
   private callers!: Listening;
   private operators!: Listening;
@@ -58,7 +55,7 @@
     readonly context: ProcessContext,
     private readonly onLeave: () => void,
   ) {
-    const { emit, metrics } = context;
+    const { emit } = context;
     const { platform, transport } = settings;
     const log = LogClient.create(platform.log);
     this.conservation = Conservation.create(emit);
@@ -68,13 +65,6 @@
       transport,
       vmList: platform.vmList,
     });
-    this.durations = new Histogram({
-      name: "apricotdeck_request_duration_seconds",
-      help: "Time from acceptance to the final outcome of a request, s",
-      labelNames: ["outcome"],
-      buckets: DURATION_BUCKETS,
-      registers: [metrics],
-    });
   }
 
   static async create(
@@ -151,14 +141,16 @@
 
   private async serve(work: Work, writer: AnswerWriter): Promise<void> {
     const { id: request, account, profile, acceptedAtMs } = work;
-    const { emit } = this.context;
+    const { emit, measurements } = this.context;
     this.conservation.accept(request);
+    measurements.set("requestsInFlight", this.inFlight);
     emit(121, { request, account, profile: profile.name });
     const result = await this.runWork(work, writer);
     this.conservation.finish(request, result.outcome);
     const durationMs = Date.now() - acceptedAtMs;
     const { outcome } = result;
-    this.durations.observe({ outcome }, durationMs / 1000);
+    measurements.observe("requestDuration", durationMs / 1000, { outcome });
+    measurements.set("requestsInFlight", this.inFlight);
     emit(124, { request, ...result, durationMs });
   }
 
--- /dev/null
+++ b/src/daemon/metrics-registry.ts
@@ -0,0 +1,60 @@
+/** Registers the metrics of the table and takes their measurements. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import {
+  metricTable,
+  type Measurements,
+  type MetricEntry,
+  type MetricKey,
+} from "../internal.js";
+
+type Metric = Counter | Gauge | Histogram;
+
+export interface RegisteredMetrics {
+  readonly registry: Registry;
+  readonly measurements: Measurements;
+}
+
+export function registerMetrics(
+  labels: Readonly<Record<string, string>>,
+): RegisteredMetrics {
+  const registry = new Registry();
+  registry.setDefaultLabels(labels);
+  const metrics = new Map<string, Metric>();
+  for (const [key, entry] of Object.entries<MetricEntry>(metricTable)) {
+    metrics.set(key, createMetric(entry, registry));
+  }
+  const pick = (key: MetricKey): Metric | undefined => metrics.get(key);
+  const measurements: Measurements = {
+    count: (key, of = {}, amount = 1) => {
+      const metric = pick(key);
+      if (metric instanceof Counter) metric.inc(of, amount);
+    },
+    set: (key, value, of = {}) => {
+      const metric = pick(key);
+      if (metric instanceof Gauge) metric.set(of, value);
+    },
+    observe: (key, value, of = {}) => {
+      const metric = pick(key);
+      if (metric instanceof Histogram) metric.observe(of, value);
+    },
+  };
+  return { registry, measurements };
+}
+
+function createMetric(entry: MetricEntry, registry: Registry): Metric {
+  const { name, meaning: help, unit, labels, kind, buckets = [] } = entry;
+  const options = {
+    name,
+    help: `${help} Unit: ${unit}.`,
+    labelNames: [...labels],
+    registers: [registry],
+  };
+  switch (kind) {
+    case "counter":
+      return new Counter(options);
+    case "gauge":
+      return new Gauge(options);
+    case "histogram":
+      return new Histogram({ ...options, buckets: [...buckets] });
+  }
+}
--- a/src/daemon/process-context.ts
+++ b/src/daemon/process-context.ts
@@ -1,8 +1,9 @@
 /** What every part of one daemon process shares. */
 import { randomUUID } from "node:crypto";
-import { Registry } from "prom-client";
-import { HybridClock, type Emit } from "../internal.js";
+import type { Registry } from "prom-client";
+import { HybridClock, type Emit, type Measurements } from "../internal.js";
 import { EventLog } from "./event-log.js";
+import { registerMetrics } from "./metrics-registry.js";
 import type { Settings } from "./settings.js";
 
 export interface ProcessContext {
@@ -14,6 +15,7 @@
   readonly events: EventLog;
   readonly emit: Emit;
   readonly metrics: Registry;
+  readonly measurements: Measurements;
 }
 
 export function createContext(settings: Settings): ProcessContext {
@@ -22,7 +24,16 @@
   const events = EventLog.create(name, clock, logLevel);
   const incarnation = randomUUID();
   const { emit } = events;
-  const metrics = new Registry();
-  metrics.setDefaultLabels({ process: name, data_centre: dataCentre });
-  return { name, dataCentre, incarnation, clock, events, emit, metrics };
+  const labels = { process: name, data_centre: dataCentre };
+  const { registry: metrics, measurements } = registerMetrics(labels);
+  return {
+    name,
+    dataCentre,
+    incarnation,
+    clock,
+    events,
+    emit,
+    metrics,
+    measurements,
+  };
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -15,19 +15,22 @@
 const listen = z
   .strictObject({
     host: z.string().default("127.0.0.1"),
-    /** 0 lets the system hand out a port. */
-    port: port.default(0),
+    port: port.default(0).describe("0 lets the system hand out a port."),
   })
   .readonly();
 
 const transport = z
   .strictObject({
-    /** PEM files for mutual authentication between the daemons. */
-    certificateFile: z.string().optional(),
+    certificateFile: z
+      .string()
+      .optional()
+      .describe("PEM files for mutual authentication between the daemons."),
     keyFile: z.string().optional(),
     authorityFile: z.string().optional(),
-    /** Allows plaintext on addresses other than loopback. */
-    allowPlaintext: z.boolean().default(false),
+    allowPlaintext: z
+      .boolean()
+      .default(false)
+      .describe("Allows plaintext on addresses other than loopback."),
   })
   .readonly();
 
@@ -48,8 +51,13 @@
   platform,
   transport: transport.prefault({}),
   logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
-  /** Longest wait for running work after a stop was asked for, in ms. */
-  graceMs: z.int().min(0).default(30_000),
+  graceMs: z
+    .int()
+    .min(0)
+    .default(30_000)
+    .describe(
+      "Longest wait for running work after a stop was asked for, in ms.",
+    ),
 };
 
 const callerLimits = z
@@ -59,18 +67,29 @@
       .int()
       .min(1024)
       .default(4 * MIB),
-    /** Longest time for a caller to send its whole request, in ms. */
-    receiveMs: z.int().min(100).default(10_000),
-    /** Longest time a caller may leave its answer unread, in ms. */
-    writeStallMs: z.int().min(100).default(30_000),
-    /** Time between comment lines on a stream without tokens, in ms. */
-    keepAliveMs: z.int().min(100).default(10_000),
+    receiveMs: z
+      .int()
+      .min(100)
+      .default(10_000)
+      .describe("Longest time for a caller to send its whole request, in ms."),
+    writeStallMs: z
+      .int()
+      .min(100)
+      .default(30_000)
+      .describe("Longest time a caller may leave its answer unread, in ms."),
+    keepAliveMs: z
+      .int()
+      .min(100)
+      .default(10_000)
+      .describe(
+        "Time between comment lines on a stream without tokens, in ms.",
+      ),
     connections: z.int().min(1).default(20_000),
-    /** Largest whole answer that is held back until it is complete. */
     answerBytes: z
       .int()
       .min(1024)
-      .default(16 * MIB),
+      .default(16 * MIB)
+      .describe("Largest whole answer that is held back until it is complete."),
   })
   .readonly();
 
@@ -87,10 +106,19 @@
   .strictObject({
     address: z.url(),
     kind: z.enum(["model", "service"]),
-    /** Whether the engine refuses an order with an old fencing number. */
-    checksFencing: z.boolean().default(false),
-    /** Longest time an order already sent can still take effect, in ms. */
-    orderEffectMs: z.int().min(0).default(30_000),
+    checksFencing: z
+      .boolean()
+      .default(false)
+      .describe(
+        "Whether the engine refuses an order with an old fencing number.",
+      ),
+    orderEffectMs: z
+      .int()
+      .min(0)
+      .default(30_000)
+      .describe(
+        "Longest time an order already sent can still take effect, in ms.",
+      ),
   })
   .readonly();
 
@@ -98,15 +126,23 @@
   .strictObject({
     role: z.literal("agent"),
     ...common,
-    /** Group of backend servers that the runner belongs to. */
-    group: z.string().min(1),
-    /** Ranks of the group that the runner hosts. */
-    ranks: z.array(z.int().min(0)).readonly().default([]),
+    group: z
+      .string()
+      .min(1)
+      .describe("Group of backend servers that the runner belongs to."),
+    ranks: z
+      .array(z.int().min(0))
+      .readonly()
+      .default([])
+      .describe("Ranks of the group that the runner hosts."),
     runner,
     limits: z
       .strictObject({
-        /** Requests running at once; the last word on new work. */
-        attempts: z.int().min(1).default(256),
+        attempts: z
+          .int()
+          .min(1)
+          .default(256)
+          .describe("Requests running at once; the last word on new work."),
       })
       .readonly()
       .prefault({}),
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -6,6 +6,7 @@
 export * from "./shared/events.js";
 export * from "./shared/exhaustive.js";
 export * from "./shared/hybrid-clock.js";
+export * from "./shared/metrics.js";
 export * from "./shared/random.js";
 
 // configuration
--- /dev/null
+++ b/src/shared/metrics.ts
@@ -0,0 +1,86 @@
+/**
+ * The one table of metrics. docs/METRICS.md is made from it; the daemons
+ * register exactly these.
+ */
+
+export interface MetricEntry {
+  readonly name: string;
+  readonly kind: "counter" | "gauge" | "histogram";
+  readonly unit: string;
+  readonly labels: readonly string[];
+  readonly meaning: string;
+  readonly buckets?: readonly number[];
+}
+
+const SECONDS = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100];
+
+export const metricTable = {
+  // requests
+  requestDuration: {
+    name: "apricotdeck_request_duration_seconds",
+    kind: "histogram",
+    unit: "s",
+    labels: ["outcome"],
+    meaning: "Time from acceptance to the final outcome of a request.",
+    buckets: SECONDS,
+  },
+  requestsInFlight: {
+    name: "apricotdeck_requests_in_flight",
+    kind: "gauge",
+    unit: "requests",
+    labels: [],
+    meaning: "Accepted requests without a final outcome yet.",
+  },
+  attemptsRunning: {
+    name: "apricotdeck_attempts_running",
+    kind: "gauge",
+    unit: "attempts",
+    labels: [],
+    meaning: "Attempts that run at the agent's backend server.",
+  },
+
+  // configuration
+  configurationVersion: {
+    name: "apricotdeck_configuration_version",
+    kind: "gauge",
+    unit: "offset",
+    labels: [],
+    meaning: "Version in force in this process; -1 before the first.",
+  },
+
+  // claims
+
+  // sessions
+
+  // admission and placement
+
+  // expert map and orders
+
+  // balance
+} as const satisfies Readonly<Record<string, MetricEntry>>;
+
+export type MetricKey = keyof typeof metricTable;
+
+/** Values of a metric's labels. */
+export type MetricLabels = Readonly<Record<string, string>>;
+
+/** Takes measurements; decision code gets it as an argument. */
+export interface Measurements {
+  readonly count: (
+    key: MetricKey,
+    labels?: MetricLabels,
+    amount?: number,
+  ) => void;
+  readonly set: (key: MetricKey, value: number, labels?: MetricLabels) => void;
+  readonly observe: (
+    key: MetricKey,
+    value: number,
+    labels?: MetricLabels,
+  ) => void;
+}
+
+export const ignoreMeasurements: Measurements = {
+  count: () => undefined,
+  set: () => undefined,
+  observe: () => undefined,
+};
