--- /dev/null
+++ b/src/expertmap/map.ts
@@ -0,0 +1,61 @@
+/** Questions about one expert map or two that the switch asks. */
+import { createHash } from "node:crypto";
+import {
+  EMPTY_SLOT,
+  type ExpertMap,
+  type GroupMember,
+  type WeightName,
+} from "../internal.js";
+
+const HASH_LENGTH = 16;
+
+const hashes = new WeakMap<ExpertMap, string>();
+
+/** Content hash; remembered, as a large map takes milliseconds to hash. */
+export function hashMap(map: ExpertMap): string {
+  const known = hashes.get(map);
+  if (known !== undefined) return known;
+  const { layers, ranks, experts, slotsPerRank } = map.shape;
+  const shape = [layers, ranks, experts, slotsPerRank];
+  const numbers = Int32Array.from([...shape, ...Array.from(map.slots)]);
+  const digest = createHash("sha256").update(numbers).digest("hex");
+  const hash = digest.slice(0, HASH_LENGTH);
+  hashes.set(map, hash);
+  return hash;
+}
+
+/** Experts that a rank holds in a layer. */
+export function expertsOf(
+  { shape, slots }: ExpertMap,
+  layer: number,
+  rank: number,
+): readonly number[] {
+  const first = (layer * shape.ranks + rank) * shape.slotsPerRank;
+  return Array.from({ length: shape.slotsPerRank }, (_, slot) => {
+    return slots[first + slot] ?? EMPTY_SLOT;
+  }).filter((expert) => expert !== EMPTY_SLOT);
+}
+
+/** Experts that the ranks hold under the map. */
+export function weightsOf(
+  map: ExpertMap,
+  ranks: readonly number[],
+): readonly WeightName[] {
+  const layers = Array.from({ length: map.shape.layers }, (_, layer) => layer);
+  return ranks.flatMap((rank) =>
+    layers.flatMap((layer) =>
+      expertsOf(map, layer, rank).map((expert) => ({ rank, layer, expert })),
+    ),
+  );
+}
+
+export function weightKey(weight: WeightName): string {
+  return `${weight.rank}/${weight.layer}/${weight.expert}`;
+}
+
+export function ranksOf(
+  members: readonly GroupMember[],
+  member: string,
+): readonly number[] {
+  return members.find((item) => item.member === member)?.ranks ?? [];
+}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -22,6 +22,16 @@
 export * from "./configuration/verdict.js";
 
 // claims
+export * from "./claims/types.js";
+export * from "./claims/keys.js";
+export * from "./claims/codec.js";
+export * from "./claims/table.js";
+export * from "./claims/batcher.js";
+export * from "./claims/append-schedule.js";
+export * from "./claims/abandoned.js";
+export * from "./claims/gate.js";
+export * from "./claims/coordinator-types.js";
+export * from "./claims/coordinator.js";
 
 // session
 
@@ -52,5 +62,16 @@
 export * from "./balance/step-model.js";
 
 // expertmap
+export * from "./expertmap/ballot.js";
+export * from "./expertmap/types.js";
+export * from "./expertmap/map.js";
+export * from "./expertmap/votes.js";
+export * from "./expertmap/fetch.js";
+export * from "./expertmap/switch.js";
+export * from "./expertmap/proposer.js";
+export * from "./expertmap/formation.js";
+export * from "./expertmap/staging.js";
+export * from "./expertmap/step-check.js";
+export * from "./expertmap/agent.js";
 
 // orders
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -222,6 +222,69 @@
   ),
 
   // 1300: claims of requests that may not be repeated
+  1301: entry(
+    "idempotency-key-malformed",
+    400,
+    "not-run",
+    "The idempotency key isn't a UUID of version 7.",
+    "Send a UUIDv7 (RFC 9562) in the header Idempotency-Key.",
+  ),
+  1302: entry(
+    "idempotency-key-too-old",
+    409,
+    "unknown",
+    "The idempotency key is older than what can still be looked up.",
+    "Check the effect of the earlier call before it is sent under a new key.",
+  ),
+  1303: entry(
+    "idempotency-key-from-future",
+    400,
+    "unknown",
+    "The idempotency key was made ahead of the clocks here.",
+    "Correct the clock of the caller.",
+  ),
+  1304: entry(
+    "call-not-started-here",
+    503,
+    "unknown",
+    "This call started nothing, but an earlier one under its key may have.",
+    "Repeat with the same key; that is always safe.",
+  ),
+  1305: entry(
+    "call-not-taken",
+    503,
+    "not-run",
+    "No backend server took the call; its key is closed.",
+    "Send the call again under a new key.",
+  ),
+  1306: entry(
+    "idempotency-key-closed",
+    409,
+    "not-run",
+    "The call was given up earlier and its key is closed.",
+    "Send the call again under a new key.",
+  ),
+  1307: entry(
+    "claim-undecided",
+    503,
+    "unknown",
+    "The log service didn't tell in time whose claim came first.",
+    "Repeat with the same key; that is always safe.",
+  ),
+  1308: entry(
+    "claimed-outcome-unknown",
+    504,
+    "unknown",
+    "The agent that holds the call can't tell whether it was started.",
+    "Repeat with the same key, or check the effect of the call.",
+  ),
+  1309: entry(
+    "answer-no-longer-held",
+    409,
+    "broken-off",
+    "The call was run, but its answer is no longer held.",
+    "Look at the effect of the call; don't send it under a new key.",
+  ),
 
   // 1400: sessions between entry and agent
   1401: entry(
@@ -291,8 +354,78 @@
   ),
 
   // 1600: expert map
+  1602: entry(
+    "expert-map-not-staged",
+    0,
+    "none",
+    "Not every member had the weights of the new map in time.",
+    "Look at the weight store and at the named members; propose again.",
+  ),
+  1603: entry(
+    "expert-map-busy",
+    0,
+    "none",
+    "Another proposal of this agent is still running.",
+    "Wait for its end.",
+  ),
+  1604: entry(
+    "expert-map-overtaken",
+    0,
+    "none",
+    "The group formed anew or took another map before the proposal was put.",
+    "Plan from the map in force and propose again.",
+  ),
+  1606: entry(
+    "group-not-formed",
+    0,
+    "none",
+    "The engine hasn't joined its group.",
+    "Wait for the formation; see docs/OPERATIONS/stuck-map-switch.md.",
+  ),
+  1607: entry(
+    "engine-unreachable",
+    0,
+    "none",
+    "The engine gave no usable answer.",
+    "Check the engine; whether the order took effect is read back.",
+  ),
+  1608: entry(
+    "weights-unavailable",
+    0,
+    "none",
+    "The weight store gave no part of an expert's weights.",
+    "Check the weight store; the fetch goes on where it stopped.",
+  ),
 
   // 1700: orders and fencing
+  1701: entry(
+    "order-fenced",
+    0,
+    "none",
+    "A newer holder has given orders; this fencing number is too old.",
+    "None needed; the newer holder's orders stand.",
+  ),
+  1702: entry(
+    "order-not-yet",
+    0,
+    "none",
+    "The agent can't give orders to its engine yet.",
+    "Send the order again after the given time.",
+  ),
+  1703: entry(
+    "order-unconfirmed",
+    0,
+    "none",
+    "The engine's state doesn't show the order in time.",
+    "Read the state of the engine; send the order again.",
+  ),
+  1704: entry(
+    "lease-not-held",
+    0,
+    "none",
+    "This process holds no lease for orders, or it has lapsed.",
+    "Acquire the lease first.",
+  ),
 
   // 1800: expert balance and traces
   1801: entry(
@@ -362,6 +495,20 @@
     "Not every process reported the expected state in time.",
     "Run `apricotdeck status` and look at the named processes.",
   ),
+  2003: entry(
+    "verdict-unknown",
+    0,
+    "none",
+    "The log didn't show the publication in time; it may still appear.",
+    "Run `apricotdeck history` before publishing again.",
+  ),
+  2004: entry(
+    "process-unknown",
+    0,
+    "none",
+    "The list of VMs holds no process of this name.",
+    "Run `apricotdeck status` for the names.",
+  ),
 } as const satisfies Readonly<Record<number, ErrorEntry>>;
 
 export type ErrorNumber = keyof typeof errorTable;
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -107,6 +107,33 @@
   }),
 
   // 130: claims
+  131: entry("claim-won", "debug", "A call's own claim came first.", {
+    call: "request id",
+    attempt: "attempt id",
+  }),
+  132: entry("claim-attached", "info", "A repeat gets another's answer.", {
+    call: "request id",
+    attempt: "attempt that holds the claim",
+  }),
+  133: entry(
+    "abandoned-claim-landed",
+    "info",
+    "A claim landed after its call was given up; it is released.",
+    { attempt: "attempt id" },
+  ),
+  134: entry(
+    "claim-replaced",
+    "info",
+    "An attempt that can't start gave way.",
+    {
+      attempt: "attempt id",
+      proof: "tombstone, refused or not-dispatched",
+    },
+  ),
+  135: entry("claim-given-up", "warn", "A call's bounded wait was over.", {
+    call: "request id",
+    phase: "claiming, asking, pausing or closing",
+  }),
 
   // 140: sessions
   141: entry("session-opened", "info", "A session to an agent is live.", {
@@ -148,8 +175,65 @@
   }),
 
   // 160: expert map
+  160: entry("map-proposal-ended", "info", "A proposed map got its end.", {
+    mapHash: "content hash of the map",
+    end: "committed, aborted, or the error number",
+    durationMs: "time since proposeMap, ms",
+  }),
+  161: entry("map-vote", "info", "The vote of this member is fixed.", {
+    proposal: "number and author",
+    yes: "true for yes",
+  }),
+  162: entry("map-outcome", "info", "The outcome of a proposal is known.", {
+    proposal: "number and author",
+    outcome: "committed or aborted",
+    version: "version that was proposed",
+    step: "first step on the new map",
+  }),
+  163: entry("map-in-force", "info", "The engine runs on another map.", {
+    group: "incarnation of the group",
+    version: "version of the map",
+    mapHash: "content hash of the map",
+    since: "first step on it",
+  }),
+  164: entry("step-held", "warn", "The engine holds at an undecided step.", {
+    step: "step that is held",
+    heldMs: "time held so far, ms",
+  }),
+  165: entry("weight-fetch-failed", "warn", "A part of weights didn't come.", {
+    layer: "layer",
+    expert: "expert",
+    error: "error number",
+    reason: "text of the failure",
+  }),
+  166: entry("formation-started", "warn", "This agent forms the group anew.", {
+    formation: "number and author",
+    members: "members of the group",
+  }),
 
   // 170: orders and fencing
+  170: entry("order-confirmed", "info", "The engine shows the order.", {
+    fencing: "fencing number of the order",
+    kind: "kind of the order",
+    value: "what was ordered",
+    durationMs: "time since it was taken, ms",
+  }),
+  171: entry("order-refused", "warn", "An order was refused.", {
+    fencing: "fencing number of the order",
+    highest: "highest fencing number known",
+    error: "error number",
+  }),
+  172: entry("order-waits", "info", "Orders wait until old ones are past.", {
+    waitMs: "time to wait, ms",
+    reason: "start or lost answer",
+  }),
+  173: entry("lease-acquired", "info", "This process holds the lease.", {
+    fencing: "fencing number",
+  }),
+  174: entry("lease-lost", "warn", "This process holds the lease no longer.", {
+    fencing: "fencing number",
+    reason: "expired or superseded",
+  }),
 
   // 180: expert balance
   181: entry("experts-moved", "info", "A better expert map was planned.", {
