--- a/demo/site.ts
+++ b/demo/site.ts
@@ -2,6 +2,7 @@
  * A whole site on loopback: the platform's stand-ins in this process, every
  * entry and agent as a process of its own.
  */
+import { BASELINE_FORMAT, encodeEnvelope } from "../src/internal.js";
 import { LogClient } from "../src/platform/log-client.js";
 import type { Vm } from "../src/platform/vm-list-client.js";
 import { startEngine, type EngineStandIn } from "../standins/engine.js";
@@ -131,10 +132,18 @@
     runners,
     services,
     publish: async (configuration) => {
-      const record = { kind: "publication", configuration };
-      await client.append("configuration", [
-        Buffer.from(JSON.stringify(record)),
-      ]);
+      const { nextOffset } = await client.read("configuration", { from: 0 });
+      const publication = {
+        kind: "publication",
+        basedOn: null,
+        seenThrough: nextOffset,
+        formatVersion: BASELINE_FORMAT,
+        nonce: `demo-${nextOffset}`,
+        author: "demo",
+        configuration,
+      } as const;
+      const record = Buffer.from(encodeEnvelope(publication));
+      await client.append("configuration", [record]);
     },
     settled: async () => {
       const backends = runners.length + services.length;
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -2,14 +2,16 @@
 import { Server } from "@grpc/grpc-js";
 import { LogClient } from "../../platform/log-client.js";
 import { pause, runTask } from "../background-task.js";
-import { ConfigurationFollower } from "../configuration-follower.js";
+import { ConfigurationFollower } from "../configuration/follower.js";
 import type { Daemon, DaemonAddresses } from "../entry/entry.js";
 import type { Listening } from "../listening.js";
 import { startOperatorsServer } from "../operators-server.js";
 import { RELEASE } from "../../release.js";
 import { createContext, type ProcessContext } from "../process-context.js";
-import type { AgentSettings, ListenSettings } from "../settings.js";
-import { channelOptions, serverCredentials } from "../transport.js";
+import type { AgentSettings } from "../settings.js";
+import { bindServer } from "../peer-server.js";
+import { channelOptions } from "../transport.js";
+import { ConfigurationFeedService } from "../../wire/generated/configuration.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
 import { RunnerClient } from "./runner-client.js";
 
@@ -46,7 +48,12 @@
       attemptLimit: limits.attempts,
     });
     const log = LogClient.create(platform.log);
-    this.configuration = ConfigurationFollower.create(log, context.emit);
+    this.configuration = ConfigurationFollower.create({
+      context,
+      log,
+      vmList: platform.vmList,
+      transport: settings.transport,
+    });
   }
 
   static async create(
@@ -102,7 +109,23 @@
       signal,
       run: (s) => configuration.run(s),
     });
+    void runTask({
+      name: "configuration-feed",
+      emit,
+      signal,
+      run: (s) => configuration.beat(s),
+    });
+    void runTask({
+      name: "checkpoints",
+      emit,
+      signal,
+      run: (s) => configuration.keepCheckpoints(s),
+    });
     this.server.addService(AgentService, this.sessions.service);
+    this.server.addService(
+      ConfigurationFeedService,
+      configuration.feed.service,
+    );
     this.peers = await bindServer(this.server, settings);
     emit(101, { role: "agent", incarnation, release: RELEASE });
   }
@@ -119,25 +142,9 @@
       leaving: this.leaving,
       version: inForce?.version ?? null,
       hash: inForce?.hash ?? null,
+      configuration: configuration.summary,
       group: settings.group,
       running: sessions.runningCount,
     };
   }
 }
-
-/** host:port that the server listens on. */
-export async function bindServer(
-  server: Server,
-  settings: { peers: ListenSettings; transport: AgentSettings["transport"] },
-): Promise<string> {
-  const { host, port } = settings.peers;
-  const address = `${host}:${port}`;
-  const credentials = serverCredentials(settings.transport, address);
-  const given = await new Promise<number>((resolve, reject) => {
-    server.bindAsync(address, credentials, (error, bound) => {
-      if (error === null) resolve(bound);
-      else reject(error);
-    });
-  });
-  return `${host}:${given}`;
-}
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -2,11 +2,15 @@
 import { Histogram } from "prom-client";
 import { listen, type Listening } from "../listening.js";
 import { runTask } from "../background-task.js";
-import { ConfigurationFollower } from "../configuration-follower.js";
+import { ConfigurationFollower } from "../configuration/follower.js";
 import { startOperatorsServer } from "../operators-server.js";
 import { RELEASE } from "../../release.js";
 import { createContext, type ProcessContext } from "../process-context.js";
 import type { EntrySettings } from "../settings.js";
+import { Server } from "@grpc/grpc-js";
+import { bindServer } from "../peer-server.js";
+import { channelOptions } from "../transport.js";
+import { ConfigurationFeedService } from "../../wire/generated/configuration.js";
 import { LogClient } from "../../platform/log-client.js";
 import { BackendDirectory } from "./backend-directory.js";
 import { createCallerServer } from "./caller-server.js";
@@ -49,7 +53,9 @@
   private readonly configuration: ConfigurationFollower;
   private readonly directory: BackendDirectory;
   private readonly durations: Histogram<"outcome">;
+  private readonly server = new Server(channelOptions);
   private leaving = false;
+  private peers = "";
   private callers!: Listening;
   private operators!: Listening;
 
@@ -62,7 +68,12 @@
     const { platform, transport } = settings;
     const log = LogClient.create(platform.log);
     this.conservation = Conservation.create(emit);
-    this.configuration = ConfigurationFollower.create(log, emit);
+    this.configuration = ConfigurationFollower.create({
+      context,
+      log,
+      vmList: platform.vmList,
+      transport: settings.transport,
+    });
     this.directory = BackendDirectory.create({
       context,
       transport,
@@ -89,7 +100,11 @@
 
   get addresses(): DaemonAddresses {
     const { callers, operators } = this;
-    return { callers: callers.address, operators: operators.address };
+    return {
+      callers: callers.address,
+      operators: operators.address,
+      peers: this.peers,
+    };
   }
 
   async leave(): Promise<void> {
@@ -107,6 +122,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
+    this.server.forceShutdown();
     await this.callers[Symbol.asyncDispose]();
     await this.operators[Symbol.asyncDispose]();
   }
@@ -132,12 +148,29 @@
       signal,
       run: (s) => configuration.run(s),
     });
+    void runTask({
+      name: "configuration-feed",
+      emit,
+      signal,
+      run: (s) => configuration.beat(s),
+    });
+    void runTask({
+      name: "checkpoints",
+      emit,
+      signal,
+      run: (s) => configuration.keepCheckpoints(s),
+    });
     void runTask({
       name: "vm-list",
       emit,
       signal,
       run: (s) => directory.run(s),
     });
+    this.server.addService(
+      ConfigurationFeedService,
+      configuration.feed.service,
+    );
+    this.peers = await bindServer(this.server, settings);
     const server = createCallerServer({
       limits: settings.limits,
       configuration: () => configuration.configuration,
@@ -191,6 +224,7 @@
       leaving: this.leaving,
       version: inForce?.version ?? null,
       hash: inForce?.hash ?? null,
+      configuration: configuration.summary,
       conservation: conservation.counts(),
       backends: directory.all().map(({ vm, session }) => ({
         name: vm.name,
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -20,6 +20,8 @@
 export * from "./configuration/acceptance.js";
 export * from "./configuration/anchor.js";
 export * from "./configuration/verdict.js";
+export * from "./configuration/relays.js";
+export * from "./configuration/checkpoint-time.js";
 
 // claims
 export * from "./claims/types.js";
--- a/standins/log.ts
+++ b/standins/log.ts
@@ -31,6 +31,8 @@
   /** All kept data of a stream, as text. */
   readonly texts: (stream: string) => readonly string[];
   readonly appends: () => number;
+  /** Reads that were answered or wait for a record. */
+  readonly reads: () => number;
 }
 
 interface StoredRecord {
@@ -50,6 +52,7 @@
   readonly faults: LogFaults;
   readonly gathered: (() => void)[];
   appends: number;
+  reads: number;
 }
 
 export async function startLog(port = 0): Promise<LogStandIn> {
@@ -64,12 +67,14 @@
     },
     gathered: [],
     appends: 0,
+    reads: 0,
   };
   const server = await startServer((call) => answer(state, call), port);
   return {
     ...server,
     faults: state.faults,
     appends: () => state.appends,
+    reads: () => state.reads,
     trim: (name, before) => {
       const stream = streamOf(state, name);
       stream.records = stream.records.filter(({ offset }) => offset >= before);
@@ -142,6 +147,7 @@
   stream: Stream,
   { url, response }: StandInCall,
 ): Promise<void> {
+  state.reads += 1;
   const parameter = (name: string): number =>
     Number(url.searchParams.get(name) ?? 0);
   const from = parameter("from");
--- /dev/null
+++ b/tests/configuration/follower-site.ts
@@ -0,0 +1,127 @@
+/** Followers of the configuration over real sockets, in one process. */
+import { Server } from "@grpc/grpc-js";
+import {
+  encodeEnvelope,
+  type Checkpoint,
+  type Publication,
+} from "../../src/internal.js";
+import { ConfigurationFollower } from "../../src/daemon/configuration/follower.js";
+import { runTask } from "../../src/daemon/background-task.js";
+import { bindServer } from "../../src/daemon/peer-server.js";
+import { createContext } from "../../src/daemon/process-context.js";
+import { parseSettings } from "../../src/daemon/settings.js";
+import { channelOptions } from "../../src/daemon/transport.js";
+import { LogClient } from "../../src/platform/log-client.js";
+import type { Vm } from "../../src/platform/vm-list-client.js";
+import { ConfigurationFeedService } from "../../src/wire/generated/configuration.js";
+import { startLog, type LogStandIn } from "../../standins/log.js";
+import { startVmList, type VmListStandIn } from "../../standins/vm-list.js";
+
+const POLL_MS = 5;
+const LONGEST_WAIT_MS = 8_000;
+
+export interface RunningFollower extends AsyncDisposable {
+  readonly name: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly follower: ConfigurationFollower;
+}
+
+export interface FollowerSite extends AsyncDisposable {
+  readonly log: LogStandIn;
+  readonly vmList: VmListStandIn;
+  readonly append: (record: Publication | Checkpoint) => Promise<number>;
+  readonly start: (
+    name: string,
+    dataCentre?: string,
+  ) => Promise<RunningFollower>;
+  /** Puts the running followers on the platform's list. */
+  readonly list: () => void;
+}
+
+export async function startFollowerSite(): Promise<FollowerSite> {
+  const log = await startLog();
+  const vmList = await startVmList();
+  const client = LogClient.create(log.address);
+  const running: RunningFollower[] = [];
+  const list = (): void => {
+    vmList.change(running.map(vmOf));
+  };
+  return {
+    log,
+    vmList,
+    list,
+    append: (record) =>
+      client.append("configuration", [Buffer.from(encodeEnvelope(record))]),
+    start: async (name, dataCentre = "lac") => {
+      const addresses = { log: log.address, vmList: vmList.address };
+      const started = await startFollower(name, dataCentre, addresses);
+      running.push(started);
+      return started;
+    },
+    async [Symbol.asyncDispose]() {
+      await Promise.all(running.map((item) => item[Symbol.asyncDispose]()));
+      await Promise.all([log, vmList].map((x) => x[Symbol.asyncDispose]()));
+    },
+  };
+}
+
+/** Fails the test when the condition doesn't come true. */
+export async function until(
+  what: string,
+  condition: () => boolean,
+): Promise<void> {
+  const deadline = Date.now() + LONGEST_WAIT_MS;
+  while (!condition()) {
+    if (Date.now() > deadline) throw new Error(`timed out: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+function vmOf({ name, address, dataCentre }: RunningFollower): Vm {
+  const operators = "";
+  return { name, role: "entry", address, operators, dataCentre, state: "live" };
+}
+
+async function startFollower(
+  name: string,
+  dataCentre: string,
+  platform: { readonly log: string; readonly vmList: string },
+): Promise<RunningFollower> {
+  const text = JSON.stringify({
+    role: "entry",
+    name,
+    dataCentre,
+    platform,
+    logLevel: "error",
+  });
+  const settings = parseSettings(text, name);
+  const context = createContext(settings);
+  const { emit } = context;
+  const follower = ConfigurationFollower.create({
+    context,
+    log: LogClient.create(platform.log),
+    vmList: platform.vmList,
+    transport: settings.transport,
+  });
+  const server = new Server(channelOptions);
+  server.addService(ConfigurationFeedService, follower.feed.service);
+  const address = await bindServer(server, settings);
+  const stop = new AbortController();
+  const { signal } = stop;
+  const tasks = [
+    runTask({ name: "follow", emit, signal, run: (s) => follower.run(s) }),
+    runTask({ name: "feed", emit, signal, run: (s) => follower.beat(s) }),
+  ];
+  return {
+    name,
+    address,
+    dataCentre,
+    follower,
+    async [Symbol.asyncDispose]() {
+      stop.abort();
+      server.forceShutdown();
+      await Promise.all(tasks);
+    },
+  };
+}
