Fence orders to engines by their offset in the log

Cause: a paused holder, a lost answer or an agent that started again could change an engine back after a newer order was confirmed; some engines refuse old fencing numbers, others obey whatever reaches them. Change: lease and orders are records of one stream, judged by log order; an order's fencing number is its offset. Where the engine ignores the number, the agent alone gives orders, one at a time, after reading the log, and waits out what a lost or earlier order can still do. Found on the way and kept as tests: a lagging reader took over a lease that was being renewed; members that joined different formations, or an armed member whose formation went back, stood still for ever.

--- /dev/null
+++ b/fuzz/orders.ts
@@ -0,0 +1,174 @@
+/**
+ * Fuzz target `orders`: holders of the lease order one engine about.
+ *
+ * Oracle: the engine's record of effects. No order takes effect after a newer
+ * one was confirmed, no two holders act at once, and once faults stop an order
+ * is confirmed.
+ */
+import fc from "fast-check";
+import { allOrderSafeguards } from "../src/internal.js";
+import { OrdersWorld, TICK_MS } from "./orders-world.js";
+import {
+  checkParameters,
+  type FuzzResult,
+  type FuzzSettings,
+  type FuzzTarget,
+} from "./target.js";
+
+type Command =
+  | { readonly kind: "order"; readonly value: string; readonly late: number }
+  | { readonly kind: "pause"; readonly holder: number; readonly ticks: number }
+  | { readonly kind: "log"; readonly ticks: number }
+  | { readonly kind: "slow"; readonly reader: number; readonly ticks: number }
+  | { readonly kind: "trap"; readonly act: "lost" | "restartAgent" }
+  | { readonly kind: "restartAgent" };
+
+interface Step {
+  readonly command: Command;
+  readonly wait: number;
+}
+
+export interface OrdersHistory {
+  readonly seed: number;
+  readonly checksFencing: boolean;
+  readonly steps: readonly Step[];
+}
+
+const START_TICKS = 20;
+const RECOVERY_TICKS = 250;
+const PROGRESS_EVERY = 5_000;
+
+const ticks = fc.integer({ min: 1, max: 150 });
+const late = fc.oneof(fc.constant(1), fc.integer({ min: 1, max: 200 }));
+
+const command: fc.Arbitrary<Command> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("order" as const),
+      value: fc.constantFrom("x", "y", "z"),
+      late,
+    }),
+  },
+  fc.record({
+    kind: fc.constant("pause" as const),
+    holder: fc.nat({ max: 1 }),
+    ticks,
+  }),
+  fc.record({ kind: fc.constant("log" as const), ticks }),
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("slow" as const),
+      reader: fc.nat({ max: 1 }),
+      ticks,
+    }),
+  },
+  fc.record({
+    kind: fc.constant("trap" as const),
+    act: fc.constantFrom("lost" as const, "restartAgent" as const),
+  }),
+  fc.record({ kind: fc.constant("restartAgent" as const) }),
+);
+
+const history: fc.Arbitrary<OrdersHistory> = fc.record({
+  seed: fc.nat(),
+  checksFencing: fc.boolean(),
+  steps: fc.array(
+    fc.record({ command, wait: fc.integer({ min: 0, max: 60 }) }),
+    { minLength: 1, maxLength: 12 },
+  ),
+});
+
+function play(world: OrdersWorld, next: Command): void {
+  const until = (count: number): number => world.now + count * TICK_MS;
+  switch (next.kind) {
+    case "order":
+      world.order(next.value, next.late);
+      return;
+    case "pause":
+      world.pause(next.holder, until(next.ticks));
+      return;
+    case "log":
+      world.logDownUntil = until(next.ticks);
+      return;
+    case "slow":
+      world.slowUntil = until(next.ticks);
+      world.slowReader = next.reader;
+      return;
+    case "trap":
+      world.trap = next.act;
+      return;
+    case "restartAgent":
+      world.restartAgent();
+      return;
+  }
+}
+
+/** Plays a history; returns what the oracle found. */
+export function judgeOrders(
+  { seed, checksFencing, steps }: OrdersHistory,
+  mutation?: string,
+): string[] {
+  const world = OrdersWorld.create({
+    seed,
+    checksFencing,
+    engineChecks: mutation !== "engineChecks",
+    countsFromSending: mutation !== "countsFromSending",
+    safeguards: {
+      ...allOrderSafeguards,
+      ...(mutation === undefined ? {} : { [mutation]: false }),
+    },
+  });
+  world.run(START_TICKS);
+  for (const { command: next, wait } of steps) {
+    play(world, next);
+    world.run(wait);
+  }
+  world.endFaults();
+  world.run(RECOVERY_TICKS);
+  const before = world.confirmations;
+  world.order("last", 1);
+  world.run(RECOVERY_TICKS);
+  const stuck = world.confirmations === before;
+  return [...world.violations, ...(stuck ? ["no order is confirmed"] : [])];
+}
+
+function run(settings: FuzzSettings): Promise<FuzzResult> {
+  const { mutation, onProgress } = settings;
+  let histories = 0;
+  let commands = 0;
+  const property = fc.property(history, (input) => {
+    histories += 1;
+    commands += input.steps.length;
+    if (histories % PROGRESS_EVERY === 0) onProgress?.(histories);
+    const found = judgeOrders(input, mutation);
+    if (found.length > 0) throw new TypeError(found.join("\n"));
+  });
+  const parameters = checkParameters<[OrdersHistory]>(settings);
+  const details = fc.check(property, parameters);
+  const lines = details.counterexample?.flatMap((input) => [
+    `seed ${input.seed}, checksFencing ${String(input.checksFencing)}`,
+    ...input.steps.map((step) => JSON.stringify(step)),
+    ...judgeOrders(input, mutation),
+  ]);
+  return Promise.resolve({
+    histories: details.numRuns,
+    commands,
+    violations: details.failed ? 1 : 0,
+    counterexample: lines ?? [],
+    path: details.counterexamplePath ?? "",
+  });
+}
+
+export const orders: FuzzTarget = {
+  name: "orders",
+  mutations: {
+    waitsOut: 2_000,
+    comparesFencing: 2_000,
+    learnsFromLog: 5_000,
+    engineChecks: 1_000,
+    countsFromSending: 1_000,
+  },
+  run,
+};
--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -5,5 +5,6 @@
 
 export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {
   expertmap: async () => (await import("./expertmap.js")).expertmap,
+  orders: async () => (await import("./orders.js")).orders,
   claims: async () => (await import("./claims/claims.js")).claimsTarget,
 };
--- a/src/expertmap/agent.ts
+++ b/src/expertmap/agent.ts
@@ -209,6 +209,9 @@
           send(from, { kind: "unable", formation: message.formation });
         }
         return;
+      case "standing":
+        this.former.heardStanding(from, message.group);
+        return;
       case "sealed":
       case "joined":
       case "unable":
--- a/src/expertmap/formation.ts
+++ b/src/expertmap/formation.ts
@@ -94,6 +94,9 @@
 /** Spreads the starts, so that one formation runs where one is enough. */
 const STAGGER_MS = 200;
 const RESEND_MS = 100;
+/** Longer than any step: members compare their incarnations after it. */
+const STANDING_MS = 500;
+const STANDING_INTERVAL_MS = 200;
 
 export class GroupFormer {
   private phase: Sealing | Joining | undefined;
@@ -101,6 +104,11 @@
   private initial: VersionedMap;
   private highest = 0;
   private startAt: number | undefined;
+  /** Incarnations of members whose steps stand still, as those of this one. */
+  private readonly standing = new Map<string, Ballot | null>();
+  private progress: EngineMapState | undefined;
+  private progressAt = 0;
+  private standingAt = 0;
 
   private constructor(
     private readonly settings: FormerSettings,
@@ -157,7 +165,16 @@
     }
   }
 
+  /**
+   * Another member's steps stand still too. When it is of another incarnation,
+   * each would wait for the other for ever; a group that steps sends none.
+   */
+  heardStanding(from: string, group: Ballot | null): void {
+    this.standing.set(from, group);
+  }
+
   tick(state: EngineMapState, now: number, send: Send): void {
+    this.watchProgress(state, now, send);
     if (this.phase === undefined && !this.isNeeded(state)) {
       this.startAt = undefined;
       return;
@@ -177,7 +194,29 @@
     }
     if (state.group === null) return true;
     const promised = !sameBallot(state.group, state.sealed);
-    return promised || !sameMembers(state.members, expected);
+    if (promised || !sameMembers(state.members, expected)) return true;
+    return [...this.standing].some(
+      ([member, group]) =>
+        expected.some((item) => item.member === member) &&
+        !sameBallot(group, state.group),
+    );
+  }
+
+  private watchProgress(state: EngineMapState, now: number, send: Send): void {
+    const { progress } = this;
+    const stands =
+      progress?.step === state.step && sameBallot(progress.group, state.group);
+    if (!stands) {
+      this.progress = state;
+      this.progressAt = now;
+      this.standing.clear();
+    }
+    if (now < this.progressAt + STANDING_MS || now < this.standingAt) return;
+    this.standingAt = now + STANDING_INTERVAL_MS;
+    for (const { member } of this.expected) {
+      if (member === this.settings.member) continue;
+      send(member, { kind: "standing", group: state.group });
+    }
   }
 
   private seal(state: EngineMapState, now: number): void {
--- a/src/expertmap/types.ts
+++ b/src/expertmap/types.ts
@@ -155,6 +155,12 @@
   readonly formation: Ballot;
 }
 
+/** The engine's steps stand still in this incarnation. */
+export interface StandingMessage {
+  readonly kind: "standing";
+  readonly group: Ballot | null;
+}
+
 export type MapMessage =
   | StageMessage
   | StagedMessage
@@ -163,7 +169,8 @@
   | SealedMessage
   | JoinMessage
   | JoinedMessage
-  | UnableMessage;
+  | UnableMessage
+  | StandingMessage;
 
 /** Orders of the agent to its own engine; each is idempotent. */
 export type EngineCall =
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -74,3 +74,6 @@
 export * from "./expertmap/agent.js";
 
 // orders
+export * from "./orders/types.js";
+export * from "./orders/lease.js";
+export * from "./orders/order-desk.js";
--- a/standins/engine-group.ts
+++ b/standins/engine-group.ts
@@ -149,9 +149,7 @@
       return false;
     }
     if (!this.othersCameUp(register, now)) return false;
-    const { armed, step } = register;
-    const undecided = armed !== null && !armed.committed;
-    if (undecided && this.settings.holds && step >= armed.proposal.step) {
+    if (this.settings.holds && register.mustHold()) {
       register.heldSince ??= now;
       return false;
     }
--- a/standins/map-register.ts
+++ b/standins/map-register.ts
@@ -114,6 +114,13 @@
     return whole;
   }
 
+  /** At the step of a proposal, and not able to begin it. */
+  mustHold(): boolean {
+    const { armed, step, staging } = this;
+    if (armed === null || step < armed.proposal.step) return false;
+    return !armed.committed || staging?.hash !== armed.proposal.mapHash;
+  }
+
   /** Switches at the step of a committed proposal. */
   reachStep(): void {
     const { armed, armedMap } = this;
@@ -153,7 +160,10 @@
   }
 
   private stage(hash: string, weights: readonly WeightName[]): boolean {
-    if (this.armed !== null) return false;
+    // A promised engine that is armed stages for the formation, or it could
+    // never join; should a commit come after all, it holds (see mustHold).
+    const isPromised = !sameBallot(this.sealed, this.group);
+    if (this.armed !== null && !isPromised) return false;
     const held = new Set(this.ownWeights().map(weightKey));
     const missing = weights.filter((item) => !held.has(weightKey(item)));
     const known = this.staging?.bytes;
