--- a/demo/site.ts
+++ b/demo/site.ts
@@ -2,6 +2,7 @@
  * A whole site on loopback: the platform's stand-ins in this process, every
  * entry and agent as a process of its own.
  */
+import { BASELINE_FORMAT, encodeEnvelope } from "../src/internal.js";
 import { LogClient } from "../src/platform/log-client.js";
 import type { Vm } from "../src/platform/vm-list-client.js";
 import { startEngine, type EngineStandIn } from "../standins/engine.js";
@@ -23,6 +24,8 @@
   readonly modelGroup: string;
   readonly serviceGroup: string;
   readonly logLevel?: string;
+  /** Engines that run elsewhere, in place of one stand-in for each runner. */
+  readonly engineAddresses?: readonly string[];
   readonly graceMs?: number;
 }
 
@@ -63,6 +66,7 @@
 }
 
 const POLL_MS = 50;
+const IDLE_STEP_MS = 1000;
 
 export async function startSite(options: SiteOptions): Promise<Site> {
   const log = await startLog();
@@ -78,7 +82,10 @@
   const runners = await startMany(options.runners, async (index) => {
     const name = `runner-${index}`;
     const dataCentre = place(index);
-    const engine = await startEngine({ stepMs: options.stepMs });
+    const elsewhere = options.engineAddresses?.at(index);
+    // A step of zero would spin for an engine that nobody calls.
+    const stepMs = elsewhere === undefined ? options.stepMs : IDLE_STEP_MS;
+    const engine = await startEngine({ stepMs });
     const agent = await startDaemonProcess({
       role: "agent",
       name,
@@ -86,7 +93,10 @@
       ...common,
       group: options.modelGroup,
       ranks: [index],
-      runner: { address: engine.address, kind: "model" },
+      runner: {
+        address: elsewhere ?? engine.address,
+        kind: "model",
+      },
     });
     return { name, dataCentre, engine, agent };
   });
@@ -131,10 +141,18 @@
     runners,
     services,
     publish: async (configuration) => {
-      const record = { kind: "publication", configuration };
-      await client.append("configuration", [
-        Buffer.from(JSON.stringify(record)),
-      ]);
+      const { nextOffset } = await client.read("configuration", { from: 0 });
+      const publication = {
+        kind: "publication",
+        basedOn: null,
+        seenThrough: nextOffset,
+        formatVersion: BASELINE_FORMAT,
+        nonce: `demo-${nextOffset}`,
+        author: "demo",
+        configuration,
+      } as const;
+      const record = Buffer.from(encodeEnvelope(publication));
+      await client.append("configuration", [record]);
     },
     settled: async () => {
       const backends = runners.length + services.length;
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -20,6 +20,8 @@
 export * from "./configuration/acceptance.js";
 export * from "./configuration/anchor.js";
 export * from "./configuration/verdict.js";
+export * from "./configuration/relays.js";
+export * from "./configuration/checkpoint-time.js";
 
 // claims
 export * from "./claims/types.js";
@@ -56,6 +58,7 @@
 export * from "./balance/lower-bound.js";
 export * from "./balance/planner.js";
 export * from "./balance/rank-reports.js";
+export * from "./balance/refine.js";
 export * from "./balance/repack.js";
 export * from "./balance/request-shares.js";
 export * from "./balance/step-model.js";
