--- a/src/daemon/configuration/follower.ts
+++ b/src/daemon/configuration/follower.ts
@@ -4,7 +4,6 @@
  * outage a process takes the snapshots of its peers, so that it can start and a
  * version that some have read still spreads.
  */
-import { Gauge } from "prom-client";
 import {
   adoptSnapshot,
   applyRecords,
@@ -67,15 +66,7 @@
       nextOffset: () => this.state.nextOffset,
       readsLog: () => !this.isFed,
     });
-    new Gauge({
-      name: "apricotdeck_configuration_version",
-      help: "Version (log offset) in force here; -1 before the first one",
-      registers: [options.context.metrics],
-      collect: function collect(this: Gauge) {
-        this.set(readVersion());
-      },
-    });
-    const readVersion = (): number => this.state.inForce?.version ?? -1;
+    this.showVersion();
   }
 
   static create(options: FollowerOptions): ConfigurationFollower {
@@ -265,10 +256,16 @@
   private take(applied: Applied, records: readonly LogRecord[]): void {
     const before = this.state;
     this.state = applied.state;
+    this.showVersion();
     reportApplied(before, applied, this.source, this.options.context.emit);
     this.feed.publish(records);
   }
 
+  private showVersion(): void {
+    const version = this.state.inForce?.version ?? -1;
+    this.options.context.measurements.set("configurationVersion", version);
+  }
+
   /** The first snapshot that a peer has to give. */
   private async askPeers(signal: AbortSignal): Promise<void> {
     const { name } = this.options.context;
