Decide sessions, attempts and truthful outcomes by state machines

Cause: a caller must get its own whole answer or a refusal that is true while connections fall silent, agents and entries restart, and frames are late, doubled or lost.

Change: the entry follows every request to exactly one final outcome and says no more than is proved; the agent is the last gate on what starts. The close of a lost session is the proof: what it lists goes on from the next piece, the rest can never start. A leaving agent refuses at once and ends when its entries have told that nothing more is under way.

--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -3,4 +3,7 @@
 
 export type LoadTarget = () => Promise<FuzzTarget>;
 
-export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {};
+export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {
+  drain: async () => (await import("./drain.js")).drainTarget,
+  requests: async () => (await import("./requests.js")).requestsTarget,
+};
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -13,6 +13,13 @@
 // claims
 
 // session
+export * from "./session/agent-gate.js";
+export * from "./session/agent-types.js";
+export * from "./session/entry-sessions.js";
+export * from "./session/entry-types.js";
+export * from "./session/ledger.js";
+export * from "./session/limits.js";
+export * from "./session/types.js";
 
 // admission
 
--- /dev/null
+++ b/src/session/drops.ts
@@ -0,0 +1,33 @@
+/** Counts frames that were not taken, by reason. */
+import type { Emit } from "../shared/events.js";
+import type { DropReason } from "./types.js";
+
+export type DropFigures = Readonly<Partial<Record<DropReason, number>>>;
+
+/**
+ * After a cancel or a loss hundreds of late frames may follow; one event for
+ * every power of two shows them without flooding the log.
+ */
+function isPowerOfTwo(count: number): boolean {
+  return Number.isInteger(Math.log2(count));
+}
+
+export class DropCounter {
+  private readonly counts: Partial<Record<DropReason, number>> = {};
+
+  private constructor(private readonly emit: Emit) {}
+
+  static create(emit: Emit): DropCounter {
+    return new DropCounter(emit);
+  }
+
+  count(attempt: string, reason: DropReason): void {
+    const count = (this.counts[reason] ?? 0) + 1;
+    this.counts[reason] = count;
+    if (isPowerOfTwo(count)) this.emit(125, { attempt, reason, count });
+  }
+
+  figures(): DropFigures {
+    return { ...this.counts };
+  }
+}
--- /dev/null
+++ b/src/session/ledger.ts
@@ -0,0 +1,104 @@
+/**
+ * Counts what became of every request of a process, so that none vanishes:
+ * accepted = answered + not run + unknown + broken off + in flight.
+ */
+import type { Emit } from "../shared/events.js";
+import { unreachable } from "../shared/exhaustive.js";
+import type { FinalOutcome } from "./types.js";
+
+export interface Conservation {
+  readonly accepted: number;
+  readonly answered: number;
+  readonly notRun: number;
+  readonly unknown: number;
+  readonly brokenOff: number;
+  readonly inFlight: number;
+}
+
+export const NO_REQUESTS: Conservation = {
+  accepted: 0,
+  answered: 0,
+  notRun: 0,
+  unknown: 0,
+  brokenOff: 0,
+  inFlight: 0,
+};
+
+export function isConserved(figures: Conservation): boolean {
+  const { accepted, answered, notRun, unknown, brokenOff, inFlight } = figures;
+  return accepted === answered + notRun + unknown + brokenOff + inFlight;
+}
+
+/** Sum over processes, for the status of data centres. */
+export function addConservation(
+  a: Conservation,
+  b: Conservation,
+): Conservation {
+  return {
+    accepted: a.accepted + b.accepted,
+    answered: a.answered + b.answered,
+    notRun: a.notRun + b.notRun,
+    unknown: a.unknown + b.unknown,
+    brokenOff: a.brokenOff + b.brokenOff,
+    inFlight: a.inFlight + b.inFlight,
+  };
+}
+
+export class ConservationLedger {
+  private accepted = 0;
+  private answered = 0;
+  private notRun = 0;
+  private unknown = 0;
+  private brokenOff = 0;
+
+  private constructor(private readonly emit: Emit) {}
+
+  static create(emit: Emit): ConservationLedger {
+    return new ConservationLedger(emit);
+  }
+
+  accept(): void {
+    this.accepted += 1;
+  }
+
+  finish(outcome: FinalOutcome): void {
+    switch (outcome) {
+      case "answered":
+        this.answered += 1;
+        return;
+      case "not-run":
+        this.notRun += 1;
+        return;
+      case "unknown":
+        this.unknown += 1;
+        return;
+      case "broken-off":
+        this.brokenOff += 1;
+        return;
+      default:
+        unreachable(outcome);
+    }
+  }
+
+  /**
+   * The number in flight is counted by the holder of the requests, not here:
+   * a request lost or finished twice shows as a difference.
+   */
+  check(inFlight: number): Conservation {
+    const figures: Conservation = {
+      accepted: this.accepted,
+      answered: this.answered,
+      notRun: this.notRun,
+      unknown: this.unknown,
+      brokenOff: this.brokenOff,
+      inFlight,
+    };
+    if (!isConserved(figures)) {
+      this.emit(104, {
+        rule: "conservation",
+        detail: JSON.stringify(figures),
+      });
+    }
+    return figures;
+  }
+}
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -193,6 +193,28 @@
     "Repeat the request if it may be repeated.",
   ),
 
+  1217: entry(
+    "answer-incomplete",
+    502,
+    "broken-off",
+    "Pieces of the answer were lost or damaged and can't be had again.",
+    "Repeat the request if it may be repeated.",
+  ),
+  1218: entry(
+    "caller-gone",
+    499,
+    "broken-off",
+    "The caller closed its connection or stopped reading.",
+    "Keep reading; repeat with the same key to get an answer held for it.",
+  ),
+  1219: entry(
+    "grace-expired",
+    503,
+    "broken-off",
+    "This process stopped before the answer was complete.",
+    "Connect again; repeat with the same key to get an answer held for it.",
+  ),
+
   // 1300: claims of requests that may not be repeated
 
   // 1400: sessions between entry and agent
@@ -225,6 +247,28 @@
     "Retry after the given time.",
   ),
 
+  1405: entry(
+    "run-not-found",
+    503,
+    "not-run",
+    "The agent knows no run that this attempt could resume.",
+    "None needed; the entry decides what became of the request.",
+  ),
+  1406: entry(
+    "attempt-withdrawn",
+    503,
+    "not-run",
+    "The attempt was withdrawn before it reached the agent.",
+    "None needed; the entry that withdrew it may place the request.",
+  ),
+  1407: entry(
+    "session-not-live",
+    503,
+    "not-run",
+    "There is no live session to the wanted agent.",
+    "None needed; the entry places the request elsewhere.",
+  ),
+
   // 1500: admission and placement
   1501: entry(
     "queue-full",
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -80,6 +80,18 @@
   125: entry("frame-dropped", "warn", "A late or crossed frame was dropped.", {
     attempt: "attempt id",
     reason: "why it was dropped",
+    count: "frames dropped for this reason since the start",
+  }),
+  126: entry("attempt-resumed", "info", "An answer goes on after a loss.", {
+    request: "request id",
+    attempt: "attempt id",
+    runner: "backend server",
+    fromIndex: "first piece still wanted",
+  }),
+  127: entry("request-placed-again", "info", "A request looks for a runner.", {
+    request: "request id",
+    reason: "proof that it was not run, or repeatable",
+    error: "error number of the attempt before",
   }),
 
   // 130: claims
@@ -100,6 +112,25 @@
     started: "attempts of it that had started",
   }),
 
+  144: entry("session-unproved", "warn", "A lost session stays unproved.", {
+    runner: "backend server",
+    session: "session number",
+    requests: "requests whose outcome hangs on it",
+  }),
+  145: entry("agent-leaving", "info", "An agent takes no new work.", {
+    runner: "backend server",
+    source: "notice, list or refusal",
+  }),
+  146: entry("agent-drained", "info", "A leaving agent has no work left.", {
+    runner: "backend server",
+    cutRuns: "runs that outlasted the grace period",
+  }),
+  147: entry("session-rejected", "warn", "An agent rejected a session.", {
+    entry: "entry",
+    session: "session number",
+    reason: "why",
+  }),
+
   // 150: admission and placement
 
   // 160: expert map
--- /dev/null
+++ b/tests/fuzz/drain.test.ts
@@ -0,0 +1,4 @@
+import { drainTarget } from "../../fuzz/drain.js";
+import { describeFuzzTarget } from "../support/fuzz.js";
+
+describeFuzzTarget(drainTarget, { seed: 1, runs: 400 });
--- /dev/null
+++ b/tests/support/fuzz.ts
@@ -0,0 +1,27 @@
+/** Cases that every fuzz target has to pass: clean, and able to fail. */
+import * as assert from "uvu/assert";
+import type { FuzzTarget } from "../../fuzz/target.js";
+import { describe, it } from "./describe.js";
+
+export interface FuzzCases {
+  readonly seed: number;
+  readonly runs: number;
+}
+
+export function describeFuzzTarget(target: FuzzTarget, cases: FuzzCases): void {
+  const { seed, runs } = cases;
+  describe(`fuzz target ${target.name}`, () => {
+    it(`finds no violation in ${runs} histories of seed ${seed}`, async () => {
+      const result = await target.run({ seed, runs });
+      assert.equal(result.counterexample, []);
+      assert.ok(result.histories >= runs);
+    });
+
+    for (const [mutation, histories] of Object.entries(target.mutations)) {
+      it(`notices within ${histories} histories without ${mutation}`, async () => {
+        const result = await target.run({ seed, runs: histories, mutation });
+        assert.is(result.violations, 1);
+      });
+    }
+  });
+}
