--- a/fuzz/requests/check.ts
+++ b/fuzz/requests/check.ts
@@ -55,7 +55,7 @@
   });
   // A mutation only has to be noticed; its history needs no shrinking.
   const endOnFailure = settings.mutation !== undefined;
-  const parameters = { ...checkParameters(settings), endOnFailure };
+  const parameters = { ...checkParameters<[Step[]]>(settings), endOnFailure };
   const result = fc.check(property, parameters);
   const [history] = result.counterexample ?? [];
   const told =
--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -6,4 +6,6 @@
 export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {
   drain: async () => (await import("./drain.js")).drainTarget,
   requests: async () => (await import("./requests.js")).requestsTarget,
+  expertmap: async () => (await import("./expertmap.js")).expertmap,
+  claims: async () => (await import("./claims/claims.js")).claimsTarget,
 };
--- a/src/session/agent-types.ts
+++ b/src/session/agent-types.ts
@@ -35,7 +35,7 @@
   /** A leaving agent has nothing left to do. */
   | { readonly kind: "drained"; readonly cutRuns: number };
 
-export interface Refusal {
+export interface StartRefusal {
   readonly error: ErrorNumber;
   readonly retryAfterMs: number;
 }
@@ -47,7 +47,7 @@
   /** Can the engine send a run's answer again by its name? */
   readonly engineResumes: boolean;
   /** The agent's own limit, the last word on new work. */
-  readonly mayStart: (call: Call) => Refusal | undefined;
+  readonly mayStart: (call: Call) => StartRefusal | undefined;
   readonly perform: (effect: AgentEffect) => void;
   readonly emit: Emit;
   readonly limits?: SessionLimits;
