Measure placement against baselines and bound the cost of a decision

Cause: constants of placement were unmeasured.

Change: own requests count in full and only the other entries' part of a report is distrusted with age; reports lose weight over 300 ms in place of 1000; pools of up to 16 runners are compared whole. The prefix index keeps two generations, since dropping the oldest key of one map steps over all deleted ones; candidates are marked by decision in place of being searched.

--- a/measure/measurements.ts
+++ b/measure/measurements.ts
@@ -5,4 +5,7 @@
 
 export const measurements: Readonly<
   Partial<Record<string, () => Promise<Measure>>>
-> = {};
+> = {
+  decisions: async () => (await import("./decisions.js")).measureDecisions,
+  placement: async () => (await import("./placement.js")).measurePlacement,
+};
--- a/src/placement/defaults.ts
+++ b/src/placement/defaults.ts
@@ -2,9 +2,10 @@
 import type { PlacementSettings, PlacementTuning } from "./types.js";
 
 export const DEFAULT_TUNING: PlacementTuning = {
+  scanUpTo: 16,
   samples: 8,
   holders: 4,
-  reportTrustMs: 1000,
+  reportTrustMs: 300,
   occupancyMs: 20,
   slownessMemoryMs: 10_000,
 };
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -8,7 +8,7 @@
 import { Left, Right, type Either } from "purify-ts/Either";
 import { failure, type ApricotdeckError } from "../internal.js";
 import { DEFAULT_TUNING } from "./defaults.js";
-import { Pool } from "./pool.js";
+import { Candidates, Pool } from "./pool.js";
 import { PrefixIndex, type Match } from "./prefix-index.js";
 import { RunnerState } from "./runner.js";
 import { predict, type Prediction } from "./prediction.js";
@@ -30,8 +30,7 @@
   private readonly pools = new Map<string, Pool>();
   private readonly prefixes = PrefixIndex.create();
   private readonly tuning: PlacementTuning;
-  /** Reused by every choice, so that a decision allocates little. */
-  private readonly candidates: RunnerState[] = [];
+  private readonly candidates = Candidates.create();
 
   private constructor(private readonly inputs: PlacementInputs) {
     this.tuning = { ...DEFAULT_TUNING, ...inputs.tuning };
@@ -129,7 +128,7 @@
   onRefused(placed: Placed): void {
     const state = this.release(placed);
     if (state === undefined) return;
-    const before = state.reportedCount;
+    const before = state.othersCount;
     state.onFull(this.inputs.now(), this.limitOf(state));
     this.tellPools(state, before);
     state.health.onNoVerdict();
@@ -143,7 +142,7 @@
   onReport(runner: string, load: RunnerLoad): void {
     const state = this.runners.get(runner);
     if (state === undefined) return;
-    const before = state.reportedCount;
+    const before = state.othersCount;
     const { now, settings } = this.inputs;
     state.onReport(now(), load, settings.blockTokens);
     this.tellPools(state, before);
@@ -164,14 +163,14 @@
     pool: Pool,
     matches: readonly Match[],
   ): RunnerState | undefined {
-    this.candidates.length = 0;
+    this.candidates.clear();
     for (const { runner } of matches) {
       if (runner.description.pools.includes(request.pool)) {
-        this.candidates.push(runner);
+        this.candidates.add(runner);
       }
     }
-    pool.sample(this.tuning.samples, this.inputs.random, this.candidates);
-    return this.best(this.candidates, request, pool, matches);
+    pool.sample(this.tuning, this.inputs.random, this.candidates);
+    return this.best(this.candidates.runners, request, pool, matches);
   }
 
   /** Every sampled runner is left out or excluded: look at the whole pool. */
@@ -180,7 +179,7 @@
     pool: Pool,
     matches: readonly Match[],
   ): RunnerState | undefined {
-    if (pool.size <= this.tuning.samples) return undefined;
+    if (pool.size <= this.tuning.scanUpTo) return undefined;
     return this.best(pool.runners, request, pool, matches);
   }
 
@@ -230,10 +229,10 @@
   }
 
   private tellPools(state: RunnerState, countBefore: number): void {
-    const difference = state.reportedCount - countBefore;
+    const difference = state.othersCount - countBefore;
     if (difference === 0) return;
     for (const key of state.description.pools) {
-      this.poolOf(key).onReportChanged(difference);
+      this.poolOf(key).onOthersChanged(difference);
     }
   }
 
--- a/src/placement/pool.ts
+++ b/src/placement/pool.ts
@@ -2,12 +2,13 @@
 import type { Random } from "../internal.js";
 import { randomBelow } from "../internal.js";
 import type { RunnerState } from "./runner.js";
+import type { PlacementTuning } from "./types.js";
 
 export class Pool {
   private readonly members: RunnerState[] = [];
   private readonly localMembers: RunnerState[] = [];
-  /** Sum of the reported counts; gives the mean at no cost. */
-  private reportedSum = 0;
+  /** Sum of the others' requests; gives the mean at no cost. */
+  private othersSum = 0;
   /** Running mean of nominal work and of tokens a request. */
   meanWorkMs = 1000;
   meanTokens = 500;
@@ -26,13 +27,13 @@
     return this.members;
   }
 
-  get meanCount(): number {
-    return this.size === 0 ? 0 : this.reportedSum / this.size;
+  get meanOthers(): number {
+    return this.size === 0 ? 0 : this.othersSum / this.size;
   }
 
   add(runner: RunnerState): void {
     this.members.push(runner);
-    this.reportedSum += runner.reportedCount;
+    this.othersSum += runner.othersCount;
     if (runner.description.dataCentre === this.dataCentre) {
       this.localMembers.push(runner);
     }
@@ -41,11 +42,11 @@
   remove(runner: RunnerState): void {
     removeFrom(this.members, runner);
     removeFrom(this.localMembers, runner);
-    this.reportedSum -= runner.reportedCount;
+    this.othersSum -= runner.othersCount;
   }
 
-  onReportChanged(difference: number): void {
-    this.reportedSum += difference;
+  onOthersChanged(difference: number): void {
+    this.othersSum += difference;
   }
 
   onRequest(workMs: number, tokens: number): void {
@@ -60,14 +61,50 @@
    * decision may, and many entries that all see the same least loaded runner
    * in the same old reports would all send there.
    */
-  sample(count: number, random: Random, into: RunnerState[]): void {
-    if (this.members.length <= count) {
-      for (const runner of this.members) pushNew(into, runner);
+  sample(
+    { scanUpTo, samples }: PlacementTuning,
+    random: Random,
+    candidates: Candidates,
+  ): void {
+    if (this.members.length <= scanUpTo) {
+      // From a random start: entries that see ties don't all take the first.
+      const start = randomBelow(random, this.members.length);
+      for (const runner of this.members.slice(start)) candidates.add(runner);
+      for (const runner of this.members.slice(0, start)) candidates.add(runner);
       return;
     }
-    const local = this.localMembers.length > 0 ? count >> 1 : 0;
-    draw(this.localMembers, local, random, into);
-    draw(this.members, count - local, random, into);
+    const local = this.localMembers.length > 0 ? samples >> 1 : 0;
+    draw(this.localMembers, local, random, candidates);
+    draw(this.members, samples - local, random, candidates);
+  }
+}
+
+/** Runners that one decision compares, each once; reused by the next one. */
+export class Candidates {
+  private readonly chosen: RunnerState[] = [];
+  private decision = 0;
+
+  private constructor() {
+    // Made by create.
+  }
+
+  static create(): Candidates {
+    return new Candidates();
+  }
+
+  get runners(): readonly RunnerState[] {
+    return this.chosen;
+  }
+
+  clear(): void {
+    this.chosen.length = 0;
+    this.decision += 1;
+  }
+
+  add(runner: RunnerState): void {
+    if (runner.lastDecision === this.decision) return;
+    runner.lastDecision = this.decision;
+    this.chosen.push(runner);
   }
 }
 
@@ -75,18 +112,13 @@
   from: readonly RunnerState[],
   count: number,
   random: Random,
-  into: RunnerState[],
+  candidates: Candidates,
 ): void {
   for (let drawn = 0; drawn < count; drawn += 1) {
-    const runner = from.at(randomBelow(random, from.length));
-    if (runner !== undefined) pushNew(into, runner);
+    candidates.add(from[randomBelow(random, from.length)]);
   }
 }
 
-function pushNew(into: RunnerState[], runner: RunnerState): void {
-  if (!into.includes(runner)) into.push(runner);
-}
-
 function removeFrom(list: RunnerState[], runner: RunnerState): void {
   const index = list.indexOf(runner);
   if (index >= 0) list.splice(index, 1);
--- a/src/placement/prediction.ts
+++ b/src/placement/prediction.ts
@@ -69,8 +69,10 @@
 }
 
 /**
- * Requests at the runner. An old report is replaced by the mean of the pool,
- * not by zero: a runner that fell silent would look empty and draw all work.
+ * Requests at the runner: the own ones, known exactly, and those of the other
+ * entries. What an old report says of the others is replaced by the mean of
+ * the pool, not by zero: a runner that fell silent would look empty and draw
+ * all work.
  */
 function estimateCount(
   runner: RunnerState,
@@ -79,10 +81,8 @@
 ): number {
   const ageMs = nowMs - runner.reportedAtMs;
   const trust = Math.exp(-ageMs / tuning.reportTrustMs);
-  const ownSince = runner.ownCount - runner.ownCountAtReport;
-  const believed = trust * (runner.reportedCount + ownSince);
-  const unknown = (1 - trust) * Math.max(pool.meanCount, runner.ownCount);
-  return Math.max(0, believed + unknown, runner.ownCount);
+  const others = trust * runner.othersCount + (1 - trust) * pool.meanOthers;
+  return runner.ownCount + others;
 }
 
 /** Work that has to end before a further request gets a slot, in slot ms. */
--- a/src/placement/prefix-index.ts
+++ b/src/placement/prefix-index.ts
@@ -18,7 +18,8 @@
 
 interface Holder {
   readonly runner: RunnerState;
-  readonly gaps: number;
+  /** Gaps of the runner's events when the entry was confirmed last. */
+  gaps: number;
 }
 
 export interface Match {
@@ -28,7 +29,13 @@
 }
 
 export class PrefixIndex {
-  private readonly holders = new Map<number, Holder[]>();
+  /**
+   * Two generations: what isn't used while the younger one fills up is dropped
+   * with the older one. Dropping the oldest entry of one map instead took
+   * milliseconds, since a map steps over all its deleted entries.
+   */
+  private young = new Map<number, Holder[]>();
+  private old = new Map<number, Holder[]>();
 
   private constructor() {
     // Made by create.
@@ -39,7 +46,7 @@
   }
 
   get size(): number {
-    return this.holders.size;
+    return this.young.size + this.old.size;
   }
 
   /** Longest matches first, at most `limit` runners. */
@@ -47,7 +54,7 @@
     const matches: Match[] = [];
     const last = Math.min(prefix.length, MOST_BLOCKS);
     for (let blocks = last; blocks > 0; blocks -= 1) {
-      const known = this.holders.get(prefix[blocks - 1] ?? 0);
+      const known = this.holdersOf(prefix[blocks - 1]);
       if (known === undefined) continue;
       for (const holder of known) {
         if (holder.runner.cacheGaps - holder.gaps > MOST_GAPS) continue;
@@ -73,30 +80,44 @@
   add(runner: RunnerState, prefix: readonly number[]): void {
     const last = Math.min(prefix.length, MOST_BLOCKS);
     for (let index = 0; index < last; index += 1) {
-      this.addOne(runner, prefix[index] ?? 0);
+      this.addOne(runner, prefix[index]);
     }
   }
 
   remove(runner: RunnerState, hashes: readonly number[]): void {
     for (const hash of hashes) {
-      const known = this.holders.get(hash);
-      if (known === undefined) continue;
-      const rest = known.filter((holder) => holder.runner !== runner);
-      if (rest.length === 0) this.holders.delete(hash);
-      else this.holders.set(hash, rest);
+      const known = this.holdersOf(hash);
+      const index = known?.findIndex((holder) => holder.runner === runner);
+      if (index !== undefined && index >= 0) known?.splice(index, 1);
     }
   }
 
+  private holdersOf(hash: number): Holder[] | undefined {
+    return this.young.get(hash) ?? this.old.get(hash);
+  }
+
   private addOne(runner: RunnerState, hash: number): void {
-    const known = this.holders.get(hash) ?? [];
-    const rest = known.filter((holder) => holder.runner !== runner);
-    const kept = rest.slice(-(MOST_HOLDERS - 1));
-    // Deleting first moves the prefix to the young end of the map, so the
-    // oldest one is dropped when the index is full.
-    this.holders.delete(hash);
-    this.holders.set(hash, [...kept, { runner, gaps: runner.cacheGaps }]);
-    if (this.holders.size <= MOST_PREFIXES) return;
-    const oldest = this.holders.keys().next();
-    if (oldest.done !== true) this.holders.delete(oldest.value);
+    const holders = this.renewed(hash);
+    const known = holders.find((holder) => holder.runner === runner);
+    if (known !== undefined) {
+      known.gaps = runner.cacheGaps;
+      return;
+    }
+    if (holders.length >= MOST_HOLDERS) holders.shift();
+    holders.push({ runner, gaps: runner.cacheGaps });
+  }
+
+  /** The holders of a prefix, in the young generation. */
+  private renewed(hash: number): Holder[] {
+    const young = this.young.get(hash);
+    if (young !== undefined) return young;
+    const holders = this.old.get(hash) ?? [];
+    this.old.delete(hash);
+    this.young.set(hash, holders);
+    if (this.young.size >= MOST_PREFIXES / 2) {
+      this.old = this.young;
+      this.young = new Map();
+    }
+    return holders;
   }
 }
--- a/src/placement/runner.ts
+++ b/src/placement/runner.ts
@@ -19,12 +19,14 @@
   readonly health: RunnerHealth;
   /** Requests of this entry that the runner has. */
   ownCount = 0;
-  reportedCount = 0;
+  /** Requests of other entries, by the last report. */
+  othersCount = 0;
   /** Time that the report speaks of; before any report minus infinity. */
   reportedAtMs = Number.NEGATIVE_INFINITY;
-  ownCountAtReport = 0;
   freeTokens = Number.POSITIVE_INFINITY;
   stepMs = 0;
+  /** Number of the last decision that looked at it. */
+  lastDecision = 0;
   /** Cache events lost so far. */
   cacheGaps = 0;
   cacheSequence = -1;
@@ -56,8 +58,8 @@
     const atMs = nowMs - load.ageMs;
     if (atMs < this.reportedAtMs) return;
     this.reportedAtMs = atMs;
-    this.reportedCount = load.running + load.waiting;
-    this.ownCountAtReport = this.ownCountAt(atMs);
+    const all = load.running + load.waiting;
+    this.othersCount = Math.max(0, all - this.ownCountAt(atMs));
     this.stepMs = load.stepMs;
     if (load.totalBlocks > 0) this.freeTokens = load.freeBlocks * blockTokens;
   }
@@ -65,8 +67,7 @@
   /** The agent refused for being full: as good as a fresh report. */
   onFull(nowMs: number, limit: number): void {
     this.reportedAtMs = nowMs;
-    this.reportedCount = Math.max(limit, this.reportedCount);
-    this.ownCountAtReport = this.ownCount;
+    this.othersCount = Math.max(limit - this.ownCount, this.othersCount);
   }
 
   /** Takes in how long a request really took against its nominal time. */
@@ -82,6 +83,7 @@
    * was slow once gets a little work, by which it can show that it recovered.
    */
   slownessAt(nowMs: number, memoryMs: number): number {
+    if (this.slowness === 1) return 1;
     const ageMs = Math.max(0, nowMs - this.slownessAtMs);
     return 1 + (this.slowness - 1) * Math.exp(-ageMs / memoryMs);
   }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -107,7 +107,9 @@
 
 /** Constants of the policy; docs/measurements/placement.md has the figures. */
 export interface PlacementTuning {
-  /** Runners compared for one request besides those that hold its prefix. */
+  /** Largest pool of which every runner is compared. */
+  readonly scanUpTo: number;
+  /** Runners of a larger pool compared besides the holders of the prefix. */
   readonly samples: number;
   /** Holders of a prefix that are compared. */
   readonly holders: number;
