--- a/measure/measurements.ts
+++ b/measure/measurements.ts
@@ -8,4 +8,6 @@
 > = {
   decisions: async () => (await import("./decisions.js")).measureDecisions,
   placement: async () => (await import("./placement.js")).measurePlacement,
+  path: async () => (await import("./path.js")).measurePath,
+  skew: async () => (await import("./skew.js")).measureSkew,
 };
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -1,6 +1,7 @@
 /** The coordination parts, free of sockets, for use inside the product. */
 
 // shared
+export * from "./shared/deferred.js";
 export * from "./shared/errors.js";
 export * from "./shared/events.js";
 export * from "./shared/exhaustive.js";
@@ -19,8 +20,20 @@
 export * from "./configuration/acceptance.js";
 export * from "./configuration/anchor.js";
 export * from "./configuration/verdict.js";
+export * from "./configuration/relays.js";
+export * from "./configuration/checkpoint-time.js";
 
 // claims
+export * from "./claims/types.js";
+export * from "./claims/keys.js";
+export * from "./claims/codec.js";
+export * from "./claims/table.js";
+export * from "./claims/batcher.js";
+export * from "./claims/append-schedule.js";
+export * from "./claims/abandoned.js";
+export * from "./claims/gate.js";
+export * from "./claims/coordinator-types.js";
+export * from "./claims/coordinator.js";
 
 // session
 
@@ -38,7 +51,28 @@
 export * from "./placement/placement.js";
 
 // balance
+export * from "./balance/types.js";
+export * from "./balance/balancer.js";
+export * from "./balance/expert-map.js";
+export * from "./balance/load-forecast.js";
+export * from "./balance/lower-bound.js";
+export * from "./balance/planner.js";
+export * from "./balance/rank-reports.js";
+export * from "./balance/repack.js";
+export * from "./balance/request-shares.js";
+export * from "./balance/step-model.js";
 
 // expertmap
+export * from "./expertmap/ballot.js";
+export * from "./expertmap/types.js";
+export * from "./expertmap/map.js";
+export * from "./expertmap/votes.js";
+export * from "./expertmap/fetch.js";
+export * from "./expertmap/switch.js";
+export * from "./expertmap/proposer.js";
+export * from "./expertmap/formation.js";
+export * from "./expertmap/staging.js";
+export * from "./expertmap/step-check.js";
+export * from "./expertmap/agent.js";
 
 // orders
