--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -4,6 +4,8 @@
 export type LoadTarget = () => Promise<FuzzTarget>;
 
 export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {
+  drain: async () => (await import("./drain.js")).drainTarget,
+  requests: async () => (await import("./requests.js")).requestsTarget,
   expertmap: async () => (await import("./expertmap.js")).expertmap,
   orders: async () => (await import("./orders.js")).orders,
   claims: async () => (await import("./claims/claims.js")).claimsTarget,
