Add the demo: a whole site under load and faults

Cause: nothing showed the promises together. Change: three data centres of separate processes, a mixed load whose callers can tell whether an answer is whole and their own, faults, and a verdict for each promise from callers' results and the runners' own records.

--- /dev/null
+++ b/demo/callers.ts
@@ -0,0 +1,217 @@
+/**
+ * Callers of the demo: each call carries a prompt of its own, so that whoever
+ * gets an answer can tell whether it is whole and theirs.
+ */
+import { createHash } from "node:crypto";
+import { v7 as uuidV7 } from "uuid";
+import type { Random } from "../src/internal.js";
+import { randomBelow } from "../src/internal.js";
+import { tokenText } from "../standins/engine-runs.js";
+import { credentialOf, MODEL, type SiteName } from "./configurations.js";
+
+export type CallKind = "stream" | "whole" | "records" | "order";
+
+export type CallOutcome =
+  | "answered"
+  | "not-run"
+  | "unknown"
+  | "broken-off"
+  /** An answer that was not the caller's own or not whole, yet looked so. */
+  | "wrong"
+  /** The connection ended without any answer. */
+  | "no-answer";
+
+export interface CallResult {
+  readonly kind: CallKind;
+  /** Unique text by which the runners' records are searched. */
+  readonly marker: string;
+  readonly outcome: CallOutcome;
+  readonly startedAtMs: number;
+  readonly firstByteMs: number;
+  readonly durationMs: number;
+  readonly detail: string;
+}
+
+export interface Caller {
+  readonly site: SiteName;
+  readonly addresses: () => readonly string[];
+  readonly random: Random;
+}
+
+interface CallPlan {
+  readonly kind: CallKind;
+  readonly marker: string;
+  readonly tokens: number;
+  readonly account: number;
+}
+
+interface Received {
+  readonly status: number;
+  readonly outcome: string;
+  readonly text: string;
+  readonly firstByteMs: number;
+  /** The connection was cut before the end of the body. */
+  readonly isCut: boolean;
+}
+
+const SHORT_TOKENS = 12;
+const LONG_TOKENS = 400;
+const PREFIXES = 4;
+const PREFIX_TEXT = "standing instructions for crews and consultants. ";
+const LONGEST_CALL_MS = 40_000;
+
+export async function makeCall(caller: Caller): Promise<CallResult> {
+  const plan = planCall(caller.random);
+  const startedAtMs = Date.now();
+  const from = performance.now();
+  const addresses = caller.addresses();
+  const address = addresses[randomBelow(caller.random, addresses.length)];
+  const received = await send(caller, address, plan);
+  const { outcome, detail } = judge(plan, received);
+  return {
+    kind: plan.kind,
+    marker: plan.marker,
+    outcome,
+    detail,
+    startedAtMs,
+    firstByteMs: received?.firstByteMs ?? 0,
+    durationMs: performance.now() - from,
+  };
+}
+
+/** A few accounts send most of the calls; few answers are long. */
+function planCall(random: Random): CallPlan {
+  const draw = random();
+  const kind: CallKind =
+    draw < 0.5
+      ? "stream"
+      : draw < 0.75
+        ? "whole"
+        : draw < 0.9
+          ? "records"
+          : "order";
+  const isLong = random() < 0.15;
+  const account = random() < 0.6 ? 0 : randomBelow(random, 10);
+  const prefix = PREFIX_TEXT.repeat(8 * (1 + randomBelow(random, PREFIXES)));
+  const marker = `${prefix}${uuidV7()}`;
+  return { kind, marker, tokens: isLong ? LONG_TOKENS : SHORT_TOKENS, account };
+}
+
+async function send(
+  { site }: Caller,
+  address: string,
+  plan: CallPlan,
+): Promise<Received | undefined> {
+  const { path, profile, body } = requestOf(plan);
+  const from = performance.now();
+  try {
+    const response = await fetch(`http://${address}${path}`, {
+      method: "POST",
+      headers: {
+        authorization: `Bearer ${credentialOf(site, plan.account)}`,
+        "apricotdeck-profile": profile,
+        ...(plan.kind === "order" ? { "idempotency-key": uuidV7() } : {}),
+      },
+      body,
+      signal: AbortSignal.timeout(LONGEST_CALL_MS),
+    });
+    const { text, isCut, firstByteMs } = await readText(response, from);
+    const outcome = response.headers.get("apricotdeck-outcome") ?? "";
+    const { status } = response;
+    return { status, outcome, text, firstByteMs, isCut };
+  } catch {
+    return undefined;
+  }
+}
+
+function requestOf(plan: CallPlan): {
+  readonly path: string;
+  readonly profile: string;
+  readonly body: string;
+} {
+  const { kind, marker, tokens } = plan;
+  if (kind === "records" || kind === "order") {
+    const profile = kind === "order" ? "orders" : "records";
+    return { path: "/services/records/valves", profile, body: marker };
+  }
+  const stream = kind === "stream";
+  const content = { model: MODEL, prompt: marker, max_tokens: tokens, stream };
+  return {
+    path: "/v1/completions",
+    profile: "drafting",
+    body: JSON.stringify(content),
+  };
+}
+
+async function readText(
+  response: Response,
+  from: number,
+): Promise<{ text: string; isCut: boolean; firstByteMs: number }> {
+  let text = "";
+  let firstByteMs = 0;
+  const decoder = new TextDecoder();
+  try {
+    for await (const part of response.body ?? []) {
+      if (firstByteMs === 0) firstByteMs = performance.now() - from;
+      text += decoder.decode(part as Uint8Array, { stream: true });
+    }
+  } catch {
+    return { text, isCut: true, firstByteMs };
+  }
+  return { text, isCut: false, firstByteMs };
+}
+
+function judge(
+  plan: CallPlan,
+  received: Received | undefined,
+): { readonly outcome: CallOutcome; readonly detail: string } {
+  if (received === undefined) return { outcome: "no-answer", detail: "" };
+  const { status, text, isCut } = received;
+  const said = /"outcome":"(not-run|unknown|broken-off)"/.exec(text)?.[1];
+  const isWhole = !isCut && status === 200 && said === undefined;
+  if (isWhole) {
+    const isOwn = readAnswer(plan, text) === expectedAnswer(plan);
+    const detail = isOwn ? "" : text.slice(0, 200);
+    return { outcome: isOwn ? "answered" : "wrong", detail };
+  }
+  const outcome = (said ?? "broken-off") as CallOutcome;
+  return { outcome, detail: text.slice(-300) };
+}
+
+function expectedAnswer({ kind, marker, tokens }: CallPlan): string {
+  if (kind === "records" || kind === "order") return marker;
+  const digest = createHash("sha256").update(marker).digest("hex").slice(0, 8);
+  const indexes = Array.from({ length: tokens }, (_, index) => index);
+  return indexes.map((index) => tokenText(digest, index)).join("");
+}
+
+/** The text of an answer; empty when its form is wrong. */
+function readAnswer({ kind }: CallPlan, text: string): string {
+  try {
+    if (kind === "stream") return readStream(text);
+    const body = JSON.parse(text) as {
+      readonly echo?: string;
+      readonly choices?: readonly { readonly text: string }[];
+    };
+    return body.echo ?? body.choices?.at(0)?.text ?? "";
+  } catch {
+    return "";
+  }
+}
+
+function readStream(text: string): string {
+  const events = text
+    .split("\n\n")
+    .filter((event) => event.startsWith("data: "))
+    .map((event) => event.slice("data: ".length));
+  if (events.at(-1) !== "[DONE]") return "";
+  return events
+    .slice(0, -1)
+    .map((event) => {
+      const chunk = JSON.parse(event) as {
+        readonly choices: readonly { readonly text: string }[];
+      };
+      return chunk.choices[0].text;
+    })
+    .join("");
+}
--- a/demo/configurations.ts
+++ b/demo/configurations.ts
@@ -26,15 +26,8 @@
     profiles: [
       modelProfile("drafting", 5, 60_000),
       modelProfile(site === "dyfrwr" ? "notices" : "alerts", 0, 20_000),
-      {
-        name: "records",
-        target: { kind: "service", service: SERVICE },
-        priority: 1,
-        deadlineMs: 10_000,
-        repeatable: true,
-        queue: { maximumTokens: 100_000, maximumWaitMs: 5000 },
-        concurrency: 256,
-      },
+      serviceProfile("records", true),
+      serviceProfile("orders", false),
     ],
     accounts: Array.from({ length: ACCOUNTS }, (_, index) => ({
       name: `account-${index}`,
@@ -76,6 +69,19 @@
   };
 }
 
+/** Records may be read again; an order may run once at the most. */
+function serviceProfile(name: string, repeatable: boolean): unknown {
+  return {
+    name,
+    target: { kind: "service", service: SERVICE },
+    priority: 1,
+    deadlineMs: 10_000,
+    repeatable,
+    queue: { maximumTokens: 100_000, maximumWaitMs: 5000 },
+    concurrency: 256,
+  };
+}
+
 function sha256(text: string): string {
   return createHash("sha256").update(text).digest("hex");
 }
--- a/demo/site.ts
+++ b/demo/site.ts
@@ -11,6 +11,10 @@
   startPlainService,
   type PlainServiceStandIn,
 } from "../standins/plain-service.js";
+import {
+  startSilentRelay,
+  type SilentRelay,
+} from "../standins/silent-relay.js";
 import { startVmList, type VmListStandIn } from "../standins/vm-list.js";
 import { startDaemonProcess, type DaemonProcess } from "./daemon-process.js";
 
@@ -34,6 +38,8 @@
   readonly dataCentre: string;
   readonly engine: EngineStandIn;
   readonly agent: DaemonProcess;
+  /** Between the entries and the agent. */
+  readonly relay: SilentRelay;
 }
 
 export interface SiteService {
@@ -54,6 +60,8 @@
   readonly entries: readonly SiteEntry[];
   readonly runners: readonly SiteRunner[];
   readonly services: readonly SiteService[];
+  /** What the list of VMs shows from the start. */
+  readonly vms: readonly Vm[];
   /** Appends a publication as the command-line tool does. */
   readonly publish: (configuration: unknown) => Promise<void>;
   /** Resolves when every entry serves and sees every backend server. */
@@ -98,7 +106,8 @@
         kind: "model",
       },
     });
-    return { name, dataCentre, engine, agent };
+    const relay = await startSilentRelay(agent.peers);
+    return { name, dataCentre, engine, agent, relay };
   });
   const services = await startMany(options.services, async (index) => {
     const name = `service-${index}`;
@@ -121,14 +130,18 @@
     const settings = { role: "entry", name, dataCentre, ...common };
     return { dataCentre, process: await startDaemonProcess(settings) };
   });
-  vmList.change([
-    ...runners.map((item) => backendVm(item, options.modelGroup)),
+  const vms = [
+    ...runners.map((item) => ({
+      ...backendVm(item, options.modelGroup),
+      address: item.relay.address,
+    })),
     ...services.map((item) => backendVm(item, options.serviceGroup)),
     ...entries.map(entryVm),
-  ]);
+  ];
+  vmList.change(vms);
   const owned = [
     ...entries.map((item) => item.process),
-    ...runners.flatMap(({ agent, engine }) => [agent, engine]),
+    ...runners.flatMap(({ agent, relay, engine }) => [agent, relay, engine]),
     ...services.flatMap(({ agent, service }) => [agent, service]),
     vmList,
     log,
@@ -137,6 +150,7 @@
   return {
     log,
     vmList,
+    vms,
     entries,
     runners,
     services,
--- a/tests/support/tool.ts
+++ b/demo/tool-process.ts
@@ -1,9 +1,9 @@
-/** Runs the command-line tool as a process. */
+/** Runs the command-line tool as a process of its own against a site. */
 import { execFile } from "node:child_process";
 import { fileURLToPath } from "node:url";
-import type { Site } from "../../demo/site.js";
+import type { Site } from "./site.js";
 
-const TOOL = fileURLToPath(new URL("../../src/cli/main.js", import.meta.url));
+const TOOL = fileURLToPath(new URL("../src/cli/main.js", import.meta.url));
 
 export interface ToolResult {
   readonly code: number;
--- a/standins/engine-runs.ts
+++ b/standins/engine-runs.ts
@@ -21,6 +21,7 @@
 export interface Run extends RunOptions {
   /** Distinguishes answers: every token of an answer names its prompt. */
   readonly digest: string;
+  readonly startedAtMs: number;
   readonly pieces: string[];
   readonly listeners: Set<() => void>;
   /** Prompt tokens still to be computed. */
@@ -64,6 +65,7 @@
     const run: Run = {
       ...options,
       digest: digest.slice(0, 8),
+      startedAtMs: Date.now(),
       pieces: [],
       listeners: new Set(),
       prefill: this.uncachedTokens(options.prompt),
--- a/standins/plain-service.ts
+++ b/standins/plain-service.ts
@@ -13,6 +13,8 @@
 export interface PlainServiceStandIn extends StandInServer {
   /** Request ids in the order in which they ran. */
   readonly ran: readonly string[];
+  /** Bodies in the same order. */
+  readonly bodies: readonly string[];
   readonly faults: { delayMs: number; cutAnswers: number };
 }
 
@@ -20,12 +22,14 @@
   port = 0,
 ): Promise<PlainServiceStandIn> {
   const ran: string[] = [];
+  const bodies: string[] = [];
   const faults = { delayMs: 0, cutAnswers: 0 };
   const server = await startServer(
     async ({ method, url, request, response }) => {
       const body = await readBody(request);
       const id = String(request.headers["x-request-id"] ?? "");
       ran.push(id);
+      bodies.push(body.toString());
       if (faults.delayMs > 0) await sleep(faults.delayMs);
       if (faults.cutAnswers > 0) {
         faults.cutAnswers -= 1;
@@ -37,5 +41,5 @@
     },
     port,
   );
-  return { ...server, ran, faults };
+  return { ...server, ran, bodies, faults };
 }
--- a/tests/cli/tool.test.ts
+++ b/tests/cli/tool.test.ts
@@ -12,7 +12,7 @@
 } from "../../demo/configurations.js";
 import { startSite, type Site } from "../../demo/site.js";
 import { describe, it } from "../support/describe.js";
-import { runTool, runToolJson } from "../support/tool.js";
+import { runTool, runToolJson } from "../../demo/tool-process.js";
 
 function startSmallSite(): Promise<Site> {
   return startSite({
