--- /dev/null
+++ b/examples/embed.ts
@@ -0,0 +1,28 @@
+/**
+ * Embeds one coordination part: decides publications as every process does,
+ * from records of any log.
+ */
+import {
+  applyRecords,
+  initialConfigurationState,
+  type LogRecord,
+} from "../src/index.js";
+
+const record: LogRecord = {
+  offset: 0,
+  appendedAtMs: 0,
+  data: Buffer.from(
+    JSON.stringify({
+      kind: "publication",
+      basedOn: null,
+      seenThrough: 0,
+      formatVersion: 1,
+      nonce: "first",
+      author: "example",
+      configuration: { profiles: [], accounts: [], groups: [] },
+    }),
+  ),
+};
+
+const { verdicts } = applyRecords(initialConfigurationState, [record]);
+console.log(verdicts);
