--- a/demo/daemon-process.ts
+++ b/demo/daemon-process.ts
@@ -30,8 +30,17 @@
   readonly callers?: string;
 }
 
+/** As in a settings file; the daemon checks it. */
+export interface DaemonSettings {
+  readonly role: "entry" | "agent";
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly group?: string;
+  readonly [field: string]: unknown;
+}
+
 export async function startDaemonProcess(
-  settings: Readonly<Record<string, unknown>> & { readonly name: string },
+  settings: DaemonSettings,
 ): Promise<DaemonProcess> {
   const folder = await mkdtemp(path.join(tmpdir(), "apricotdeck-"));
   const file = path.join(folder, "settings.jsonc");
--- a/demo/faults.ts
+++ b/demo/faults.ts
@@ -36,17 +36,16 @@
   return {
     name: `runner ${index} leaves`,
     cause: async (site) => {
-      const { agent, engine, name } = site.runners[index];
+      const { daemon, engine } = site.runners[index];
+      const { name, operators, ended } = daemon.process;
       const leftAtMs = Date.now();
       site.vmList.faults.lagMs = LIST_LAG_MS;
-      site.vmList.change(
-        site.vms.map((vm) =>
-          vm.name === name ? { ...vm, state: "leaving" as const } : vm,
-        ),
+      site.showVms((vm) =>
+        vm.name === name ? { ...vm, state: "leaving" } : vm,
       );
-      await fetch(`http://${agent.operators}/leave`, { method: "POST" });
+      await fetch(`http://${operators}/leave`, { method: "POST" });
       return async () => {
-        const code = await agent.ended;
+        const code = await ended;
         const runs = [...engine.runs.runs.values()];
         const late = runs.filter(
           ({ startedAtMs }) => startedAtMs > leftAtMs + LAST_NEW_WORK_MS,
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -111,7 +111,7 @@
   });
   const published = await publish(site, name);
   await site.settled();
-  const addresses = site.entries.map((entry) => entry.process.callers);
+  const addresses = site.entries.map((entry) => entry.daemon.process.callers);
   const caller = { site: name, addresses: () => addresses, random };
   say(`load: ${CALLS_PER_SECOND} calls a second`);
   const load = startLoad(caller, CALLS_PER_SECOND);
--- a/demo/site.ts
+++ b/demo/site.ts
@@ -5,18 +5,17 @@
 import { BASELINE_FORMAT, encodeEnvelope } from "../src/internal.js";
 import { LogClient } from "../src/platform/log-client.js";
 import type { Vm } from "../src/platform/vm-list-client.js";
-import { startEngine, type EngineStandIn } from "../standins/engine.js";
 import { startLog, type LogStandIn } from "../standins/log.js";
-import {
-  startPlainService,
-  type PlainServiceStandIn,
-} from "../standins/plain-service.js";
-import {
-  startSilentRelay,
-  type SilentRelay,
-} from "../standins/silent-relay.js";
 import { startVmList, type VmListStandIn } from "../standins/vm-list.js";
-import { startDaemonProcess, type DaemonProcess } from "./daemon-process.js";
+import type { DaemonSettings } from "./daemon-process.js";
+import {
+  startEntry,
+  startRunner,
+  startService,
+  type SiteMember,
+  type SiteRunner,
+  type SiteService,
+} from "./site-members.js";
 
 export interface SiteOptions {
   readonly dataCentres: readonly string[];
@@ -33,35 +32,14 @@
   readonly graceMs?: number;
 }
 
-export interface SiteRunner {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly engine: EngineStandIn;
-  readonly agent: DaemonProcess;
-  /** Between the entries and the agent. */
-  readonly relay: SilentRelay;
-}
-
-export interface SiteService {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly service: PlainServiceStandIn;
-  readonly agent: DaemonProcess;
-}
-
-export interface SiteEntry {
-  readonly dataCentre: string;
-  readonly process: DaemonProcess;
-}
-
 export interface Site extends AsyncDisposable {
   readonly log: LogStandIn;
   readonly vmList: VmListStandIn;
-  readonly entries: readonly SiteEntry[];
+  readonly entries: readonly SiteMember[];
   readonly runners: readonly SiteRunner[];
   readonly services: readonly SiteService[];
-  /** What the list of VMs shows from the start. */
-  readonly vms: readonly Vm[];
+  /** Shows the daemons as they are now, changed where asked. */
+  readonly showVms: (change?: (vm: Vm) => Vm) => void;
   /** Appends a publication as the command-line tool does. */
   readonly publish: (configuration: unknown) => Promise<void>;
   /** Resolves when every entry serves and sees every backend server. */
@@ -74,110 +52,87 @@
 }
 
 const POLL_MS = 50;
-const IDLE_STEP_MS = 1000;
+const GRACE_MS = 10_000;
 
 export async function startSite(options: SiteOptions): Promise<Site> {
   const log = await startLog();
   const vmList = await startVmList();
   const platform = { log: log.address, vmList: vmList.address };
-  const common = {
-    platform,
-    logLevel: options.logLevel ?? "info",
-    graceMs: options.graceMs ?? 10_000,
-  };
-  const place = (index: number): string =>
-    options.dataCentres[index % options.dataCentres.length];
-  const runners = await startMany(options.runners, async (index) => {
-    const name = `runner-${index}`;
-    const dataCentre = place(index);
-    const elsewhere = options.engineAddresses?.at(index);
-    // A step of zero would spin for an engine that nobody calls.
-    const stepMs = elsewhere === undefined ? options.stepMs : IDLE_STEP_MS;
-    const engine = await startEngine({ stepMs });
-    const agent = await startDaemonProcess({
-      role: "agent",
-      name,
-      dataCentre,
-      ...common,
-      group: options.modelGroup,
-      ranks: [index],
-      runner: {
-        address: elsewhere ?? engine.address,
-        kind: "model",
-      },
-    });
-    const relay = await startSilentRelay(agent.peers);
-    return { name, dataCentre, engine, agent, relay };
-  });
-  const services = await startMany(options.services, async (index) => {
-    const name = `service-${index}`;
-    const dataCentre = place(index);
-    const service = await startPlainService();
-    const agent = await startDaemonProcess({
-      role: "agent",
-      name,
-      dataCentre,
-      ...common,
-      group: options.serviceGroup,
-      runner: { address: service.address, kind: "service" },
-    });
-    return { name, dataCentre, service, agent };
-  });
+  const settingsOf = createSettings(options, platform);
+  const runners = await startMany(options.runners, (index) =>
+    startRunner(settingsOf("runner", index), {
+      stepMs: options.stepMs,
+      engineAddress: options.engineAddresses?.at(index),
+    }),
+  );
+  const services = await startMany(options.services, (index) =>
+    startService(settingsOf("service", index)),
+  );
   const entryCount = options.dataCentres.length * options.entriesPerDataCentre;
-  const entries = await startMany(entryCount, async (index) => {
-    const dataCentre = place(index);
-    const name = `entry-${index}`;
-    const settings = { role: "entry", name, dataCentre, ...common };
-    return { dataCentre, process: await startDaemonProcess(settings) };
-  });
-  const vms = [
-    ...runners.map((item) => ({
-      ...backendVm(item, options.modelGroup),
-      address: item.relay.address,
-    })),
-    ...services.map((item) => backendVm(item, options.serviceGroup)),
-    ...entries.map(entryVm),
-  ];
-  vmList.change(vms);
-  const owned = [
-    ...entries.map((item) => item.process),
-    ...runners.flatMap(({ agent, relay, engine }) => [agent, relay, engine]),
-    ...services.flatMap(({ agent, service }) => [agent, service]),
-    vmList,
-    log,
-  ];
-  const client = LogClient.create(log.address);
+  const entries = await startMany(entryCount, (index) =>
+    startEntry(settingsOf("entry", index)),
+  );
+  const members = [...entries, ...runners, ...services];
+  const showVms = (change: (vm: Vm) => Vm = (vm) => vm): void => {
+    vmList.change(members.map((member) => change(member.vm())));
+  };
+  showVms();
   return {
     log,
     vmList,
-    vms,
     entries,
     runners,
     services,
-    publish: async (configuration) => {
-      const { nextOffset } = await client.read("configuration", { from: 0 });
-      const publication = {
-        kind: "publication",
-        basedOn: null,
-        seenThrough: nextOffset,
-        formatVersion: BASELINE_FORMAT,
-        nonce: `demo-${nextOffset}`,
-        author: "demo",
-        configuration,
-      } as const;
-      const record = Buffer.from(encodeEnvelope(publication));
-      await client.append("configuration", [record]);
-    },
+    showVms,
+    publish: (configuration) => publish(log.address, configuration),
     settled: async () => {
       const backends = runners.length + services.length;
       for (const entry of entries) await waitForEntry(entry, backends);
     },
     async [Symbol.asyncDispose]() {
+      const owned = [...members, vmList, log];
       await Promise.all(owned.map((item) => item[Symbol.asyncDispose]()));
     },
   };
 }
 
+type MemberKind = "runner" | "service" | "entry";
+
+function createSettings(
+  options: SiteOptions,
+  platform: { readonly log: string; readonly vmList: string },
+): (kind: MemberKind, index: number) => DaemonSettings {
+  const { dataCentres, modelGroup, serviceGroup } = options;
+  return (kind, index) => {
+    const common = {
+      name: `${kind}-${index}`,
+      dataCentre: dataCentres[index % dataCentres.length],
+      platform,
+      logLevel: options.logLevel ?? "info",
+      graceMs: options.graceMs ?? GRACE_MS,
+    };
+    if (kind === "entry") return { role: "entry", ...common };
+    return kind === "runner"
+      ? { role: "agent", ...common, group: modelGroup, ranks: [index] }
+      : { role: "agent", ...common, group: serviceGroup };
+  };
+}
+
+async function publish(address: string, configuration: unknown): Promise<void> {
+  const client = LogClient.create(address);
+  const { nextOffset } = await client.read("configuration", { from: 0 });
+  const record = encodeEnvelope({
+    kind: "publication",
+    basedOn: null,
+    seenThrough: nextOffset,
+    formatVersion: BASELINE_FORMAT,
+    nonce: `demo-${nextOffset}`,
+    author: "demo",
+    configuration,
+  });
+  await client.append("configuration", [Buffer.from(record)]);
+}
+
 async function startMany<T>(
   count: number,
   start: (index: number) => Promise<T>,
@@ -186,40 +141,18 @@
   return Promise.all(indexes.map(start));
 }
 
-function backendVm(
-  item: { name: string; dataCentre: string; agent: DaemonProcess },
-  group: string,
-): Vm {
-  const { name, dataCentre, agent } = item;
-  const { peers: address, operators } = agent;
-  const state = "live";
-  return {
-    name,
-    role: "backend",
-    address,
-    operators,
-    dataCentre,
-    group,
-    state,
-  };
-}
-
-function entryVm({ dataCentre, process }: SiteEntry): Vm {
-  const { name, peers: address, operators } = process;
-  return { name, role: "entry", address, operators, dataCentre, state: "live" };
-}
-
 export async function readStatus(operators: string): Promise<unknown> {
   const response = await fetch(`http://${operators}/status`);
   return response.json();
 }
 
 async function waitForEntry(
-  { process }: SiteEntry,
+  { daemon }: SiteMember,
   backends: number,
 ): Promise<void> {
   for (;;) {
-    const status = (await readStatus(process.operators)) as EntryStatus;
+    const { operators } = daemon.process;
+    const status = (await readStatus(operators)) as EntryStatus;
     const live = status.backends.filter((item) => item.live).length;
     if (status.version !== null && live === backends) return;
     await new Promise((resolve) => setTimeout(resolve, POLL_MS));
--- a/measure/path.ts
+++ b/measure/path.ts
@@ -113,7 +113,7 @@
 }
 
 function entryTarget(site: Site): Target {
-  const address = `http://${site.entries[0].process.callers}`;
+  const address = `http://${site.entries[0].daemon.process.callers}`;
   const authorization = `Bearer ${credentialOf("dyfrwr", 0)}`;
   return createTarget(address, { authorization });
 }
@@ -196,8 +196,8 @@
 async function measureIdle(): Promise<{ entry: number; agent: number }> {
   const idle = { entry: 0, agent: 0 };
   await withSite(1, (site) => {
-    idle.entry = residentMib(site.entries[0].process.child.pid);
-    idle.agent = residentMib(site.runners[0].agent.child.pid);
+    idle.entry = residentMib(site.entries[0].daemon.process.child.pid);
+    idle.agent = residentMib(site.runners[0].daemon.process.child.pid);
     return Promise.resolve();
   });
   return idle;
--- a/standins/silent-relay.ts
+++ b/standins/silent-relay.ts
@@ -17,11 +17,13 @@
   readonly far: Socket;
 }
 
-/** Relays to host:port. */
-export async function startSilentRelay(target: string): Promise<SilentRelay> {
-  const [host = "", port = "0"] = target.split(":");
+/** Relays to the host:port that `target` gives for each new connection. */
+export async function startSilentRelay(
+  target: () => string,
+): Promise<SilentRelay> {
   const links = new Set<Link>();
   const server = createServer((near) => {
+    const [host = "", port = "0"] = target().split(":");
     const far = connect(Number(port), host);
     const link = { near, far };
     links.add(link);
--- a/tests/cli/tool.test.ts
+++ b/tests/cli/tool.test.ts
@@ -34,7 +34,7 @@
 }
 
 async function ask(site: Site): Promise<string> {
-  const address = site.entries[0].process.callers;
+  const address = site.entries[0].daemon.process.callers;
   const response = await fetch(`http://${address}/v1/completions`, {
     method: "POST",
     headers: { authorization: `Bearer ${credentialOf("ben-ammar", 0)}` },
--- a/tests/path/whole-path.test.ts
+++ b/tests/path/whole-path.test.ts
@@ -26,7 +26,7 @@
 function clientOf(site: Site, account = 0): OpenAI {
   return new OpenAI({
     apiKey: credentialOf("dyfrwr", account),
-    baseURL: `http://${site.entries[0].process.callers}/v1`,
+    baseURL: `http://${site.entries[0].daemon.process.callers}/v1`,
     maxRetries: 0,
   });
 }
@@ -78,7 +78,7 @@
     });
     assert.is(plain.choices[0].text, expectedText(prompt, 5));
 
-    const address = site.entries[0].process.callers;
+    const address = site.entries[0].daemon.process.callers;
     const records = await fetch(`http://${address}/services/records/valves/7`, {
       headers: {
         authorization: `Bearer ${credentialOf("dyfrwr", 1)}`,
