Measure what each part costs against its size

Cause: the capacity at the target size has to rest on measured slopes. Change: `npm run measure -- slopes` fits processor time, memory and bytes of heartbeats, placement, configuration, claims, the feed, the planner and idle sessions on real sockets against their size.

--- a/measure/measurements.ts
+++ b/measure/measurements.ts
@@ -8,4 +8,5 @@
 > = {
   path: async () => (await import("./path.js")).measurePath,
   skew: async () => (await import("./skew.js")).measureSkew,
+  slopes: async () => (await import("./slopes.js")).measureSlopes,
 };
--- /dev/null
+++ b/measure/slopes-parts.ts
@@ -0,0 +1,174 @@
+/** What is measured at which sizes. */
+import { applyRecord, initialConfigurationState } from "../src/internal.js";
+import { processorMicroseconds, retainedBytes } from "./slopes-fit.js";
+import {
+  REQUEST,
+  heartbeatBytes,
+  reportBytes,
+  heartbeatRound,
+  publicationOf,
+  claimRecords,
+  applyClaims,
+  placementOf,
+  reportRound,
+  planFrom,
+  balancerOf,
+  feedRound,
+} from "./slopes-subjects.js";
+
+/** One cost measured at several sizes. */
+export interface SlopePart {
+  readonly name: string;
+  /** What the size counts. */
+  readonly sizeUnit: string;
+  readonly costUnit: string;
+  readonly sizes: readonly number[];
+  /** Size that the letter of the users asks for. */
+  readonly targetSize: number;
+  readonly measure: (size: number) => number;
+}
+
+const PEERS = [100, 200, 400, 820];
+const ACCOUNTS = [140, 280, 550, 1100];
+const CLAIMS = [2000, 4000, 8000, 16_000];
+const EXPERTS = [16, 32, 64, 128];
+
+export const slopeParts: readonly SlopePart[] = [
+  {
+    name: "heartbeat-processor",
+    sizeUnit: "peers",
+    costUnit: "µs a round",
+    sizes: PEERS,
+    targetSize: 820,
+    measure: (peers) => processorMicroseconds(heartbeatRound(peers)),
+  },
+  {
+    name: "heartbeat-payload",
+    sizeUnit: "peers",
+    costUnit: "bytes a round",
+    sizes: PEERS,
+    targetSize: 820,
+    measure: (peers) =>
+      peers * (heartbeatBytes(1000).length + reportBytes(1000).length),
+  },
+  {
+    name: "load-report-processor",
+    sizeUnit: "runners",
+    costUnit: "µs a round",
+    sizes: PEERS,
+    targetSize: 820,
+    measure: (runners) => processorMicroseconds(reportRound(runners)),
+  },
+  {
+    name: "placement-memory",
+    sizeUnit: "runners",
+    costUnit: "bytes",
+    sizes: PEERS,
+    targetSize: 820,
+    measure: (runners) => retainedBytes(() => placementOf(runners)),
+  },
+  {
+    name: "placement-decision",
+    sizeUnit: "runners",
+    costUnit: "µs a choice",
+    sizes: PEERS,
+    targetSize: 820,
+    measure: (runners) => {
+      const placement = placementOf(runners);
+      return processorMicroseconds(() => {
+        placement.choose(REQUEST);
+      });
+    },
+  },
+  {
+    name: "configuration-processor",
+    sizeUnit: "accounts",
+    costUnit: "µs a change",
+    sizes: ACCOUNTS,
+    targetSize: 1100,
+    measure: (accounts) => {
+      const record = publicationOf(accounts);
+      return processorMicroseconds(() => {
+        applyRecord(initialConfigurationState, record);
+      });
+    },
+  },
+  {
+    name: "configuration-record",
+    sizeUnit: "accounts",
+    costUnit: "bytes a change",
+    sizes: ACCOUNTS,
+    targetSize: 1100,
+    measure: (accounts) => publicationOf(accounts).data.length,
+  },
+  {
+    name: "configuration-memory",
+    sizeUnit: "accounts",
+    costUnit: "bytes",
+    sizes: ACCOUNTS,
+    targetSize: 1100,
+    measure: (accounts) => {
+      const record = publicationOf(accounts);
+      return retainedBytes(() =>
+        applyRecord(initialConfigurationState, record),
+      );
+    },
+  },
+  {
+    name: "claims-processor",
+    sizeUnit: "claims",
+    costUnit: "µs",
+    sizes: CLAIMS,
+    targetSize: 16_000,
+    measure: (claims) => {
+      const records = claimRecords(claims);
+      return processorMicroseconds(() => {
+        applyClaims(records);
+      });
+    },
+  },
+  {
+    name: "claims-memory",
+    sizeUnit: "claims",
+    costUnit: "bytes",
+    sizes: CLAIMS,
+    targetSize: 16_000,
+    measure: (claims) => {
+      const records = claimRecords(claims);
+      return retainedBytes(() => applyClaims(records));
+    },
+  },
+  {
+    name: "claims-log",
+    sizeUnit: "claims",
+    costUnit: "bytes in the log",
+    sizes: CLAIMS,
+    targetSize: 16_000,
+    measure: (claims) =>
+      claimRecords(claims).reduce((sum, { data }) => sum + data.length, 0),
+  },
+  {
+    name: "feed-processor",
+    sizeUnit: "readers",
+    costUnit: "µs a change",
+    sizes: [5, 10, 20, 40, 80],
+    targetSize: 160,
+    measure: (readers) => processorMicroseconds(feedRound(readers)),
+  },
+  {
+    name: "planner-processor",
+    sizeUnit: "experts a layer",
+    costUnit: "µs a plan",
+    sizes: EXPERTS,
+    targetSize: 128,
+    measure: (experts) => processorMicroseconds(planFrom(experts)),
+  },
+  {
+    name: "balancer-memory",
+    sizeUnit: "experts a layer",
+    costUnit: "bytes",
+    sizes: EXPERTS,
+    targetSize: 128,
+    measure: (experts) => retainedBytes(() => balancerOf(experts)),
+  },
+];
--- /dev/null
+++ b/measure/slopes-sockets.ts
@@ -0,0 +1,164 @@
+/**
+ * What one idle session costs on real sockets: entry and agent side in this
+ * process, a heartbeat with a load report each second on every session. Bytes
+ * are counted by a relay between the two.
+ */
+import {
+  createServer,
+  connect,
+  type AddressInfo,
+  type Server as RelayServer,
+  type Socket,
+} from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  credentials,
+  Server,
+  ServerCredentials,
+  type ServerDuplexStream,
+} from "@grpc/grpc-js";
+import {
+  AgentClient,
+  AgentService,
+  type AgentBatch,
+  type EntryBatch,
+} from "../src/wire/generated/session.js";
+
+import { settledBytes } from "./slopes-fit.js";
+
+export interface SessionCost {
+  /** Processor time of both ends, µs for each second and session. */
+  readonly processorMicroseconds: number;
+  /** Memory of both ends. */
+  readonly bytes: number;
+  /** TCP payload both ways for each second and session. */
+  readonly wireBytes: number;
+}
+
+const CLOCK = { physicalMs: 1_700_000_000_000, counter: 1 };
+const HEARTBEAT_MS = 1000;
+const SETTLE_MS = 1500;
+const MEASURED_ROUNDS = 5;
+const LOAD = {
+  running: 12,
+  waiting: 3,
+  waitingTokens: 9000,
+  freeBlocks: 5000,
+  totalBlocks: 20_000,
+  ageMs: 40,
+  stepMs: 6,
+};
+
+/** Cost of `sessions` idle sessions for each second, all together. */
+export async function measureSessions(sessions: number): Promise<SessionCost> {
+  const server = await startAgent();
+  const relay = await startRelay(server.port);
+  const before = settledBytes();
+  const clients = Array.from({ length: sessions }, () => open(relay.port));
+  await sleep(SETTLE_MS);
+  const bytes = settledBytes() - before;
+  const processor = process.cpuUsage();
+  const transferred = relay.bytes();
+  await sleep(MEASURED_ROUNDS * HEARTBEAT_MS);
+  const { user, system } = process.cpuUsage(processor);
+  const wireBytes = (relay.bytes() - transferred) / MEASURED_ROUNDS;
+  for (const close of clients) close();
+  server.stop();
+  relay.stop();
+  const processorMicroseconds = (user + system) / MEASURED_ROUNDS;
+  return { processorMicroseconds, bytes, wireBytes };
+}
+
+async function startAgent(): Promise<{ port: number; stop: () => void }> {
+  const server = new Server();
+  server.addService(AgentService, {
+    session: (stream: ServerDuplexStream<EntryBatch, AgentBatch>) => {
+      stream.on("data", ({ frames }: EntryBatch) => {
+        const [{ body }] = frames;
+        if (body?.$case !== "heartbeat") return;
+        const load = { $case: "load" as const, value: LOAD };
+        const answer = [{ body }, { body: load }];
+        stream.write({ clock: CLOCK, frames: answer });
+      });
+      stream.on("error", () => undefined);
+      stream.on("end", () => {
+        stream.end();
+      });
+    },
+    closeSession: () => undefined,
+  });
+  const port = await new Promise<number>((resolve, reject) => {
+    server.bindAsync(
+      "127.0.0.1:0",
+      ServerCredentials.createInsecure(),
+      (error, bound) => {
+        if (error === null) resolve(bound);
+        else reject(error);
+      },
+    );
+  });
+  return {
+    port,
+    stop: () => {
+      server.forceShutdown();
+    },
+  };
+}
+
+interface Relay {
+  readonly port: number;
+  readonly bytes: () => number;
+  readonly stop: () => void;
+}
+
+async function startRelay(target: number): Promise<Relay> {
+  let bytes = 0;
+  const sockets = new Set<Socket>();
+  const join = (from: Socket, to: Socket): void => {
+    sockets.add(from);
+    from.on("data", (data) => {
+      bytes += data.length;
+      to.write(data);
+    });
+    from.on("error", () => undefined);
+    from.on("close", () => {
+      to.destroy();
+    });
+  };
+  const relay: RelayServer = createServer((socket) => {
+    const onward = connect(target, "127.0.0.1");
+    join(socket, onward);
+    join(onward, socket);
+  });
+  await new Promise<void>((resolve) => {
+    relay.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = relay.address() as AddressInfo;
+  const stop = (): void => {
+    for (const socket of sockets) socket.destroy();
+    relay.close();
+  };
+  return { port, bytes: () => bytes, stop };
+}
+
+function open(port: number): () => void {
+  const client = new AgentClient(
+    `127.0.0.1:${port}`,
+    credentials.createInsecure(),
+    { "grpc.use_local_subchannel_pool": 1 },
+  );
+  const stream = client.session();
+  stream.on("data", () => undefined);
+  stream.on("error", () => undefined);
+  let sequence = 0;
+  const timer = setInterval(() => {
+    const value = { sequence: sequence++ };
+    const body = { $case: "heartbeat" as const, value };
+    stream.write({ clock: CLOCK, frames: [{ body }] });
+  }, HEARTBEAT_MS);
+  return () => {
+    clearInterval(timer);
+    stream.cancel();
+    client.close();
+  };
+}
