Start the means of an expert at its first report

Cause: an expert that the first window left out was taken to have had no tokens; its next report looked like a jump, raised the noise estimate by orders of magnitude and blinded the planner for minutes. Change: means start at an expert's own first report, and until then from the mean of its layer.

--- a/src/balance/load-forecast.ts
+++ b/src/balance/load-forecast.ts
@@ -8,6 +8,7 @@
  * Loads are kept as shares of their layer, so a rise of traffic as a whole
  * isn't taken for a shift between experts.
  */
+import { meanOfKnown, squaredDistance, squares } from "./numbers.js";
 import type { GroupShape, LoadPrediction } from "./types.js";
 
 /** Marks an expert whose tokens no report told. */
@@ -49,6 +50,8 @@
 
 export class LoadForecast {
   private readonly previous: Float64Array;
+  /** 1 for each expert that a report has told of. */
+  private readonly seen: Uint8Array;
   private readonly fast: Float64Array;
   private readonly slow: Float64Array;
   /** Variance of a window's tokens over their mean, of each layer. */
@@ -62,6 +65,7 @@
   private constructor(private readonly shape: GroupShape) {
     const size = shape.layers * shape.experts;
     this.previous = new Float64Array(size);
+    this.seen = new Uint8Array(size);
     this.fast = new Float64Array(size);
     this.slow = new Float64Array(size);
     this.dispersion = new Float64Array(shape.layers).fill(LEAST_DISPERSION);
@@ -135,14 +139,33 @@
   }
 
   private start(tokens: ArrayLike<number>): void {
-    for (let index = 0; index < this.fast.length; index++) {
-      const value = Math.max(tokens[index], 0);
-      this.fast[index] = value;
-      this.slow[index] = value;
-      this.previous[index] = value;
+    const { layers, experts } = this.shape;
+    for (let layer = 0; layer < layers; layer++) {
+      const first = layer * experts;
+      const guess = meanOfKnown(tokens, first, first + experts);
+      for (let index = first; index < first + experts; index++) {
+        if (tokens[index] < 0) this.setMeans(index, guess);
+        else this.meet(index, tokens[index]);
+      }
     }
   }
 
+  /**
+   * The first report of an expert. Its means start here: a guess or a zero
+   * taken for a report would look like a jump, raise the noise estimate by
+   * orders of magnitude and blind the planner for minutes.
+   */
+  private meet(index: number, value: number): void {
+    this.setMeans(index, value);
+    this.seen[index] = 1;
+  }
+
+  private setMeans(index: number, value: number): void {
+    this.fast[index] = value;
+    this.slow[index] = value;
+    this.previous[index] = value;
+  }
+
   private follow(tokens: ArrayLike<number>): void {
     for (let layer = 0; layer < this.shape.layers; layer++) {
       const ratio = this.layerRatio(layer, tokens);
@@ -156,7 +179,7 @@
     let actual = 0;
     let expected = 0;
     for (let index = layer * experts; index < (layer + 1) * experts; index++) {
-      if (tokens[index] < 0) continue;
+      if (tokens[index] < 0 || this.seen[index] === 0) continue;
       actual += tokens[index];
       expected += this.fast[index];
     }
@@ -180,6 +203,10 @@
     for (let index = layer * experts; index < (layer + 1) * experts; index++) {
       if (tokens[index] < 0) continue;
       const value = tokens[index] / ratio;
+      if (this.seen[index] === 0) {
+        this.meet(index, value);
+        continue;
+      }
       const change = value - this.previous[index];
       const level = Math.max(this.fast[index], 1);
       // Two successive windows differ by twice the variance of one; their
@@ -193,6 +220,7 @@
     this.scale[layer] += FAST * (ratio - this.scale[layer]);
     // One difference fewer than windows has been seen so far.
     const noiseGain = Math.max(NOISE_SMOOTHING, 1 / this.windows);
+    if (known === 0) return;
     const step = noiseGain * (noise / known - this.dispersion[layer]);
     const next = this.dispersion[layer] + step;
     this.dispersion[layer] = Math.max(next, LEAST_DISPERSION);
@@ -261,16 +289,3 @@
     });
   }
 }
-
-function squares(values: Float64Array): number {
-  return values.reduce((total, value) => total + value * value, 0);
-}
-
-function squaredDistance(a: Float64Array, b: Float64Array): number {
-  let total = 0;
-  for (let index = 0; index < a.length; index++) {
-    const difference = a[index] - b[index];
-    total += difference * difference;
-  }
-  return total;
-}
--- a/tests/balance/reports.test.ts
+++ b/tests/balance/reports.test.ts
@@ -81,6 +81,20 @@
     assert.ok(Math.abs(tokens[2] - 30) < 1e-6);
   });
 
+  it("isn't thrown off by an expert that the first report left out", () => {
+    // The first window lacks a rank. Its expert appears in the second one:
+    // taken for a jump from nothing, it made the noise look so loud that the
+    // planner let skew grow for minutes.
+    const forecast = LoadForecast.create(SHAPE);
+    forecast.observe([10_000, UNKNOWN_TOKENS, 30_000]);
+    for (let window = 0; window < 10; window++) {
+      forecast.observe([10_000, 20_000, 30_000]);
+    }
+    const { tokens, variance } = forecast.predict(8);
+    assert.ok(Math.abs(tokens[1] - 20_000) < 1);
+    assert.ok(Math.sqrt(variance[1]) < 200);
+  });
+
   it("doesn't take more traffic for another share of it", () => {
     const forecast = LoadForecast.create(SHAPE);
     for (let window = 0; window < 40; window++) {
