Measure the configuration's slopes on one that is accepted

Cause: the generated configuration named models that no group serves, so the slopes timed its refusal, and its memory came out as nothing. Change: groups for all models, and a refused publication ends the measurement; memory is taken from eight copies, as the collector's leftovers were larger than the result.

--- a/measure/slopes-fit.ts
+++ b/measure/slopes-fit.ts
@@ -71,12 +71,16 @@
   return (user + system) / calls;
 }
 
+/** Several at once, so that what the collector leaves behind counts little. */
+const KEPT_COPIES = 8;
+
 /** Bytes of memory that the result of a call holds on to. */
 export function retainedBytes(create: () => unknown): number {
+  create();
   const before = settledBytes();
-  const kept = create();
+  const kept = Array.from({ length: KEPT_COPIES }, create);
   const bytes = settledBytes() - before;
-  return kept === undefined ? 0 : bytes;
+  return bytes / kept.length;
 }
 
 /** Memory in use after a collection. */
--- a/measure/slopes-parts.ts
+++ b/measure/slopes-parts.ts
@@ -1,5 +1,4 @@
 /** What is measured at which sizes. */
-import { applyRecord, initialConfigurationState } from "../src/internal.js";
 import { processorMicroseconds, retainedBytes } from "./slopes-fit.js";
 import {
   REQUEST,
@@ -9,6 +8,7 @@
   publicationOf,
   claimRecords,
   applyClaims,
+  applyPublication,
   placementOf,
   reportRound,
   planFrom,
@@ -89,7 +89,7 @@
     measure: (accounts) => {
       const record = publicationOf(accounts);
       return processorMicroseconds(() => {
-        applyRecord(initialConfigurationState, record);
+        applyPublication(record);
       });
     },
   },
@@ -109,9 +109,7 @@
     targetSize: 1100,
     measure: (accounts) => {
       const record = publicationOf(accounts);
-      return retainedBytes(() =>
-        applyRecord(initialConfigurationState, record),
-      );
+      return retainedBytes(() => applyPublication(record));
     },
   },
   {
--- a/measure/slopes-subjects.ts
+++ b/measure/slopes-subjects.ts
@@ -1,5 +1,6 @@
 /** The real modules of the product that the slopes are measured on, by size. */
 import {
+  applyRecord,
   Balancer,
   ClaimTable,
   createEvenMap,
@@ -7,10 +8,12 @@
   encodeClaimBatch,
   encodeEnvelope,
   ignoreEvents,
+  initialConfigurationState,
   Placement,
   Planner,
   type ClaimEntry,
   type Configuration,
+  type ConfigurationState,
   type LogRecord,
   type RunnerLoad,
 } from "../src/internal.js";
@@ -69,7 +72,16 @@
       weight: 1,
       limit: { tokensPerSecond: 1000, burstTokens: 10_000 },
     })),
-    groups: [],
+    groups: Array.from({ length: 40 }, (_, index) => ({
+      kind: "model",
+      name: `group-${index}`,
+      model: `model-${index}`,
+      ranks: 64,
+      layers: 60,
+      experts: 128,
+      slotsPerRank: 3,
+      bytesPerExpert: 44_000_000,
+    })),
     balance: { skewWeight: 0.5 },
   };
 }
@@ -87,6 +99,13 @@
   return { offset: 0, appendedAtMs: 1, data };
 }
 
+/** The state of a reader after the publication, which has to be accepted. */
+export function applyPublication(record: LogRecord): ConfigurationState {
+  const { state } = applyRecord(initialConfigurationState, record);
+  if (state.inForce === null) throw new TypeError("publication refused");
+  return state;
+}
+
 const CLAIMS_A_BATCH = 20;
 
 function claim(index: number): ClaimEntry {
