Plan expert maps in a thread of their own

Cause: a plan for 64 ranks takes some 40 ms of a core; an agent that made it between two frames would hold back every stream it serves. Change: a thread that owns the balancer, and a task that takes windows and proposes the maps of plans that move; what collects reports and switches maps is up to the arguments. Conclusion: wiring to the agent's step reports and to the switch is left.

--- a/measure/skew-run.ts
+++ b/measure/skew-run.ts
@@ -187,7 +187,7 @@
 }
 
 /** What each rank reports of a window, as its engine counts it. */
-function reportsOf(
+export function reportsOf(
   map: ExpertMap,
   window: TraceWindow,
   index: number,
--- a/measure/slopes-parts.ts
+++ b/measure/slopes-parts.ts
@@ -7,6 +7,7 @@
   heartbeatRound,
   publicationOf,
   claimRecords,
+  accountLimitsOf,
   applyClaims,
   applyPublication,
   placementOf,
@@ -112,6 +113,14 @@
       return retainedBytes(() => applyPublication(record));
     },
   },
+  {
+    name: "account-limits-memory",
+    sizeUnit: "accounts",
+    costUnit: "bytes",
+    sizes: ACCOUNTS,
+    targetSize: 1100,
+    measure: (accounts) => retainedBytes(() => accountLimitsOf(accounts)),
+  },
   {
     name: "claims-processor",
     sizeUnit: "claims",
--- a/measure/slopes-subjects.ts
+++ b/measure/slopes-subjects.ts
@@ -1,5 +1,6 @@
 /** The real modules of the product that the slopes are measured on, by size. */
 import {
+  AccountLimits,
   applyRecord,
   Balancer,
   ClaimTable,
@@ -106,6 +107,19 @@
   return state;
 }
 
+/** Limits that every account has made use of. */
+export function accountLimitsOf(accounts: number): AccountLimits {
+  const limits = AccountLimits.create(
+    () => CLOCK.physicalMs,
+    () => 320,
+  );
+  const limit = { tokensPerSecond: 1000, burstTokens: 10_000 };
+  for (let index = 0; index < accounts; index++) {
+    limits.take(`account-${index}`, limit, 800);
+  }
+  return limits;
+}
+
 const CLAIMS_A_BATCH = 20;
 
 function claim(index: number): ClaimEntry {
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -57,6 +57,8 @@
 export * from "./balance/load-forecast.js";
 export * from "./balance/lower-bound.js";
 export * from "./balance/planner.js";
+export * from "./balance/planner-task.js";
+export * from "./balance/planner-thread.js";
 export * from "./balance/rank-reports.js";
 export * from "./balance/refine.js";
 export * from "./balance/repack.js";
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -456,6 +456,13 @@
     "An option of the measurement can't be used.",
     "Correct the named option.",
   ),
+  1805: entry(
+    "planner-ended",
+    0,
+    "none",
+    "The thread that plans expert maps ended.",
+    "None needed; it is started again. If it goes on, send a support bundle.",
+  ),
 
   // 1900: platform services
   1901: entry(
