Measure slopes on the session machine and its heartbeats

Cause: heartbeats carry two more fields, and sessions have machines of their own now. Change: the entry's session machine is measured by itself; sessions on sockets beat at the product's own period.

--- a/measure/slopes-parts.ts
+++ b/measure/slopes-parts.ts
@@ -12,6 +12,7 @@
   applyPublication,
   placementOf,
   reportRound,
+  sessionRound,
   planFrom,
   balancerOf,
   feedRound,
@@ -52,6 +53,14 @@
     measure: (peers) =>
       peers * (heartbeatBytes(1000).length + reportBytes(1000).length),
   },
+  {
+    name: "machine-processor",
+    sizeUnit: "peers",
+    costUnit: "µs a round",
+    sizes: PEERS,
+    targetSize: 820,
+    measure: (peers) => processorMicroseconds(sessionRound(peers)),
+  },
   {
     name: "load-report-processor",
     sizeUnit: "runners",
--- a/measure/slopes-sockets.ts
+++ b/measure/slopes-sockets.ts
@@ -1,6 +1,6 @@
 /**
  * What one idle session costs on real sockets: entry and agent side in this
- * process, a heartbeat with a load report each second on every session. Bytes
+ * process, a heartbeat with a load report each way and period on every session. Bytes
  * are counted by a relay between the two.
  */
 import {
@@ -24,6 +24,7 @@
   type EntryBatch,
 } from "../src/wire/generated/session.js";
 
+import { SESSION_LIMITS } from "../src/internal.js";
 import { settledBytes } from "./slopes-fit.js";
 
 export interface SessionCost {
@@ -36,9 +37,9 @@
 }
 
 const CLOCK = { physicalMs: 1_700_000_000_000, counter: 1 };
-const HEARTBEAT_MS = 1000;
+const { heartbeatMs: HEARTBEAT_MS } = SESSION_LIMITS;
 const SETTLE_MS = 1500;
-const MEASURED_ROUNDS = 5;
+const MEASURED_SECONDS = 5;
 const LOAD = {
   running: 12,
   waiting: 3,
@@ -59,13 +60,13 @@
   const bytes = settledBytes() - before;
   const processor = process.cpuUsage();
   const transferred = relay.bytes();
-  await sleep(MEASURED_ROUNDS * HEARTBEAT_MS);
+  await sleep(MEASURED_SECONDS * 1000);
   const { user, system } = process.cpuUsage(processor);
-  const wireBytes = (relay.bytes() - transferred) / MEASURED_ROUNDS;
+  const wireBytes = (relay.bytes() - transferred) / MEASURED_SECONDS;
   for (const close of clients) close();
   server.stop();
   relay.stop();
-  const processorMicroseconds = (user + system) / MEASURED_ROUNDS;
+  const processorMicroseconds = (user + system) / MEASURED_SECONDS;
   return { processorMicroseconds, bytes, wireBytes };
 }
 
@@ -152,7 +153,11 @@
   stream.on("error", () => undefined);
   let sequence = 0;
   const timer = setInterval(() => {
-    const value = { sequence: sequence++ };
+    const value = {
+      sequence: sequence++,
+      settledBelow: 0,
+      leavingSeen: false,
+    };
     const body = { $case: "heartbeat" as const, value };
     stream.write({ clock: CLOCK, frames: [{ body }] });
   }, HEARTBEAT_MS);
