--- a/measure/slopes-parts.ts
+++ b/measure/slopes-parts.ts
@@ -1,5 +1,6 @@
 /** What is measured at which sizes. */
 import { processorMicroseconds, retainedBytes } from "./slopes-fit.js";
+import { sessionRound } from "./slopes-sessions.js";
 import {
   REQUEST,
   heartbeatBytes,
@@ -12,7 +13,6 @@
   applyPublication,
   placementOf,
   reportRound,
-  sessionRound,
   planFrom,
   balancerOf,
   feedRound,
--- a/measure/slopes-subjects.ts
+++ b/measure/slopes-subjects.ts
@@ -8,12 +8,10 @@
   createRandom,
   encodeClaimBatch,
   encodeEnvelope,
-  EntrySessions,
   ignoreEvents,
   initialConfigurationState,
   Placement,
   Planner,
-  SESSION_LIMITS,
   type ClaimEntry,
   type Configuration,
   type ConfigurationState,
@@ -64,59 +62,6 @@
   };
 }
 
-/**
- * The entry's session machine over one heartbeat period: each agent is heard
- * and gets a heartbeat. No codec and no socket.
- */
-export function sessionRound(agents: number): () => void {
-  let now = CLOCK.physicalMs;
-  const sessions = EntrySessions.create({
-    entry: "entry-17",
-    incarnation: "incarnation",
-    dataCentre: "centre-0",
-    release: "0",
-    perform: () => undefined,
-    mayRetry: () => false,
-    createAttemptId: () => "attempt",
-    random: createRandom(1),
-    emit: ignoreEvents,
-  });
-  for (let index = 0; index < agents; index++) {
-    openSession(sessions, `backend-${index}`, now);
-  }
-  const heartbeat = { kind: "heartbeat" as const, sequence: 1 };
-  return () => {
-    now += SESSION_LIMITS.heartbeatMs;
-    for (let index = 0; index < agents; index++) {
-      sessions.receive(`backend-${index}`, 1, heartbeat, now);
-    }
-    sessions.tick(now);
-  };
-}
-
-function openSession(
-  sessions: EntrySessions,
-  runner: string,
-  now: number,
-): void {
-  sessions.addAgent(runner, now);
-  const session = {
-    entry: "entry-17",
-    entryIncarnation: "incarnation",
-    agentIncarnation: "agent",
-    number: 1,
-  };
-  sessions.receive(
-    runner,
-    1,
-    { kind: "opened", session, runner, group: "group-0" },
-    now,
-  );
-  if (!sessions.status().sessions.every(({ live }) => live)) {
-    throw new TypeError("session not opened");
-  }
-}
-
 function configurationOf(accounts: number): Configuration {
   return {
     profiles: Array.from({ length: 80 }, (_, index) => ({
--- a/src/balance/planner.ts
+++ b/src/balance/planner.ts
@@ -5,7 +5,7 @@
  * bounds on transfer time and memory are reached.
  *
  * Made for demand that drifts: a full repack moves most experts and has its
- * weights in place only minutes later (64 ranks, 60 layers: about 85 s at
+ * weights in place only minutes later (64 ranks, 60 layers: about 120 s at
  * 4 GB/s), when the demand it was made for may be gone.
  */
 import { alignSlots, layerStart, movesBetween } from "./expert-map.js";
