Run the expert map switch between the agents of a group

Cause: the switch decided without sockets; agents had no way to do it. Change: agents of a model group exchange votes over gRPC, order their engine over HTTP, fetch weights by range from the weight store at their share of its rate, take members from the list of VMs, and record the map on the log. Each step report is checked against the committed map. Metrics give switch time, held time and fetched bytes. Found on the way: an engine that refuses connections at once was asked again in an endless loop that stopped the whole process; it is now asked again after 50 ms.

--- a/fuzz/expertmap-world.ts
+++ b/fuzz/expertmap-world.ts
@@ -35,6 +35,8 @@
   readonly engineHolds: boolean;
 }
 
+const readOnly: EngineCall = { kind: "read", withMap: false };
+
 /** What happens at the moment when an agent gives a kind of order. */
 export interface Trap {
   readonly member: string;
@@ -182,7 +184,7 @@
 
   engineStates(): readonly EngineMapState[] {
     return this.memberNames.flatMap((member) => {
-      const answer = this.engines.call(member, { kind: "read" }, this.now);
+      const answer = this.engines.call(member, readOnly, this.now);
       return answer === undefined ? [] : [answer.answer.state];
     });
   }
@@ -204,6 +206,7 @@
           this.observeEvent(number, fields);
         },
         random: this.random,
+        idleReadMs: 50,
         safeguards: this.settings.safeguards,
       }),
       pausedUntil: 0,
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -12,6 +12,8 @@
 import { bindServer } from "../peer-server.js";
 import { channelOptions } from "../transport.js";
 import { ConfigurationFeedService } from "../../wire/generated/configuration.js";
+import { ExpertMapsService } from "../../wire/generated/expertmap.js";
+import { ExpertMaps } from "../expert-map/expert-maps.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
 import { RunnerClient } from "./runner-client.js";
 
@@ -29,6 +31,8 @@
   private readonly runner: RunnerClient;
   private readonly sessions: AgentSessions;
   private readonly configuration: ConfigurationFollower;
+  /** Only where the engine's ranks run on an expert map. */
+  private readonly expertMaps: ExpertMaps | undefined;
   private readonly server = new Server(channelOptions);
   private leaving = false;
   private peers = "";
@@ -54,6 +58,16 @@
       vmList: platform.vmList,
       transport: settings.transport,
     });
+    const { weightStore } = platform;
+    if (weightStore !== undefined && settings.ranks.length > 0) {
+      this.expertMaps = ExpertMaps.create({
+        context,
+        settings,
+        weightStore,
+        configuration: () => this.configuration.inForce?.configuration,
+        onSteps: () => undefined,
+      });
+    }
   }
 
   static async create(
@@ -90,6 +104,7 @@
     this.server.forceShutdown();
     await this.operators[Symbol.asyncDispose]();
     await this.runner[Symbol.asyncDispose]();
+    await this.expertMaps?.[Symbol.asyncDispose]();
   }
 
   private async start(): Promise<void> {
@@ -121,6 +136,16 @@
       signal,
       run: (s) => configuration.keepCheckpoints(s),
     });
+    const { expertMaps } = this;
+    if (expertMaps !== undefined) {
+      this.server.addService(ExpertMapsService, expertMaps.service);
+      void runTask({
+        name: "expert-maps",
+        emit,
+        signal,
+        run: (s) => expertMaps.run(s),
+      });
+    }
     this.server.addService(AgentService, this.sessions.service);
     this.server.addService(
       ConfigurationFeedService,
@@ -145,6 +170,7 @@
       configuration: configuration.summary,
       group: settings.group,
       running: sessions.runningCount,
+      expertMap: this.expertMaps?.status ?? null,
     };
   }
 }
--- /dev/null
+++ b/src/daemon/expert-map/engine-client.ts
@@ -0,0 +1,214 @@
+/** The engine's interface for maps, weights, steps and orders, over HTTP. */
+import { Agent as HttpPool } from "undici";
+import { z } from "zod";
+import {
+  raise,
+  toFailure,
+  type EngineAnswer,
+  type EngineCall,
+  type OrderAnswer,
+  type OrderCall,
+  type StepReport,
+  type WeightName,
+} from "../../internal.js";
+import { plainMap } from "./wire.js";
+
+const CALL_TIMEOUT_MS = 1_000;
+const ACCEPTED = 200;
+const REFUSED = 409;
+
+const ballot = z.object({ number: z.number(), author: z.string() });
+const member = z.object({ member: z.string(), ranks: z.array(z.number()) });
+
+const map = z.object({
+  version: z.number(),
+  shape: z.object({
+    ranks: z.number(),
+    layers: z.number(),
+    experts: z.number(),
+    slotsPerRank: z.number(),
+  }),
+  slots: z.array(z.number()),
+});
+
+const proposal = z.object({
+  id: ballot,
+  group: ballot,
+  version: z.number(),
+  mapHash: z.string(),
+  step: z.number(),
+  participants: z.array(z.object({ member: z.string(), agent: z.string() })),
+});
+
+const state = z.object({
+  engine: z.string(),
+  group: ballot.nullable(),
+  members: z.array(member),
+  sealed: ballot,
+  version: z.number(),
+  mapHash: z.string(),
+  since: z.number(),
+  origin: ballot.nullable(),
+  armed: z.object({ proposal, committed: z.boolean() }).nullable(),
+  floor: ballot,
+  step: z.number(),
+  stepMs: z.number(),
+  heldMs: z.number(),
+  heldTotalMs: z.number(),
+  stagingHash: z.string(),
+  stagingComplete: z.boolean(),
+});
+
+const answerSchema = z.object({
+  state,
+  map: map.nullable(),
+  armedMap: map.nullable(),
+  staged: z
+    .array(
+      z.object({
+        rank: z.number(),
+        layer: z.number(),
+        expert: z.number(),
+        bytes: z.number(),
+      }),
+    )
+    .nullable(),
+});
+
+const stepsSchema = z.object({
+  reports: z.array(
+    z.object({
+      group: ballot,
+      step: z.number(),
+      rank: z.number(),
+      version: z.number(),
+      mapHash: z.string(),
+      durationMs: z.number(),
+      counts: z.array(z.array(z.number())),
+    }),
+  ),
+});
+
+const heldSchema = z.object({ heldBytes: z.number() });
+
+const orderStateSchema = z.object({
+  engine: z.string(),
+  values: z.partialRecord(
+    z.enum(["load-model", "load-adapter", "version", "role"]),
+    z.string(),
+  ),
+  fencing: z.number().exactOptional(),
+});
+
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+export class EngineClient implements AsyncDisposable {
+  private constructor(
+    private readonly origin: string,
+    private readonly pool: HttpPool,
+  ) {}
+
+  static create(address: string): EngineClient {
+    return new EngineClient(address.replace(/\/$/, ""), new HttpPool());
+  }
+
+  /** Throws 1607; the order may have taken effect all the same. */
+  async call(order: EngineCall): Promise<EngineAnswer> {
+    const { body } =
+      order.kind === "read"
+        ? await this.send("GET", `/expert-map?map=${String(order.withMap)}`)
+        : await this.send(
+            "POST",
+            `/expert-map/${order.kind}`,
+            JSON.stringify(callBody(order)),
+          );
+    return parse(answerSchema, body);
+  }
+
+  /** Hands over a part of weights; returns the bytes held of them now. */
+  async putWeight(
+    { rank, layer, expert }: WeightName,
+    offset: number,
+    data: Buffer,
+  ): Promise<number> {
+    const query = `rank=${rank}&layer=${layer}&expert=${expert}&offset=${offset}`;
+    const path = `/expert-map/weights?${query}`;
+    const { body } = await this.send("POST", path, data);
+    return parse(heldSchema, body).heldBytes;
+  }
+
+  async steps(from: number): Promise<readonly StepReport[]> {
+    const { body } = await this.send("GET", `/steps?from=${from}`);
+    return parse(stepsSchema, body).reports;
+  }
+
+  /**
+   * The answer comes after the effect, so it may take as long as a load. Throws
+   * 1607; the order may have taken effect all the same.
+   */
+  async order(call: OrderCall, timeoutMs: number): Promise<OrderAnswer> {
+    const { status, body } =
+      call.kind === "read"
+        ? await this.send("GET", "/orders")
+        : await this.send(
+            "POST",
+            "/orders",
+            JSON.stringify(call.order),
+            timeoutMs,
+          );
+    return {
+      accepted: status === ACCEPTED,
+      state: parse(orderStateSchema, body),
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  private async send(
+    method: "GET" | "POST",
+    path: string,
+    body?: string | Buffer,
+    timeoutMs = CALL_TIMEOUT_MS,
+  ): Promise<Answer> {
+    const { origin } = this;
+    const signal = AbortSignal.timeout(timeoutMs);
+    try {
+      const response = await this.pool.request({
+        origin,
+        path,
+        method,
+        signal,
+        ...(body === undefined ? {} : { body }),
+      });
+      const status = response.statusCode;
+      const answer: unknown = await response.body.json();
+      if (status === ACCEPTED || status === REFUSED) {
+        return { status, body: answer };
+      }
+      return raise(1607, { path, status });
+    } catch (error) {
+      throw toFailure(error, 1607);
+    }
+  }
+}
+
+function callBody(call: Exclude<EngineCall, { kind: "read" }>): unknown {
+  if (call.kind === "arm") {
+    const { group, version, step, ...rest } = call.proposal;
+    const body = { groupIncarnation: group, version, step, ...rest };
+    return { ...body, map: plainMap(call.map) };
+  }
+  if (call.kind === "join") return { ...call, map: plainMap(call.map) };
+  return call;
+}
+
+function parse<T>(schema: z.ZodType<T>, body: unknown): T {
+  const result = schema.safeParse(body);
+  if (result.success) return result.data;
+  return raise(1607, { reason: result.error.message });
+}
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -107,6 +107,8 @@
       .strictObject({
         /** Requests running at once; the last word on new work. */
         attempts: z.int().min(1).default(256),
+        /** This agent's share of the weight store's rate, bytes a second. */
+        weightBytesPerSecond: z.int().min(1).default(200_000_000),
       })
       .readonly()
       .prefault({}),
--- a/src/expertmap/agent.ts
+++ b/src/expertmap/agent.ts
@@ -47,22 +47,31 @@
   readonly fetch: FetchSettings;
   readonly emit: Emit;
   readonly random: Random;
+  /** Time between reads of an engine of which nothing is expected. */
+  readonly idleReadMs: number;
   readonly safeguards: SwitchSafeguards & { readonly mayGoForward: boolean };
 }
 
-/** The engine is read this often when nothing else is asked of it. */
+/**
+ * The engine is read this often while something of it is awaited: a vote, the
+ * end of a formation. A held rank learns of its state this much later.
+ */
 const READ_INTERVAL_MS = 50;
-/** Reports kept for a second look when they run ahead of what is known. */
-const LARGEST_UNKNOWN = 256;
+/**
+ * An engine that refuses connections fails at once; asked again at once, it
+ * would keep this process from doing anything else.
+ */
+const RETRY_MS = 50;
 
 export class GroupAgent {
   private state: EngineMapState | undefined;
   private outstanding: EngineCall | undefined;
-  private readAt = 0;
+  private readAt = Number.NEGATIVE_INFINITY;
+  private callAt = Number.NEGATIVE_INFINITY;
   private sealAsked: { formation: Ballot; from: Set<string> } | undefined;
   private fetchFor = "";
+  private inForce: ExpertMap | undefined;
   private effects: MapEffect[] = [];
-  private unknownReports: StepReport[] = [];
   private readonly votes: MapSwitch;
   private readonly proposer: MapProposer;
   private readonly former: GroupFormer;
@@ -92,6 +101,14 @@
     return this.state;
   }
 
+  /** The map that the engine runs on; undefined until its body was read. */
+  get mapInForce(): VersionedMap | undefined {
+    const { state, inForce } = this;
+    if (inForce === undefined || state === undefined) return undefined;
+    const same = hashMap(inForce) === state.mapHash;
+    return same ? { version: state.version, map: inForce } : undefined;
+  }
+
   get fetchedBytes(): number {
     return this.fetch.totalBytes;
   }
@@ -130,6 +147,7 @@
     const call = this.outstanding;
     this.outstanding = undefined;
     this.readAt = now;
+    this.inForce = answer.map ?? this.inForce;
     this.observe(answer.state, now);
     if (call?.kind === "arm") this.votes.armAnswered(call.proposal);
     if (call?.kind === "seal") this.tellSealed(answer);
@@ -142,7 +160,7 @@
   /** Whether the order took effect isn't known; the next answer tells. */
   engineFailed(now: number): readonly MapEffect[] {
     this.outstanding = undefined;
-    this.readAt = now;
+    this.callAt = now + RETRY_MS;
     return this.proceed(now);
   }
 
@@ -166,16 +184,7 @@
 
   /** Checks reports of the own engine's ranks against the committed maps. */
   checkSteps(reports: readonly StepReport[]): void {
-    const again = this.unknownReports;
-    this.unknownReports = [];
-    for (const report of [...again, ...reports]) {
-      const verdict = this.steps.check(report);
-      if (verdict.kind === "violation") {
-        this.violated("one-map-in-every-step", verdict.detail);
-      }
-      if (verdict.kind === "unknown") this.unknownReports.push(report);
-    }
-    this.unknownReports = this.unknownReports.slice(-LARGEST_UNKNOWN);
+    this.tellViolations(this.steps.check(reports));
   }
 
   private take(
@@ -226,7 +235,7 @@
     const previous = this.state;
     this.state = state;
     this.votes.observe(state, now);
-    this.expectSteps(state);
+    this.tellViolations(this.steps.observe(state));
     const changed =
       state.group !== null &&
       (previous?.version !== state.version ||
@@ -239,22 +248,6 @@
     if (state.heldMs > 0 && (previous?.heldMs ?? 0) === 0) {
       this.settings.emit(164, { step: state.step, heldMs: state.heldMs });
     }
-    this.checkSteps([]);
-  }
-
-  private expectSteps(state: EngineMapState): void {
-    if (state.group === null) return;
-    const { group, version, mapHash, since, armed } = state;
-    const periods = [{ group, version, mapHash, since }];
-    if (armed?.committed === true) {
-      const { step, ...proposal } = armed.proposal;
-      periods.push({ ...proposal, since: step });
-    }
-    for (const period of periods) {
-      const contradiction = this.steps.expect(period);
-      if (contradiction === undefined) continue;
-      this.violated("one-map-in-every-step", contradiction);
-    }
   }
 
   private askSeal(from: string, formation: Ballot): void {
@@ -319,6 +312,7 @@
   }
 
   private nextCall(now: number): EngineCall | undefined {
+    if (now < this.callAt) return undefined;
     const { state, sealAsked, votes, staging } = this;
     if (state === undefined) return this.readCall(now);
     if (sealAsked !== undefined) {
@@ -355,9 +349,18 @@
   }
 
   private readCall(now: number): EngineCall | undefined {
-    const due =
-      this.state === undefined || now >= this.readAt + READ_INTERVAL_MS;
-    return due ? { kind: "read" } : undefined;
+    const { state, settings } = this;
+    const busy =
+      state?.armed !== null || !sameBallot(state.group, state.sealed);
+    const interval = busy ? READ_INTERVAL_MS : settings.idleReadMs;
+    if (now < this.readAt + interval) return undefined;
+    const formed = (state?.group ?? null) !== null;
+    const withMap = formed && state?.mapHash !== this.inForceHash();
+    return { kind: "read", withMap };
+  }
+
+  private inForceHash(): string {
+    return this.inForce === undefined ? "" : hashMap(this.inForce);
   }
 
   private send(now: number): (to: string, message: MapMessage) => void {
@@ -370,7 +373,9 @@
     };
   }
 
-  private violated(rule: string, detail: string): void {
-    this.settings.emit(104, { rule, detail });
+  private tellViolations(details: readonly string[]): void {
+    for (const detail of details) {
+      this.settings.emit(104, { rule: "one-map-in-every-step", detail });
+    }
   }
 }
--- a/src/expertmap/step-check.ts
+++ b/src/expertmap/step-check.ts
@@ -8,27 +8,26 @@
   ballotKey,
   sameBallot,
   type Ballot,
+  type EngineMapState,
   type StepReport,
 } from "../internal.js";
 
 interface Period {
   readonly group: Ballot;
+  /** First step on the map. */
   readonly since: number;
   readonly version: number;
   readonly mapHash: string;
 }
 
-export type StepVerdict =
-  | { readonly kind: "expected" }
-  /** From before this agent knew the engine, or ahead of what it knows. */
-  | { readonly kind: "unknown" }
-  | { readonly kind: "violation"; readonly detail: string };
-
 /** Reports come at most seconds late, far fewer periods than this. */
 const LARGEST_MEMORY = 32;
+/** Reports kept for a second look when they run ahead of what is known. */
+const LARGEST_WAITING = 256;
 
 export class StepCheck {
   private periods: Period[] = [];
+  private waiting: readonly StepReport[] = [];
 
   private constructor() {
     // Made by create().
@@ -38,8 +37,33 @@
     return new StepCheck();
   }
 
-  /** A map is in force from a step on; returns what contradicts it. */
-  expect(period: Period): string | undefined {
+  /** Takes in what the engine runs on and will; returns contradictions. */
+  observe({
+    group,
+    version,
+    mapHash,
+    since,
+    armed,
+  }: EngineMapState): readonly string[] {
+    if (group === null) return [];
+    const found = [this.expect({ group, version, mapHash, since })];
+    if (armed?.committed === true) {
+      const { step, ...proposal } = armed.proposal;
+      found.push(this.expect({ ...proposal, since: step }));
+    }
+    return [...found.flatMap((detail) => detail ?? []), ...this.check([])];
+  }
+
+  /** Returns what reports contradict, those that had to wait among them. */
+  check(reports: readonly StepReport[]): readonly string[] {
+    const all = [...this.waiting, ...reports];
+    this.waiting = all
+      .filter((report) => this.runsAhead(report))
+      .slice(-LARGEST_WAITING);
+    return all.flatMap((report) => this.contradiction(report) ?? []);
+  }
+
+  private expect(period: Period): string | undefined {
     const earlier = this.periods.find(
       ({ group, version }) =>
         sameBallot(group, period.group) && version === period.version,
@@ -53,21 +77,29 @@
     return `version ${period.version} since ${period.since} with ${period.mapHash}, expected since ${since} with ${mapHash}`;
   }
 
-  check(report: StepReport): StepVerdict {
-    const known = this.periods.filter(({ group }) =>
-      sameBallot(group, report.group),
-    );
-    const latest = Math.max(0, ...known.map(({ version }) => version));
-    if (report.version > latest) return { kind: "unknown" };
-    const started = known.filter(({ since }) => since <= report.step);
-    const expected = started.sort((a, b) => b.since - a.since).at(0);
-    if (expected === undefined) return { kind: "unknown" };
+  /** On a version that this agent hasn't read of yet. */
+  private runsAhead(report: StepReport): boolean {
+    const versions = this.periodsOf(report.group).map((item) => item.version);
+    return report.version > Math.max(0, ...versions);
+  }
+
+  private contradiction(report: StepReport): string | undefined {
+    if (this.runsAhead(report)) return undefined;
+    const expected = this.periodsOf(report.group)
+      .filter(({ since }) => since <= report.step)
+      .sort((a, b) => b.since - a.since)
+      .at(0);
+    // From before this agent knew the engine: nothing to hold against it.
+    if (expected === undefined) return undefined;
     const { version, mapHash } = expected;
     if (version === report.version && mapHash === report.mapHash) {
-      return { kind: "expected" };
+      return undefined;
     }
     const where = `rank ${report.rank} step ${report.step} of ${ballotKey(report.group)}`;
-    const detail = `${where} ran version ${report.version} (${report.mapHash}), expected ${version} (${mapHash})`;
-    return { kind: "violation", detail };
+    return `${where} ran version ${report.version} (${report.mapHash}), expected ${version} (${mapHash})`;
+  }
+
+  private periodsOf(group: Ballot): readonly Period[] {
+    return this.periods.filter((period) => sameBallot(period.group, group));
   }
 }
--- a/src/expertmap/types.ts
+++ b/src/expertmap/types.ts
@@ -73,6 +73,8 @@
   readonly stepMs: number;
   /** Since when the engine has held at an undecided step, ms; 0 when not. */
   readonly heldMs: number;
+  /** All holds since the engine's start, the present one with it, ms. */
+  readonly heldTotalMs: number;
   /** Map that weights are being staged for. */
   readonly stagingHash: string;
   /** Every weight asked for has arrived whole. */
@@ -174,7 +176,7 @@
 
 /** Orders of the agent to its own engine; each is idempotent. */
 export type EngineCall =
-  | { readonly kind: "read" }
+  | { readonly kind: "read"; readonly withMap: boolean }
   | {
       readonly kind: "stage";
       readonly mapHash: string;
@@ -200,7 +202,7 @@
 /** The state after an order; large parts come only with the order they serve. */
 export interface EngineAnswer {
   readonly state: EngineMapState;
-  /** With a `seal`: map in force. */
+  /** With a `seal`, and a `read` that asks for it: map in force. */
   readonly map: ExpertMap | null;
   /** With a `seal`: map of the armed proposal. */
   readonly armedMap: ExpertMap | null;
--- a/standins/engine-group.ts
+++ b/standins/engine-group.ts
@@ -149,11 +149,7 @@
       return false;
     }
     if (!this.othersCameUp(register, now)) return false;
-    if (this.settings.holds && register.mustHold()) {
-      register.heldSince ??= now;
-      return false;
-    }
-    return true;
+    return !(register.mustHold(now) && this.settings.holds);
   }
 
   private othersCameUp(register: MapRegister, now: number): boolean {
@@ -169,7 +165,6 @@
 
   private begin(engine: Engine, now: number): void {
     const { register, member } = engine;
-    register.heldSince = undefined;
     register.reachStep();
     const { group, inForce, step } = register;
     if (group === null || inForce === undefined) return;
--- a/standins/map-register.ts
+++ b/standins/map-register.ts
@@ -54,7 +54,8 @@
   step = 0;
   inForce: InForce | undefined;
   armed: ArmedProposal | null = null;
-  heldSince: number | undefined;
+  private heldSince: number | undefined;
+  private heldBeforeMs = 0;
   stepMs = 0;
   private armedMap: ExpertMap | null = null;
   private sealed: Ballot = lowestBallot;
@@ -69,7 +70,8 @@
 
   call(call: EngineCall, now: number): RegisterAnswer {
     const accepted = this.apply(call);
-    const withMaps = call.kind === "seal";
+    const withMaps =
+      call.kind === "seal" || (call.kind === "read" && call.withMap);
     const answer: EngineAnswer = {
       state: this.state(now),
       map: withMaps ? (this.inForce?.map ?? null) : null,
@@ -81,6 +83,7 @@
 
   state(now: number): EngineMapState {
     const { inForce, settings, heldSince, staging } = this;
+    const heldMs = heldSince === undefined ? 0 : Math.max(1, now - heldSince);
     return {
       engine: settings.engine,
       group: this.group,
@@ -94,7 +97,8 @@
       floor: this.floor,
       step: this.step,
       stepMs: this.stepMs,
-      heldMs: heldSince === undefined ? 0 : Math.max(1, now - heldSince),
+      heldMs,
+      heldTotalMs: this.heldBeforeMs + heldMs,
       stagingHash: staging?.hash ?? "",
       stagingComplete: this.isComplete(staging),
     };
@@ -115,10 +119,18 @@
   }
 
   /** At the step of a proposal, and not able to begin it. */
-  mustHold(): boolean {
+  mustHold(now: number): boolean {
     const { armed, step, staging } = this;
-    if (armed === null || step < armed.proposal.step) return false;
-    return !armed.committed || staging?.hash !== armed.proposal.mapHash;
+    const holds =
+      armed !== null &&
+      step >= armed.proposal.step &&
+      (!armed.committed || staging?.hash !== armed.proposal.mapHash);
+    if (holds) this.heldSince ??= now;
+    else if (this.heldSince !== undefined) {
+      this.heldBeforeMs += now - this.heldSince;
+      this.heldSince = undefined;
+    }
+    return holds;
   }
 
   /** Switches at the step of a committed proposal. */
@@ -237,7 +249,6 @@
     this.step = 0;
     this.armed = null;
     this.armedMap = null;
-    this.heldSince = undefined;
     this.floor = lowestBallot;
     this.staging = undefined;
     return true;
@@ -246,7 +257,6 @@
   private clearArmed(id: Ballot): void {
     this.armed = null;
     this.armedMap = null;
-    this.heldSince = undefined;
     this.floor = higherBallot(this.floor, id);
   }
 
--- a/tests/expertmap/votes.test.ts
+++ b/tests/expertmap/votes.test.ts
@@ -44,6 +44,7 @@
   step: 10,
   stepMs: 5,
   heldMs: 0,
+  heldTotalMs: 0,
   stagingHash: "",
   stagingComplete: false,
 };
