--- a/measure/measurements.ts
+++ b/measure/measurements.ts
@@ -6,6 +6,9 @@
 export const measurements: Readonly<
   Partial<Record<string, () => Promise<Measure>>>
 > = {
+  decisions: async () => (await import("./decisions.js")).measureDecisions,
+  placement: async () => (await import("./placement.js")).measurePlacement,
   path: async () => (await import("./path.js")).measurePath,
   skew: async () => (await import("./skew.js")).measureSkew,
+  slopes: async () => (await import("./slopes.js")).measureSlopes,
 };
