--- a/src/daemon/expert-map/expert-maps.ts
+++ b/src/daemon/expert-map/expert-maps.ts
@@ -94,6 +94,20 @@
     };
   }
 
+  get mapInForce(): VersionedMap | undefined {
+    return this.task?.mapInForce;
+  }
+
+  /** First member of the group with its host:port, as far as known here. */
+  get leader():
+    { readonly name: string; readonly address: string } | undefined {
+    const name = this.task?.engineState?.members.at(0)?.member;
+    if (name === undefined) return undefined;
+    const address = this.peers.addressOf(name) ?? "";
+    const isKnown = address !== "" || name === this.options.settings.name;
+    return isKnown ? { name, address } : undefined;
+  }
+
   /** Runs until the signal aborts or the published shape changes. */
   async run(signal: AbortSignal): Promise<void> {
     const shape = await this.awaitShape(signal);
--- a/src/daemon/expert-map/peers.ts
+++ b/src/daemon/expert-map/peers.ts
@@ -52,6 +52,11 @@
     }
   }
 
+  /** host:port of a member; undefined when it isn't listed. */
+  addressOf(name: string): string | undefined {
+    return this.peers.get(name)?.address;
+  }
+
   /** A message that can't be delivered is lost, and nobody is told. */
   send(to: string, message: MapMessage): void {
     const peer = this.peers.get(to);
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -72,6 +72,8 @@
 export * from "./balance/repack.js";
 export * from "./balance/request-shares.js";
 export * from "./balance/step-model.js";
+export * from "./balance/window-assembly.js";
+export * from "./balance/window-collector.js";
 
 // expertmap
 export * from "./expertmap/ballot.js";
