Let the demo's engines step together on an expert map

Cause: the demo showed neither of the two measures. Change: the model pool's engines are one lock-step group with a weight store; demand turns to other experts during the run; skew, switches and moved bytes are printed, and mixed steps are counted from the engines' record.

--- a/demo/configurations.ts
+++ b/demo/configurations.ts
@@ -10,7 +10,10 @@
 export type SiteName = "dyfrwr" | "ben-ammar";
 
 const ACCOUNTS = 10;
-const EXPERTS = 32;
+/** Shape of the model that both sites run. */
+export const EXPERTS = 32;
+export const LAYERS = 4;
+export const BYTES_PER_EXPERT = 8192;
 
 /** Credential of one of the site's client accounts. */
 export function credentialOf(site: SiteName, index: number): string {
@@ -41,11 +44,11 @@
         name: MODEL_GROUP,
         model: MODEL,
         ranks,
-        layers: 4,
+        layers: LAYERS,
         experts: EXPERTS,
         // One spare slot a rank for replicas.
         slotsPerRank: Math.ceil(EXPERTS / ranks) + 1,
-        bytesPerExpert: 8192,
+        bytesPerExpert: BYTES_PER_EXPERT,
       },
       { kind: "service", name: SERVICE_GROUP, service: SERVICE },
     ],
--- a/demo/faults.ts
+++ b/demo/faults.ts
@@ -60,3 +60,23 @@
     },
   };
 }
+
+/** Demand turns to other experts, as when a wave of mandates comes in. */
+export function startWave(): Fault {
+  return {
+    name: "other experts become popular",
+    cause: (site) => {
+      const { group } = site;
+      const versionsBefore = group?.versions().length ?? 0;
+      group?.startWave();
+      return Promise.resolve(() => {
+        const versions = group?.versions().length ?? 0;
+        return Promise.resolve({
+          name: "experts move after the demand for them has turned",
+          held: versions > versionsBefore,
+          detail: `${versionsBefore} versions before, ${versions} now`,
+        });
+      });
+    },
+  };
+}
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -11,12 +11,15 @@
 import { renderTable } from "../src/cli/table.js";
 import { createRandom } from "../src/internal.js";
 import {
+  BYTES_PER_EXPERT,
+  EXPERTS,
+  LAYERS,
   MODEL_GROUP,
   SERVICE_GROUP,
   siteConfiguration,
   type SiteName,
 } from "./configurations.js";
-import { drainRunner, silenceRunner, type Fault } from "./faults.js";
+import { drainRunner, silenceRunner, startWave, type Fault } from "./faults.js";
 import { startLoad } from "./load.js";
 import {
   judgeCalls,
@@ -25,6 +28,7 @@
   startsByMarker,
   type Promised,
 } from "./promises.js";
+import type { SkewSample } from "./site-group.js";
 import { startSite, type Site } from "./site.js";
 import { runTool, runToolJson } from "./tool-process.js";
 
@@ -67,6 +71,32 @@
   };
 }
 
+/** Skew and cost of rebalancing, as far as the site has a lock-step group. */
+function judgeMaps(site: Site, before: SkewSample | undefined): Promised[] {
+  const { group } = site;
+  if (group === undefined) return [];
+  const after = group.skew();
+  const switches = group.versions().length - 1;
+  const bytes = group.weightStore.servedBytes();
+  say(
+    `skew ${before?.skew.toFixed(3) ?? "?"} before, ${after.skew.toFixed(3)} after; ` +
+      `${switches} map switches, ${bytes} bytes of weights moved`,
+  );
+  const mixed = group.mixedSteps();
+  return [
+    {
+      name: "in every step all ranks use the same expert map",
+      held: mixed === 0 && group.steps.length > 0,
+      detail: `${mixed} mixed of ${group.steps.length} rank steps`,
+    },
+    {
+      name: "the map follows the demand for experts",
+      held: switches > 0,
+      detail: `${switches} switches`,
+    },
+  ];
+}
+
 async function judgeConservation(site: Site): Promise<Promised> {
   const status = (await runToolJson(site, "status")) as {
     readonly balanced: boolean;
@@ -108,14 +138,21 @@
     stepMs: STEP_MS,
     modelGroup: MODEL_GROUP,
     serviceGroup: SERVICE_GROUP,
+    group: {
+      layers: LAYERS,
+      experts: EXPERTS,
+      bytesPerExpert: BYTES_PER_EXPERT,
+      seed,
+    },
   });
   const published = await publish(site, name);
   await site.settled();
   const addresses = site.entries.map((entry) => entry.daemon.process.callers);
   const caller = { site: name, addresses: () => addresses, random };
   say(`load: ${CALLS_PER_SECOND} calls a second`);
+  const skewBefore = site.group?.skew();
   const load = startLoad(caller, CALLS_PER_SECOND);
-  const faults = [silenceRunner(0), drainRunner(1)];
+  const faults = [silenceRunner(0), startWave(), drainRunner(1)];
   const afterFaults = await runFaults(site, faults);
   const results = await load.finish();
   say("");
@@ -125,6 +162,7 @@
     published,
     ...judgeCalls(results, startsByMarker(site)),
     ...afterFaults,
+    ...judgeMaps(site, skewBefore),
     await judgeConservation(site),
   ];
   say("");
--- /dev/null
+++ b/demo/site-group.ts
@@ -0,0 +1,166 @@
+/**
+ * The engines of a site's model pool as one lock-step group with a weight
+ * store. Whenever an engine begins a step, its running requests get a token,
+ * so a straggler slows every answer down as it does in earnest.
+ */
+import { createRandom, type Random, type StepReport } from "../src/internal.js";
+import type { EngineStandIn } from "../standins/engine.js";
+import {
+  EngineGroup,
+  quietSettings,
+  type StepRecord,
+} from "../standins/engine-group.js";
+import {
+  createEngineInterface,
+  driveGroup,
+} from "../standins/engine-interface.js";
+import type { StandInCall } from "../standins/http.js";
+import {
+  startWeightStore,
+  type WeightStoreStandIn,
+} from "../standins/weight-store.js";
+
+export interface SiteGroupOptions {
+  readonly layers: number;
+  readonly experts: number;
+  readonly bytesPerExpert: number;
+  readonly seed: number;
+}
+
+export interface SkewSample {
+  readonly fromStep: number;
+  readonly steps: number;
+  /** Mean over steps of longest rank time over mean rank time. */
+  readonly skew: number;
+}
+
+const STEP_MS = 4;
+/** About as much again as the fixed part of a step, for an even map. */
+const TOKEN_MS = 0.01;
+const TOKENS_PER_LAYER = 1200;
+const STORE_BYTES_PER_SECOND = 4_000_000;
+const LARGEST_REPORT_DELAY_MS = 60;
+const LOST_REPORT_SHARE = 0.05;
+const SKEW_SAMPLE_STEPS = 200;
+
+export class SiteGroup implements AsyncDisposable {
+  readonly steps: StepRecord[] = [];
+  private readonly group: EngineGroup;
+  private readonly engines = new Map<string, EngineStandIn>();
+  private readonly stopSteps: () => void;
+  /** Shifts which experts are popular. */
+  private wave = 0;
+
+  private constructor(
+    private readonly options: SiteGroupOptions,
+    readonly weightStore: WeightStoreStandIn,
+  ) {
+    const random = createRandom(options.seed);
+    this.group = EngineGroup.create({
+      ...quietSettings,
+      bytesPerExpert: options.bytesPerExpert,
+      stepMs: STEP_MS,
+      tokenMs: TOKEN_MS,
+      demand: () => this.demand(random),
+      reportDelayMs: () =>
+        random() < LOST_REPORT_SHARE
+          ? undefined
+          : random() * LARGEST_REPORT_DELAY_MS,
+      onStep: (record) => {
+        this.steps.push(record);
+        this.engines.get(record.member)?.step();
+      },
+    });
+    this.stopSteps = driveGroup(this.group);
+  }
+
+  static async create(options: SiteGroupOptions): Promise<SiteGroup> {
+    const store = await startWeightStore({
+      bytesPerExpert: options.bytesPerExpert,
+      bytesPerSecond: STORE_BYTES_PER_SECOND,
+    });
+    return new SiteGroup(options, store);
+  }
+
+  /** Other experts become popular from now on. */
+  startWave(): void {
+    this.wave += 1;
+  }
+
+  /** Adds an engine; answers its part of the engine's interface. */
+  join(member: string): (call: StandInCall) => Promise<boolean> {
+    this.group.start(member);
+    const group = this.group;
+    return createEngineInterface({ group, member, checksFencing: false })
+      .answer;
+  }
+
+  bind(member: string, engine: EngineStandIn): void {
+    this.engines.set(member, engine);
+  }
+
+  /** Steps of which two ranks ran on different maps. */
+  mixedSteps(): number {
+    const maps = new Map<string, string>();
+    return this.steps.filter(({ group, step, mapHash }) => {
+      const key = `${group.number}/${group.author}/${step}`;
+      const first = maps.get(key) ?? mapHash;
+      maps.set(key, first);
+      return first !== mapHash;
+    }).length;
+  }
+
+  /** Versions that the group ran on, in order. */
+  versions(): readonly number[] {
+    return [...new Set(this.steps.map(({ version }) => version))];
+  }
+
+  /** Skew over the last steps that every rank has reported. */
+  skew(): SkewSample {
+    const reports = [...this.engines.keys()].flatMap((member) => [
+      ...this.group.reports(member, 0, Date.now()),
+    ]);
+    const byStep = new Map<number, StepReport[]>();
+    for (const report of reports) {
+      byStep.set(report.step, [...(byStep.get(report.step) ?? []), report]);
+    }
+    const whole = [...byStep]
+      .filter(([, items]) => items.length === this.engines.size)
+      .sort(([a], [b]) => a - b)
+      .slice(-SKEW_SAMPLE_STEPS);
+    const skews = whole.map(([, items]) => skewOf(items));
+    const sum = skews.reduce((total, skew) => total + skew, 0);
+    const fromStep = whole.at(0)?.[0] ?? 0;
+    return {
+      fromStep,
+      steps: whole.length,
+      skew: sum / Math.max(1, skews.length),
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopSteps();
+    await this.weightStore[Symbol.asyncDispose]();
+  }
+
+  /** A few experts of each layer take most tokens; a little noise on all. */
+  private demand(random: Random): number[][] {
+    const { layers, experts } = this.options;
+    const ranks = Array.from({ length: experts }, (_, index) => index);
+    const weights = ranks.map((rank) => 1 / (1 + rank));
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    return Array.from({ length: layers }, (_, layer) =>
+      ranks.map((expert) => {
+        const shifted = (expert + 5 * layer + 11 * this.wave) % experts;
+        const noise = 0.95 + 0.1 * random();
+        return (TOKENS_PER_LAYER * weights[shifted] * noise) / total;
+      }),
+    );
+  }
+}
+
+function skewOf(reports: readonly StepReport[]): number {
+  const times = reports.map(({ durationMs }) => durationMs);
+  const mean = times.reduce((sum, time) => sum + time, 0) / times.length;
+  return Math.max(...times) / mean;
+}
--- a/demo/site-members.ts
+++ b/demo/site-members.ts
@@ -9,6 +9,7 @@
   startSilentRelay,
   type SilentRelay,
 } from "../standins/silent-relay.js";
+import type { SiteGroup } from "./site-group.js";
 import {
   startDaemonProcess,
   type DaemonProcess,
@@ -76,6 +77,8 @@
   readonly stepMs: number;
   /** An engine that runs elsewhere, in place of a stand-in. */
   readonly engineAddress: string | undefined;
+  /** Engines that step together on an expert map. */
+  readonly group: SiteGroup | undefined;
 }
 
 /** An engine that nobody calls need not step often. */
@@ -83,12 +86,16 @@
 
 export async function startRunner(
   settings: DaemonSettings,
-  { stepMs, engineAddress }: RunnerOptions,
+  { stepMs, engineAddress, group }: RunnerOptions,
 ): Promise<SiteRunner> {
   const isElsewhere = engineAddress !== undefined;
+  const extension = group?.join(settings.name);
   const engine = await startEngine({
     stepMs: isElsewhere ? IDLE_STEP_MS : stepMs,
+    ownSteps: group === undefined,
+    ...(extension === undefined ? {} : { extension }),
   });
+  group?.bind(settings.name, engine);
   const address = engineAddress ?? engine.address;
   const runner = { address, kind: "model" };
   const daemon = await SiteDaemon.create({ ...settings, runner });
--- a/demo/site.ts
+++ b/demo/site.ts
@@ -8,6 +8,7 @@
 import { startLog, type LogStandIn } from "../standins/log.js";
 import { startVmList, type VmListStandIn } from "../standins/vm-list.js";
 import type { DaemonSettings } from "./daemon-process.js";
+import { SiteGroup, type SiteGroupOptions } from "./site-group.js";
 import {
   startEntry,
   startRunner,
@@ -30,11 +31,15 @@
   /** Engines that run elsewhere, in place of one stand-in for each runner. */
   readonly engineAddresses?: readonly string[];
   readonly graceMs?: number;
+  /** The runners' engines as one lock-step group; each on its own if absent. */
+  readonly group?: SiteGroupOptions;
 }
 
 export interface Site extends AsyncDisposable {
   readonly log: LogStandIn;
   readonly vmList: VmListStandIn;
+  /** Undefined when every engine steps on its own. */
+  readonly group: SiteGroup | undefined;
   readonly entries: readonly SiteMember[];
   readonly runners: readonly SiteRunner[];
   readonly services: readonly SiteService[];
@@ -57,12 +62,21 @@
 export async function startSite(options: SiteOptions): Promise<Site> {
   const log = await startLog();
   const vmList = await startVmList();
-  const platform = { log: log.address, vmList: vmList.address };
+  const group =
+    options.group === undefined
+      ? undefined
+      : await SiteGroup.create(options.group);
+  const platform = {
+    log: log.address,
+    vmList: vmList.address,
+    ...(group === undefined ? {} : { weightStore: group.weightStore.address }),
+  };
   const settingsOf = createSettings(options, platform);
   const runners = await startMany(options.runners, (index) =>
     startRunner(settingsOf("runner", index), {
       stepMs: options.stepMs,
       engineAddress: options.engineAddresses?.at(index),
+      group,
     }),
   );
   const services = await startMany(options.services, (index) =>
@@ -80,6 +94,7 @@
   return {
     log,
     vmList,
+    group,
     entries,
     runners,
     services,
@@ -92,6 +107,7 @@
     async [Symbol.asyncDispose]() {
       const owned = [...members, vmList, log];
       await Promise.all(owned.map((item) => item[Symbol.asyncDispose]()));
+      await group?.[Symbol.asyncDispose]();
     },
   };
 }
@@ -100,7 +116,7 @@
 
 function createSettings(
   options: SiteOptions,
-  platform: { readonly log: string; readonly vmList: string },
+  platform: Readonly<Record<string, string>>,
 ): (kind: MemberKind, index: number) => DaemonSettings {
   const { dataCentres, modelGroup, serviceGroup } = options;
   return (kind, index) => {
