Run the daemons' sessions by the state machines

Cause: the first whole path took a lost connection for the end of its attempts, proved nothing by a close, and never noticed a connection that took writes and delivered nothing.

Change: entry and agent carry out the effects of the session machines: one task for each connection, one for each run of the engine. The conservation figures come from the machine's ledger. An engine that refuses before it started, or a connection that was never made, is told as not run; a restarted agent asks the engine for its predecessor's runs. Whole answers are cut into pieces of one size, so that a resumed one falls into the same pieces.

--- a/src/daemon/agent/agent-sessions.ts
+++ b/src/daemon/agent/agent-sessions.ts
@@ -1,11 +1,20 @@
-/** The agent's side of its sessions: one task for each connected entry. */
-import { crc32 } from "node:zlib";
+/**
+ * Carries out what the agent's gate decides: one task for each connected
+ * entry, one for each run of the engine.
+ */
 import type {
   sendUnaryData,
   ServerDuplexStream,
   ServerUnaryCall,
 } from "@grpc/grpc-js";
-import { toFailure, type ErrorNumber } from "../../internal.js";
+import {
+  AgentGate,
+  createDeferred,
+  unreachable,
+  type AgentEffect,
+  type AgentStatus,
+  type LoadReport,
+} from "../../internal.js";
 import {
   AgentService,
   type AgentBatch,
@@ -13,13 +22,17 @@
   type AgentServer,
   type CloseSessionReply,
   type CloseSessionRequest,
-  type Dispatch,
   type EntryBatch,
-  type EntryFrame,
 } from "../../wire/generated/session.js";
 import { FrameWriter } from "../frame-writer.js";
 import type { ProcessContext } from "../process-context.js";
+import {
+  readEntryFrame,
+  writeAgentFrame,
+  writeCloseReply,
+} from "../session-frames.js";
 import type { RunnerClient } from "./runner-client.js";
+import { RunTasks } from "./run-tasks.js";
 
 export { AgentService };
 
@@ -28,22 +41,49 @@
   readonly runner: RunnerClient;
   readonly group: string;
   readonly attemptLimit: number;
+  /** Whether the engine sends a run's answer again by its name. */
+  readonly engineResumes: boolean;
 }
 
 type EntryStream = ServerDuplexStream<EntryBatch, AgentBatch>;
-type FrameBody = NonNullable<AgentFrame["body"]>;
 
-interface RunningAttempt {
-  readonly abort: AbortController;
-  readonly repeatable: boolean;
+interface Connection {
+  readonly stream: EntryStream;
+  readonly writer: FrameWriter<AgentFrame>;
 }
 
-export class AgentSessions {
-  private readonly writers = new Set<FrameWriter<AgentFrame>>();
-  private readonly running = new Map<string, RunningAttempt>();
-  private leaving = false;
+const TICK_MS = 100;
+const FULL_RETRY_AFTER_MS = 200;
+
+export class AgentSessions implements AsyncDisposable {
+  private readonly connections = new Map<number, Connection>();
+  private readonly gate: AgentGate;
+  private readonly runs: RunTasks;
+  private readonly drained = createDeferred<number>();
+  private readonly timer: NodeJS.Timeout;
+  private lastConnection = 0;
 
-  private constructor(private readonly options: AgentSessionsOptions) {}
+  private constructor(private readonly options: AgentSessionsOptions) {
+    const { context, group, attemptLimit, engineResumes } = options;
+    this.gate = AgentGate.create({
+      runner: context.name,
+      group,
+      incarnation: context.incarnation,
+      engineResumes,
+      mayStart: () =>
+        this.gate.running < attemptLimit
+          ? undefined
+          : { error: 1404, retryAfterMs: FULL_RETRY_AFTER_MS },
+      perform: (effect) => {
+        this.perform(effect);
+      },
+      emit: context.emit,
+    });
+    this.runs = RunTasks.create(options.runner, this.gate);
+    this.timer = setInterval(() => {
+      this.gate.tick(performance.now());
+    }, TICK_MS);
+  }
 
   static create(options: AgentSessionsOptions): AgentSessions {
     return new AgentSessions(options);
@@ -57,129 +97,101 @@
       call: ServerUnaryCall<CloseSessionRequest, CloseSessionReply>,
       reply: sendUnaryData<CloseSessionReply>,
     ) => {
-      const { context } = this.options;
-      reply(null, {
-        clock: context.clock.observe(call.request.clock),
-        closed: false,
-        agentIncarnation: context.incarnation,
-        started: [],
-      });
+      const clock = this.options.context.clock.observe(call.request.clock);
+      reply(null, { ...this.close(call.request), clock });
     },
   };
 
   get runningCount(): number {
-    return this.running.size;
+    return this.gate.running;
   }
 
-  leave(graceMs: number): void {
-    this.leaving = true;
-    this.broadcast({ $case: "leaving", value: { graceMs } });
+  /** Resolves with the runs that outlasted the grace. */
+  async leave(graceMs: number): Promise<number> {
+    this.gate.leave(graceMs, performance.now());
+    return this.drained.promise;
   }
 
-  broadcast(body: FrameBody): void {
-    for (const writer of this.writers) writer.push({ body });
+  report(load: LoadReport): void {
+    this.gate.report(load, performance.now());
+  }
+
+  status(): AgentStatus {
+    return this.gate.status();
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.timer);
+    for (const connection of this.connections.keys()) {
+      this.disconnect(connection);
+    }
+    this.runs.abandon();
+    return Promise.resolve();
+  }
+
+  private close({ session }: CloseSessionRequest): CloseSessionReply {
+    const agentIncarnation = this.options.context.incarnation;
+    const nothing = { closed: false, agentIncarnation, started: [] };
+    if (session === undefined) return writeCloseReply(nothing);
+    return writeCloseReply(this.gate.close(session, performance.now()));
   }
 
   private async serve(stream: EntryStream): Promise<void> {
     const { clock } = this.options.context;
+    this.lastConnection += 1;
+    const connection = this.lastConnection;
     const writer = FrameWriter.create<AgentFrame>((frames) => {
       stream.write({ clock: clock.read(), frames });
     });
-    this.writers.add(writer);
+    this.connections.set(connection, { stream, writer });
     try {
       for await (const batch of stream as AsyncIterable<EntryBatch>) {
         clock.observe(batch.clock);
-        for (const frame of batch.frames) this.onFrame(frame, writer);
+        for (const message of batch.frames) {
+          const frame = readEntryFrame(message);
+          if (frame === undefined) continue;
+          this.gate.receive(connection, frame, performance.now());
+        }
       }
     } catch {
-      // The entry is gone; its attempts end by themselves.
+      // The connection failed; the gate keeps what the entry may resume.
     } finally {
-      writer.flush();
-      writer.close();
-      this.writers.delete(writer);
-      stream.end();
-    }
-  }
-
-  private onFrame({ body }: EntryFrame, writer: FrameWriter<AgentFrame>): void {
-    switch (body?.$case) {
-      case "open":
-        this.onOpen(body.value, writer);
-        break;
-      case "dispatch":
-        void this.runAttempt(body.value, writer);
-        break;
-      case "cancel":
-        this.running.get(body.value.attempt)?.abort.abort();
-        break;
-      case "heartbeat":
-        writer.push({ body });
-        break;
-      case undefined:
-        break;
+      this.gate.connectionLost(connection, performance.now());
+      this.disconnect(connection);
     }
   }
 
-  private onOpen(
-    open: { entry: string; entryIncarnation: string; number: number },
-    writer: FrameWriter<AgentFrame>,
-  ): void {
-    const { context, group } = this.options;
-    const { entry, entryIncarnation, number } = open;
-    const agentIncarnation = context.incarnation;
-    const session = { entry, entryIncarnation, agentIncarnation, number };
-    const value = { session, runner: context.name, group };
-    writer.push({ body: { $case: "opened", value } });
+  private disconnect(connection: number): void {
+    const found = this.connections.get(connection);
+    if (found === undefined) return;
+    this.connections.delete(connection);
+    found.writer.flush();
+    found.writer.close();
+    found.stream.end();
   }
 
-  private async runAttempt(
-    dispatch: Dispatch,
-    writer: FrameWriter<AgentFrame>,
-  ): Promise<void> {
-    const { attempt, request } = dispatch;
-    const { context, runner, attemptLimit } = this.options;
-    const send = (body: FrameBody): void => {
-      writer.push({ body });
-    };
-    const refuse = (error: ErrorNumber): void => {
-      const value = { attempt, error, retryAfterMs: 0 };
-      send({ $case: "refused", value });
-    };
-    if (this.leaving) {
-      refuse(1402);
-      return;
-    }
-    if (this.running.size >= attemptLimit) {
-      refuse(1404);
-      return;
-    }
-    const abort = new AbortController();
-    this.running.set(attempt, { abort, repeatable: dispatch.repeatable });
-    send({ $case: "started", value: { attempt } });
-    context.emit(123, { request, attempt });
-    let count = 0;
-    let checksum = 0;
-    try {
-      const sink = {
-        head: (
-          status: number,
-          headers: readonly { name: string; value: string }[],
-        ) => {
-          send({ $case: "head", value: { attempt, status, headers } });
-        },
-        piece: (data: Buffer) => {
-          send({ $case: "piece", value: { attempt, index: count, data } });
-          count += 1;
-          checksum = crc32(data, checksum);
-        },
-      };
-      await runner.run(dispatch, sink, abort.signal);
-      send({ $case: "end", value: { attempt, count, checksum } });
-    } catch (error) {
-      const { number } = toFailure(error, 1216);
-      send({ $case: "broken", value: { attempt, error: number } });
-    } finally {
-      this.running.delete(attempt);
+  private perform(effect: AgentEffect): void {
+    switch (effect.kind) {
+      case "send":
+        this.connections
+          .get(effect.connection)
+          ?.writer.push(writeAgentFrame(effect.frame));
+        return;
+      case "disconnect":
+        this.disconnect(effect.connection);
+        return;
+      case "start-run":
+      case "resume-run":
+        this.runs.run(effect);
+        return;
+      case "cancel-run":
+        this.runs.cancel(effect.run);
+        return;
+      case "drained":
+        this.drained.resolve(effect.cutRuns);
+        return;
+      default:
+        unreachable(effect);
     }
   }
 }
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -15,7 +15,7 @@
 import { AgentService, AgentSessions } from "./agent-sessions.js";
 import { RunnerClient } from "./runner-client.js";
 
-const DRAIN_CHECK_MS = 50;
+const LAST_FRAMES_MS = 50;
 
 export async function startAgent(
   settings: AgentSettings,
@@ -40,12 +40,13 @@
     private readonly onLeave: () => void,
   ) {
     const { group, limits, runner, platform } = settings;
-    this.runner = RunnerClient.create(runner.address);
+    this.runner = RunnerClient.create(runner.address, runner.kind);
     this.sessions = AgentSessions.create({
       context,
       runner: this.runner,
       group,
       attemptLimit: limits.attempts,
+      engineResumes: runner.kind === "model",
     });
     const log = LogClient.create(platform.log);
     this.configuration = ConfigurationFollower.create({
@@ -75,18 +76,16 @@
     this.leaving = true;
     const { graceMs } = this.settings;
     this.context.emit(102, { graceMs });
-    this.sessions.leave(graceMs);
-    const deadline = Date.now() + graceMs;
-    while (this.sessions.runningCount > 0 && Date.now() < deadline) {
-      await pause(DRAIN_CHECK_MS, this.stop.signal);
-    }
+    const cutRequests = await this.sessions.leave(graceMs);
+    await this.sessions[Symbol.asyncDispose]();
     // The last frames of the last answers are still on their way out.
-    await pause(DRAIN_CHECK_MS, this.stop.signal);
-    this.context.emit(103, { cutRequests: this.sessions.runningCount });
+    await pause(LAST_FRAMES_MS, this.stop.signal);
+    this.context.emit(103, { cutRequests });
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
+    await this.sessions[Symbol.asyncDispose]();
     this.server.forceShutdown();
     await this.operators[Symbol.asyncDispose]();
     await this.runner[Symbol.asyncDispose]();
@@ -145,6 +144,7 @@
       configuration: configuration.summary,
       group: settings.group,
       running: sessions.runningCount,
+      sessions: sessions.status(),
     };
   }
 }
--- a/src/daemon/agent/runner-client.ts
+++ b/src/daemon/agent/runner-client.ts
@@ -5,17 +5,28 @@
  */
 import { createParser } from "eventsource-parser";
 import { Agent as HttpPool, type Dispatcher } from "undici";
-import { raise, toFailure } from "../../internal.js";
-import type { Dispatch, Header } from "../../wire/generated/session.js";
+import { raise, toFailure, type Call, type Header } from "../../internal.js";
 
 export interface AnswerSink {
   readonly head: (status: number, headers: readonly Header[]) => void;
   readonly piece: (data: Buffer) => void;
 }
 
+/** One run as the engine gets it. */
+export interface RunnerWork {
+  /** The engine's name for it. */
+  readonly run: string;
+  readonly call: Call;
+  readonly deadlineMs: number;
+}
+
 const CONNECTIONS = 1024;
 const LONGEST_SILENCE_MS = 120_000;
 const END_OF_STREAM = "[DONE]";
+const PART_BYTES = 65_536;
+const HTTP_NOT_FOUND = 404;
+const HTTP_TOO_MANY_REQUESTS = 429;
+const HTTP_UNAVAILABLE = 503;
 
 const passedHeaders: ReadonlySet<string> = new Set([
   "content-type",
@@ -29,34 +40,53 @@
   private constructor(
     private readonly origin: string,
     private readonly pool: HttpPool,
+    private readonly isModel: boolean,
   ) {}
 
-  static create(address: string): RunnerClient {
+  static create(
+    address: string,
+    kind: "model" | "service" = "model",
+  ): RunnerClient {
     const pool = new HttpPool({
       connections: CONNECTIONS,
       pipelining: 1,
       bodyTimeout: LONGEST_SILENCE_MS,
       headersTimeout: LONGEST_SILENCE_MS,
     });
-    return new RunnerClient(address.replace(/\/$/, ""), pool);
+    const origin = address.replace(/\/$/, "");
+    return new RunnerClient(origin, pool, kind === "model");
   }
 
-  /** Resolves when the answer is whole; throws 1216 when it breaks off. */
-  async run(
-    dispatch: Dispatch,
+  /**
+   * Resolves when the answer is whole. Throws 1214 when the work was never
+   * started, 1216 when it may have been and the answer broke off.
+   */
+  async start(
+    work: RunnerWork,
     sink: AnswerSink,
     signal: AbortSignal,
   ): Promise<void> {
-    try {
-      const response = await this.pool.request({
-        origin: this.origin,
-        signal,
-        ...requestOf(dispatch),
-      });
-      await readAnswer(response, sink);
-    } catch (error) {
-      throw toFailure(error, 1216);
+    const response = await this.request(requestOf(work), signal);
+    if (this.isModel && isRefusal(response)) {
+      await response.body.dump();
+      raise(1214, { status: response.statusCode });
     }
+    await readWhole(response, sink);
+  }
+
+  /** As above; throws 1405 when the engine knows no run of this name. */
+  async resume(
+    run: string,
+    sink: AnswerSink,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const path = `/requests/${run}?from=0`;
+    const response = await this.request({ method: "GET", path }, signal);
+    if (response.statusCode === HTTP_NOT_FOUND) {
+      await response.body.dump();
+      raise(1405, { run });
+    }
+    await readWhole(response, sink);
   }
 
   async cancel(attempt: string): Promise<void> {
@@ -77,24 +107,57 @@
   async [Symbol.asyncDispose](): Promise<void> {
     await this.pool.destroy();
   }
+
+  private async request(
+    request: Omit<Dispatcher.RequestOptions, "origin">,
+    signal: AbortSignal,
+  ): Promise<Dispatcher.ResponseData> {
+    const { origin } = this;
+    try {
+      return await this.pool.request({ origin, signal, ...request });
+    } catch (error) {
+      throw toFailure(error, neverConnected(error) ? 1214 : 1216);
+    }
+  }
 }
 
-function requestOf(
-  dispatch: Dispatch,
-): Omit<Dispatcher.RequestOptions, "origin"> {
-  const { resumeOf, fromIndex, attempt, priority, deadlineMs } = dispatch;
-  if (resumeOf !== "") {
-    return { method: "GET", path: `/requests/${resumeOf}?from=${fromIndex}` };
+/** Without a connection no byte of the work has left this process. */
+function neverConnected(error: unknown): boolean {
+  if (!(error instanceof Error) || !("code" in error)) return false;
+  const { code } = error;
+  return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT";
+}
+
+/** An engine that answers so has not taken the run. */
+function isRefusal({ statusCode }: Dispatcher.ResponseData): boolean {
+  return (
+    statusCode === HTTP_UNAVAILABLE || statusCode === HTTP_TOO_MANY_REQUESTS
+  );
+}
+
+async function readWhole(
+  response: Dispatcher.ResponseData,
+  sink: AnswerSink,
+): Promise<void> {
+  try {
+    await readAnswer(response, sink);
+  } catch (error) {
+    throw toFailure(error, 1216);
   }
+}
+
+function requestOf({
+  run,
+  call,
+  deadlineMs,
+}: RunnerWork): Omit<Dispatcher.RequestOptions, "origin"> {
   const headers: Record<string, string> = {};
-  for (const { name, value } of dispatch.headers) headers[name] = value;
-  headers["x-request-id"] = attempt;
-  headers["x-priority"] = String(priority);
+  for (const { name, value } of call.headers) headers[name] = value;
+  headers["x-request-id"] = run;
+  headers["x-priority"] = String(call.priority);
   headers["x-deadline-ms"] = String(deadlineMs);
-  const method = dispatch.method;
-  const hasBody = dispatch.body.length > 0;
-  const body = hasBody ? dispatch.body : null;
-  return { method, path: dispatch.path, headers, body };
+  const body = call.body.length > 0 ? call.body : null;
+  return { method: call.method, path: call.path, headers, body };
 }
 
 async function readAnswer(
@@ -111,11 +174,27 @@
   else await readParts(response, sink);
 }
 
+/**
+ * Parts of one size: a resumed answer must fall into the same pieces, however
+ * the network cut it.
+ */
 async function readParts(
   { body }: Dispatcher.ResponseData,
   sink: AnswerSink,
 ): Promise<void> {
-  for await (const part of body) sink.piece(part as Buffer);
+  let rest: Buffer = Buffer.alloc(0);
+  for await (const part of body) {
+    rest = rest.length === 0 ? (part as Buffer) : joined(rest, part as Buffer);
+    while (rest.length >= PART_BYTES) {
+      sink.piece(rest.subarray(0, PART_BYTES));
+      rest = rest.subarray(PART_BYTES);
+    }
+  }
+  if (rest.length > 0) sink.piece(rest);
+}
+
+function joined(a: Buffer, b: Buffer): Buffer {
+  return Buffer.concat([a, b]);
 }
 
 /** A stream without its closing event was cut, whatever HTTP says of it. */
--- a/src/daemon/entry/answer-writer.ts
+++ b/src/daemon/entry/answer-writer.ts
@@ -72,6 +72,9 @@
       // Pieces of one turn of the event loop share one write.
       if (waiting.length === 1) setImmediate(flush);
     },
+    discard: () => {
+      head = undefined;
+    },
     end: () => {
       if (!response.headersSent) startStream(response, head);
       waiting.push(END_OF_STREAM);
@@ -112,6 +115,13 @@
       parts = [];
       if (!response.write(data)) guardAgainstStall(response, limits);
     },
+    discard: () => {
+      // A part too large to hold back is with the caller already: the answer
+      // is cut, which the request sees as a caller that is gone.
+      if (response.headersSent) response.destroy();
+      parts = [];
+      size = 0;
+    },
     end: () => {
       if (response.headersSent) response.end();
       else {
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -14,12 +14,8 @@
 import { LogClient } from "../../platform/log-client.js";
 import { BackendDirectory } from "./backend-directory.js";
 import { createCallerServer } from "./caller-server.js";
-import { Conservation } from "./conservation.js";
-import {
-  runRequest,
-  unexpectedResult,
-  type RequestResult,
-} from "./request-task.js";
+import { runRequest } from "./request-task.js";
+import { Sessions } from "./sessions.js";
 import type { AnswerWriter, Work } from "./work.js";
 import { pause } from "../background-task.js";
 
@@ -49,7 +45,7 @@
 
 class Entry implements Daemon {
   private readonly stop = new AbortController();
-  private readonly conservation: Conservation;
+  private readonly sessions: Sessions;
   private readonly configuration: ConfigurationFollower;
   private readonly directory: BackendDirectory;
   private readonly durations: Histogram<"outcome">;
@@ -64,10 +60,14 @@
     readonly context: ProcessContext,
     private readonly onLeave: () => void,
   ) {
-    const { emit, metrics } = context;
+    const { metrics } = context;
     const { platform, transport } = settings;
     const log = LogClient.create(platform.log);
-    this.conservation = Conservation.create(emit);
+    this.sessions = Sessions.create({
+      context,
+      transport,
+      mayRetry: () => true,
+    });
     this.configuration = ConfigurationFollower.create({
       context,
       log,
@@ -75,8 +75,7 @@
       transport: settings.transport,
     });
     this.directory = BackendDirectory.create({
-      context,
-      transport,
+      sessions: this.sessions,
       vmList: platform.vmList,
     });
     this.durations = new Histogram({
@@ -113,22 +112,29 @@
     const { graceMs } = this.settings;
     this.context.emit(102, { graceMs });
     this.callers.stopAccepting();
+    this.sessions.leave(graceMs);
     const deadline = Date.now() + graceMs;
-    while (this.inFlight > 0 && Date.now() < deadline) {
+    let cutRequests = 0;
+    while (!this.sessions.isDrained) {
+      if (Date.now() < deadline) cutRequests = this.inFlight;
       await pause(DRAIN_CHECK_MS, this.stop.signal);
     }
-    this.context.emit(103, { cutRequests: this.inFlight });
+    if (Date.now() < deadline) cutRequests = 0;
+    // The last bytes of the last answers are still on their way out.
+    await pause(DRAIN_CHECK_MS, this.stop.signal);
+    this.context.emit(103, { cutRequests });
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
+    await this.sessions[Symbol.asyncDispose]();
     this.server.forceShutdown();
     await this.callers[Symbol.asyncDispose]();
     await this.operators[Symbol.asyncDispose]();
   }
 
   private get inFlight(): number {
-    return this.conservation.counts().inFlight;
+    return this.sessions.status().conservation.inFlight;
   }
 
   private async start(): Promise<void> {
@@ -185,35 +191,22 @@
   private async serve(work: Work, writer: AnswerWriter): Promise<void> {
     const { id: request, account, profile, acceptedAtMs } = work;
     const { emit } = this.context;
-    this.conservation.accept(request);
     emit(121, { request, account, profile: profile.name });
-    const result = await this.runWork(work, writer);
-    this.conservation.finish(request, result.outcome);
-    const durationMs = Date.now() - acceptedAtMs;
-    const { outcome } = result;
-    this.durations.observe({ outcome }, durationMs / 1000);
-    emit(124, { request, ...result, durationMs });
-  }
-
-  private async runWork(
-    work: Work,
-    writer: AnswerWriter,
-  ): Promise<RequestResult> {
-    try {
-      return await runRequest({
-        work,
-        writer,
-        configuration: this.configuration.configuration,
-        directory: this.directory,
-        emit: this.context.emit,
-      });
-    } catch (error) {
-      return unexpectedResult(error);
-    }
+    const { outcome } = await runRequest({
+      work,
+      writer,
+      configuration: this.configuration.configuration,
+      directory: this.directory,
+      sessions: this.sessions,
+    });
+    const seconds = (Date.now() - acceptedAtMs) / 1000;
+    this.durations.observe({ outcome }, seconds);
   }
 
   private status(): unknown {
-    const { context, configuration, directory, conservation } = this;
+    const { context, configuration, directory } = this;
+    const sessions = this.sessions.status();
+    const { notRun, brokenOff, ...counts } = sessions.conservation;
     const { inForce } = configuration;
     return {
       name: context.name,
@@ -225,7 +218,9 @@
       version: inForce?.version ?? null,
       hash: inForce?.hash ?? null,
       configuration: configuration.summary,
-      conservation: conservation.counts(),
+      conservation: { ...counts, "not-run": notRun, "broken-off": brokenOff },
+      dropped: sessions.dropped,
+      sessions: sessions.sessions,
       backends: directory.all().map(({ vm, session }) => ({
         name: vm.name,
         live: session?.takesWork ?? false,
--- a/src/daemon/entry/request-task.ts
+++ b/src/daemon/entry/request-task.ts
@@ -1,19 +1,15 @@
 /** One task for each accepted request: place, dispatch, stream, finish. */
-import { randomUUID } from "node:crypto";
-import { crc32 } from "node:zlib";
 import {
   createDeferred,
   failure,
-  isErrorNumber,
-  toFailure,
-  type ApricotdeckError,
+  unreachable,
+  type Call,
   type Configuration,
-  type Emit,
   type ErrorNumber,
+  type FinalOutcome,
 } from "../../internal.js";
-import type { Dispatch } from "../../wire/generated/session.js";
-import type { AttemptFrame } from "./agent-session.js";
 import type { Backend, BackendDirectory } from "./backend-directory.js";
+import type { RequestEffect, Sessions } from "./sessions.js";
 import type { AnswerWriter, Work } from "./work.js";
 
 export interface RequestTaskOptions {
@@ -21,53 +17,87 @@
   readonly writer: AnswerWriter;
   readonly configuration: Configuration;
   readonly directory: BackendDirectory;
-  readonly emit: Emit;
+  readonly sessions: Sessions;
 }
 
-export type RequestOutcome = "answered" | "not-run" | "unknown" | "broken-off";
-
 export interface RequestResult {
-  readonly outcome: RequestOutcome;
+  readonly outcome: FinalOutcome;
   readonly error: ErrorNumber | 0;
-  readonly pieces: number;
 }
 
-const MAXIMUM_PLACEMENTS = 3;
 const RETRY_AFTER_MS = 1000;
 
-type AttemptEnd =
-  | { readonly kind: "whole"; readonly pieces: number }
-  | {
-      readonly kind: "failed";
-      readonly error: ApricotdeckError;
-      readonly pieces: number;
-    };
-
+/** Throws 1213 when the entry is leaving; resolves with the final outcome. */
 export async function runRequest(
   options: RequestTaskOptions,
 ): Promise<RequestResult> {
-  const { writer } = options;
-  let last = failure(1209);
+  const { work, writer, sessions } = options;
+  const { promise, resolve } = createDeferred<RequestResult>();
   const tried = new Set<string>();
-  for (let placement = 0; placement < MAXIMUM_PLACEMENTS; placement += 1) {
+  const deadlineMs = work.deadlineAtMs - Date.now();
+  writer.signal.addEventListener("abort", () => {
+    sessions.cancel(work.id);
+  });
+  sessions
+    .accept(callOf(work), deadlineMs, {
+      place: () => {
+        placeRequest(options, tried);
+      },
+      onEffect: (effect) => {
+        if (effect.kind === "finish") resolve(effect);
+        passOn(writer, effect);
+      },
+    })
+    .ifLeft((error) => {
+      throw error;
+    });
+  return promise;
+}
+
+/** Runners that refused or broke off aren't tried twice. */
+function placeRequest(options: RequestTaskOptions, tried: Set<string>): void {
+  const { work, sessions } = options;
+  for (;;) {
     const backend = place(options, tried);
-    if (backend === undefined) break;
-    tried.add(backend.vm.name);
-    const end = await runAttempt(options, backend);
-    if (end.kind === "whole") {
-      writer.end();
-      return { outcome: "answered", error: 0, pieces: end.pieces };
+    if (backend === undefined) {
+      sessions.refuse(work.id, 1209, RETRY_AFTER_MS);
+      return;
     }
-    last = end.error;
-    if (last.entry.outcome !== "not-run") break;
+    const { name } = backend.vm;
+    tried.add(name);
+    if (sessions.dispatch(work.id, name).isRight()) return;
+  }
+}
+
+function passOn(writer: AnswerWriter, effect: RequestEffect): void {
+  switch (effect.kind) {
+    case "piece":
+      writer.piece(effect.data as Buffer);
+      return;
+    case "head":
+      writer.head(effect.status, effect.headers);
+      return;
+    case "discard":
+      writer.discard();
+      return;
+    case "finish":
+      if (effect.error === 0) writer.end();
+      else writer.fail(failure(effect.error), retryAfterMs(effect));
+      return;
+    case "place":
+    case "run-over":
+      return;
+    default:
+      unreachable(effect);
   }
-  writer.fail(last, last.entry.outcome === "not-run" ? RETRY_AFTER_MS : 0);
-  const { outcome } = last.entry;
-  return {
-    outcome: outcome === "none" ? "unknown" : outcome,
-    error: last.number,
-    pieces: 0,
-  };
+}
+
+/** Only what was not run may simply be sent again. */
+function retryAfterMs(
+  effect: Extract<RequestEffect, { kind: "finish" }>,
+): number {
+  if (effect.outcome !== "not-run") return 0;
+  return effect.retryAfterMs || RETRY_AFTER_MS;
 }
 
 function place(
@@ -87,90 +117,22 @@
     .at(0);
 }
 
-async function runAttempt(
-  { work, writer, emit }: RequestTaskOptions,
-  { vm, session }: Backend,
-): Promise<AttemptEnd> {
-  const attempt = randomUUID();
-  const { promise, resolve } = createDeferred<AttemptEnd>();
-  let pieces = 0;
-  let checksum = 0;
-  let started = false;
-  const fail = (number: ErrorNumber): void => {
-    resolve({ kind: "failed", error: failure(number), pieces });
-  };
-  const onFrame = (frame: AttemptFrame | { $case: "lost" }): void => {
-    switch (frame.$case) {
-      case "started":
-        started = true;
-        break;
-      case "head":
-        writer.head(frame.value.status, frame.value.headers);
-        break;
-      case "piece":
-        if (frame.value.index !== pieces) {
-          emit(125, { attempt, reason: "index" });
-          return;
-        }
-        pieces += 1;
-        checksum = crc32(frame.value.data, checksum);
-        writer.piece(frame.value.data);
-        break;
-      case "end":
-        if (frame.value.count === pieces && frame.value.checksum === checksum) {
-          resolve({ kind: "whole", pieces });
-        } else fail(1210);
-        break;
-      case "refused":
-      case "broken": {
-        const { error } = frame.value;
-        fail(isErrorNumber(error) ? error : 1215);
-        break;
-      }
-      case "lost":
-        fail(started ? 1210 : 1211);
-    }
-  };
-  writer.signal.addEventListener("abort", () => {
-    session?.cancel(attempt);
-    fail(1210);
-  });
-  const timer = setTimeout(() => {
-    session?.cancel(attempt);
-    fail(1212);
-  }, work.deadlineAtMs - Date.now());
-  emit(122, { request: work.id, attempt, runner: vm.name });
-  session?.dispatch(dispatchOf(work, attempt), onFrame);
-  const end = await promise;
-  clearTimeout(timer);
-  session?.forget(attempt);
-  return end;
-}
-
-function dispatchOf(work: Work, attempt: string): Dispatch {
+function callOf(work: Work): Call {
+  const { id: request, account, method, path, headers, body } = work;
+  const { streamed, costTokens, idempotencyKey, model } = work;
+  const { repeatable, priority } = work.profile;
   return {
-    attempt,
-    request: work.id,
-    method: work.method,
-    path: work.path,
-    headers: work.headers,
-    body: work.body,
-    streamed: work.streamed,
-    repeatable: work.profile.repeatable,
-    priority: work.profile.priority,
-    deadlineMs: Math.max(1, work.deadlineAtMs - Date.now()),
-    costTokens: work.costTokens,
-    sequence: 0,
-    fromIndex: 0,
-    resumeOf: "",
-    account: work.account,
-    idempotencyKey: work.idempotencyKey,
-    model: work.model,
+    request,
+    account,
+    method,
+    path,
+    headers,
+    body,
+    streamed,
+    repeatable,
+    priority,
+    costTokens,
+    idempotencyKey,
+    model,
   };
 }
-
-/** What the task itself threw: nobody knows how far the work went. */
-export function unexpectedResult(error: unknown): RequestResult {
-  const { number } = toFailure(error, 1215);
-  return { outcome: "unknown", error: number, pieces: 0 };
-}
--- a/src/daemon/entry/work.ts
+++ b/src/daemon/entry/work.ts
@@ -28,6 +28,8 @@
 export interface AnswerWriter {
   readonly head: (status: number, headers: readonly Header[]) => void;
   readonly piece: (data: Buffer) => void;
+  /** Forgets what it has so far: the answer begins anew. */
+  readonly discard: () => void;
   /** The answer is whole. */
   readonly end: () => void;
   /** The final answer is a failure; goes out at once. */
