--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -1,5 +1,4 @@
 /** The daemon of an entry VM. */
-import { Histogram } from "prom-client";
 import { listen, type Listening } from "../listening.js";
 import { runTask } from "../background-task.js";
 import { ConfigurationFollower } from "../configuration/follower.js";
@@ -20,7 +19,6 @@
 import { pause } from "../background-task.js";
 
 const DRAIN_CHECK_MS = 50;
-const DURATION_BUCKETS = [0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30, 100];
 
 export interface DaemonAddresses {
   readonly operators: string;
@@ -48,7 +46,6 @@
   private readonly sessions: Sessions;
   private readonly configuration: ConfigurationFollower;
   private readonly directory: BackendDirectory;
-  private readonly durations: Histogram<"outcome">;
   private readonly server = new Server(channelOptions);
   private leaving = false;
   private peers = "";
@@ -60,7 +57,6 @@
     readonly context: ProcessContext,
     private readonly onLeave: () => void,
   ) {
-    const { metrics } = context;
     const { platform, transport } = settings;
     const log = LogClient.create(platform.log);
     this.sessions = Sessions.create({
@@ -78,13 +74,6 @@
       sessions: this.sessions,
       vmList: platform.vmList,
     });
-    this.durations = new Histogram({
-      name: "apricotdeck_request_duration_seconds",
-      help: "Time from acceptance to the final outcome of a request, s",
-      labelNames: ["outcome"],
-      buckets: DURATION_BUCKETS,
-      registers: [metrics],
-    });
   }
 
   static async create(
@@ -134,7 +123,7 @@
   }
 
   private get inFlight(): number {
-    return this.sessions.status().conservation.inFlight;
+    return this.sessions.inFlight;
   }
 
   private async start(): Promise<void> {
@@ -190,17 +179,20 @@
 
   private async serve(work: Work, writer: AnswerWriter): Promise<void> {
     const { id: request, account, profile, acceptedAtMs } = work;
-    const { emit } = this.context;
+    const { emit, measurements } = this.context;
     emit(121, { request, account, profile: profile.name });
-    const { outcome } = await runRequest({
+    const finished = runRequest({
       work,
       writer,
       configuration: this.configuration.configuration,
       directory: this.directory,
       sessions: this.sessions,
     });
+    measurements.set("requestsInFlight", this.inFlight);
+    const { outcome } = await finished;
     const seconds = (Date.now() - acceptedAtMs) / 1000;
-    this.durations.observe({ outcome }, seconds);
+    measurements.observe("requestDuration", seconds, { outcome });
+    measurements.set("requestsInFlight", this.inFlight);
   }
 
   private status(): unknown {
--- a/src/daemon/entry/sessions.ts
+++ b/src/daemon/entry/sessions.ts
@@ -158,6 +158,10 @@
     this.machine.leave(graceMs, performance.now());
   }
 
+  get inFlight(): number {
+    return this.machine.inFlight;
+  }
+
   get isDrained(): boolean {
     return this.machine.isDrained;
   }
