--- a/tests/session/sockets.test.ts
+++ b/tests/session/sockets.test.ts
@@ -8,11 +8,8 @@
   SERVICE_GROUP,
   siteConfiguration,
 } from "../../demo/configurations.js";
-import { startDaemonProcess } from "../../demo/daemon-process.js";
 import { readStatus, startSite, type Site } from "../../demo/site.js";
-import { readVmList } from "../../src/platform/vm-list-client.js";
 import { describe, it } from "../support/describe.js";
-import { startSilentRelay } from "../support/silent-relay.js";
 
 const STEP_MS = 2;
 const POLL_MS = 25;
@@ -41,7 +38,7 @@
 function startStream(site: Site, prompt: string, tokens: number): Streamed {
   const client = new OpenAI({
     apiKey: credentialOf("dyfrwr", 0),
-    baseURL: `http://${site.entries[0].process.callers}/v1`,
+    baseURL: `http://${site.entries[0].daemon.process.callers}/v1`,
     maxRetries: 0,
   });
   const texts: string[] = [];
@@ -89,7 +86,7 @@
 }
 
 async function entryStatus(site: Site): Promise<EntryStatus> {
-  const { operators } = site.entries[0].process;
+  const { operators } = site.entries[0].daemon.process;
   return (await readStatus(operators)) as EntryStatus;
 }
 
@@ -99,7 +96,7 @@
 }
 
 async function entryEvents(site: Site): Promise<readonly ShownEvent[]> {
-  const { operators } = site.entries[0].process;
+  const { operators } = site.entries[0].daemon.process;
   const answer = await fetch(`http://${operators}/events`);
   const { events } = (await answer.json()) as { events: ShownEvent[] };
   return events;
@@ -112,19 +109,11 @@
   // connection, has the old session closed, and resumes from the next piece.
   it("completes a stream over a connection that fell silent", async () => {
     await using site = await startServingSite(1);
-    await using relay = await startSilentRelay(site.runners[0].agent.peers);
-    const vms = await readVmList(site.vmList.address);
-    const relayed = vms.map((vm) =>
-      vm.role === "backend" ? { ...vm, address: relay.address } : vm,
-    );
-    site.vmList.change(relayed);
-    await until(() => relay.connections() > 0);
-    await until(async () => (await entryStatus(site)).backends[0].live);
-
+    const { relay } = site.runners[0];
     const tokens = 1500;
     const stream = startStream(site, "silent", tokens);
     await until(() => stream.texts.length > 10);
-    relay.silence();
+    assert.ok(relay.silence() > 0);
     assert.equal(indexesOf(await stream.whole), countingTo(tokens));
     assert.is(startsOf(site), 1);
     const events = await entryEvents(site);
@@ -142,23 +131,11 @@
   // name, and sends what the entry has not had yet.
   it("completes a stream although the agent was killed", async () => {
     await using site = await startServingSite(1);
-    const [{ name, dataCentre, engine, agent }] = site.runners;
+    const { daemon } = site.runners[0];
     const tokens = 1000;
     const stream = startStream(site, "killed", tokens);
     await until(() => stream.texts.length > 10);
-    agent.kill("SIGKILL");
-    await agent.ended;
-    const [host, port] = agent.peers.split(":");
-    await using successor = await startDaemonProcess({
-      role: "agent",
-      name,
-      dataCentre,
-      peers: { host, port: Number(port) },
-      platform: { log: site.log.address, vmList: site.vmList.address },
-      group: MODEL_GROUP,
-      runner: { address: engine.address, kind: "model" },
-    });
-    assert.is(successor.peers, agent.peers);
+    await daemon.restart();
     assert.equal(indexesOf(await stream.whole), countingTo(tokens));
     assert.is(startsOf(site), 1);
   });
@@ -176,7 +153,7 @@
     await until(() => first.every(({ texts }) => texts.length > 0));
     assert.ok(leaving.engine.runs.started.length > 0);
 
-    leaving.agent.kill("SIGTERM");
+    leaving.daemon.process.kill("SIGTERM");
     await until(async () => {
       const { backends } = await entryStatus(site);
       return backends.filter(({ live }) => live).length === 1;
@@ -188,7 +165,7 @@
     for (const { whole } of [...first, ...second]) {
       assert.equal(indexesOf(await whole), countingTo(tokens));
     }
-    assert.is(await leaving.agent.ended, 0);
+    assert.is(await leaving.daemon.process.ended, 0);
     assert.is(leaving.engine.runs.started.length, startsBefore);
 
     const third = countingTo(20).map((index) =>
@@ -198,7 +175,7 @@
     const { conservation } = await entryStatus(site);
     assert.is(conservation.accepted, 60);
     assert.is(conservation.answered + conservation.inFlight, 60);
-    const entry = site.entries[0].process;
+    const entry = site.entries[0].daemon.process;
     entry.kill("SIGTERM");
     for (const { whole } of third) {
       assert.equal(indexesOf(await whole), countingTo(tokens));
