Reach a peer again after its connection fell silent

Cause: in the demo no map was ever switched. The relay before one agent had lost track of its connections; the channel of every other agent to it stayed open and took all messages, so its proposals ended with 1602, for good. Ruled out: the hash of the planner's map, the fetch of weights (all had come). Change: pings on every channel between daemons; one without an answer drops the connection. The planner is wired into the agent. Conclusion: calls resent on a channel don't help against a silent connection; the channel has to be given up.

--- a/demo/faults.ts
+++ b/demo/faults.ts
@@ -4,17 +4,22 @@
 
 export interface Fault {
   readonly name: string;
+  /** Wait before it, so that the fault before it can be seen to the end. */
+  readonly afterMs: number;
   /** Resolves with the check that is made at the end of the run. */
   readonly cause: (site: Site) => Promise<() => Promise<Promised>>;
 }
 
 const LAST_NEW_WORK_MS = 3000;
 const LIST_LAG_MS = 2000;
+/** Five windows of reports before the first plan, the fetch, the switch. */
+const MAP_SETTLED_MS = 15_000;
 
 /** The connections to one agent go silent while new ones work. */
 export function silenceRunner(index: number): Fault {
   return {
     name: `connections to runner ${index} go silent`,
+    afterMs: 3000,
     cause: (site) => {
       const { relay, engine } = site.runners[index];
       const count = relay.silence();
@@ -35,6 +40,7 @@
 export function drainRunner(index: number): Fault {
   return {
     name: `runner ${index} leaves`,
+    afterMs: MAP_SETTLED_MS,
     cause: async (site) => {
       const { daemon, engine } = site.runners[index];
       const { name, operators, ended } = daemon.process;
@@ -65,6 +71,7 @@
 export function startWave(): Fault {
   return {
     name: "other experts become popular",
+    afterMs: MAP_SETTLED_MS,
     cause: (site) => {
       const { group } = site;
       const versionsBefore = group?.versions().length ?? 0;
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -37,7 +37,8 @@
 const STEP_MS = 5;
 const CALLS_PER_SECOND = 60;
 const AFTER_FAULTS_MS = 4000;
-const BETWEEN_FAULTS_MS = 4000;
+/** Steps of the even map, whose skew is shown beside the last one. */
+const SKEW_SAMPLE_MS = 1500;
 const EXIT_BROKEN = 1;
 
 const dataCentres: Readonly<Record<SiteName, readonly string[]>> = {
@@ -118,8 +119,8 @@
   faults: readonly Fault[],
 ): Promise<Promised[]> {
   const checks: (() => Promise<Promised>)[] = [];
-  for (const { name, cause } of faults) {
-    await sleep(BETWEEN_FAULTS_MS);
+  for (const { name, afterMs, cause } of faults) {
+    await sleep(afterMs);
     say(`fault: ${name}`);
     checks.push(await cause(site));
   }
@@ -148,9 +149,10 @@
   const published = await publish(site, name);
   await site.settled();
   const addresses = site.entries.map((entry) => entry.daemon.process.callers);
+  await sleep(SKEW_SAMPLE_MS);
+  const skewBefore = site.group?.skew();
   const caller = { site: name, addresses: () => addresses, random };
   say(`load: ${CALLS_PER_SECOND} calls a second`);
-  const skewBefore = site.group?.skew();
   const load = startLoad(caller, CALLS_PER_SECOND);
   const faults = [silenceRunner(0), startWave(), drainRunner(1)];
   const afterFaults = await runFaults(site, faults);
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -12,7 +12,9 @@
 import { bindServer } from "../peer-server.js";
 import { channelOptions } from "../transport.js";
 import { ConfigurationFeedService } from "../../wire/generated/configuration.js";
+import { ExpertBalanceService } from "../../wire/generated/balance.js";
 import { ExpertMapsService } from "../../wire/generated/expertmap.js";
+import { ExpertBalance } from "../balance/expert-balance.js";
 import { ExpertMaps } from "../expert-map/expert-maps.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
 import { RunnerClient } from "./runner-client.js";
@@ -33,6 +35,7 @@
   private readonly configuration: ConfigurationFollower;
   /** Only where the engine's ranks run on an expert map. */
   private readonly expertMaps: ExpertMaps | undefined;
+  private readonly balance: ExpertBalance;
   private readonly server = new Server(channelOptions);
   private leaving = false;
   private peers = "";
@@ -66,9 +69,17 @@
         settings,
         weightStore,
         configuration: () => this.configuration.inForce?.configuration,
-        onSteps: () => undefined,
+        onSteps: (reports) => {
+          this.balance.onSteps(reports);
+        },
       });
     }
+    this.balance = ExpertBalance.create({
+      context,
+      settings,
+      maps: () => this.expertMaps,
+      configuration: () => this.configuration.inForce?.configuration,
+    });
   }
 
   static async create(
@@ -103,6 +114,7 @@
     this.server.forceShutdown();
     await this.operators[Symbol.asyncDispose]();
     await this.runner[Symbol.asyncDispose]();
+    await this.balance[Symbol.asyncDispose]();
     await this.expertMaps?.[Symbol.asyncDispose]();
   }
 
@@ -138,6 +150,7 @@
     const { expertMaps } = this;
     if (expertMaps !== undefined) {
       this.server.addService(ExpertMapsService, expertMaps.service);
+      this.server.addService(ExpertBalanceService, this.balance.service);
       void runTask({
         name: "expert-maps",
         emit,
--- a/src/daemon/balance/expert-balance.ts
+++ b/src/daemon/balance/expert-balance.ts
@@ -34,8 +34,6 @@
   readonly maps: () => ExpertMaps | undefined;
   /** Undefined until a configuration is in force. */
   readonly configuration: () => Configuration | undefined;
-  /** Tokens of answers that the agent has passed on so far. */
-  readonly passedTokens: () => number;
 }
 
 /** A switch stalls a step or two of a busy group; see measurements/expertmap. */
@@ -45,6 +43,8 @@
 /** A proposal may take so much longer than the fetch that was foretold. */
 const TRANSFER_MARGIN = 4;
 const LEAST_PROPOSAL_MS = 20_000;
+/** The engines' step reports don't tell the work of requests by rank. */
+const NO_REQUEST_TOKENS = 0;
 
 export class ExpertBalance implements AsyncDisposable {
   readonly service: ExpertBalanceServer = {
@@ -60,7 +60,6 @@
   private plannedShape = "";
   private switching = false;
   private stepGroup = "";
-  private passedBefore = 0;
 
   private constructor(private readonly options: ExpertBalanceOptions) {
     const { context, settings } = options;
@@ -75,10 +74,9 @@
   onSteps(reports: readonly StepReport[]): void {
     const map = this.mapInForce();
     if (map === undefined) return;
-    const shares = this.takeRequestTokens(reports.length);
     for (const report of reports) {
       this.noticeNewGroup(report);
-      const windows = this.collector.add(report, map, shares);
+      const windows = this.collector.add(report, map, NO_REQUEST_TOKENS);
       for (const window of windows) this.deliver(window);
     }
   }
@@ -103,14 +101,6 @@
     this.assembly?.reset();
   }
 
-  /** The agent knows its requests, not the ranks that they run on. */
-  private takeRequestTokens(steps: number): number {
-    const passed = this.options.passedTokens();
-    const since = passed - this.passedBefore;
-    this.passedBefore = passed;
-    return since / Math.max(1, steps);
-  }
-
   private deliver(report: RankReport): void {
     const { maps, settings } = this.options;
     const leader = maps()?.leader;
--- a/src/daemon/transport.ts
+++ b/src/daemon/transport.ts
@@ -16,6 +16,8 @@
 }
 
 const MAXIMUM_MESSAGE_BYTES = 32 * 1024 * 1024;
+const PING_INTERVAL_MS = 2000;
+const PING_TIMEOUT_MS = 2000;
 
 export const channelOptions: ChannelOptions = {
   "grpc.max_receive_message_length": MAXIMUM_MESSAGE_BYTES,
@@ -23,6 +25,13 @@
   // A shared subchannel would put the new connection that replaces a silent
   // one onto the same silent socket.
   "grpc.use_local_subchannel_pool": 1,
+  // Something between two daemons may lose track of a connection: it stays
+  // open and takes writes, and every call on it ends at its deadline, for good.
+  // A ping without an answer drops the connection, and the next call opens a
+  // new one, so a peer is out of reach for four seconds at the most.
+  "grpc.keepalive_time_ms": PING_INTERVAL_MS,
+  "grpc.keepalive_timeout_ms": PING_TIMEOUT_MS,
+  "grpc.keepalive_permit_without_calls": 1,
 };
 
 export function clientCredentials(
--- /dev/null
+++ b/tests/expertmap/silent-peer.test.ts
@@ -0,0 +1,65 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { Server } from "@grpc/grpc-js";
+import * as assert from "uvu/assert";
+import { MapPeers } from "../../src/daemon/expert-map/peers.js";
+import { bindServer } from "../../src/daemon/peer-server.js";
+import { createContext } from "../../src/daemon/process-context.js";
+import { parseSettings } from "../../src/daemon/settings.js";
+import { ExpertMapsService } from "../../src/wire/generated/expertmap.js";
+import { startSilentRelay } from "../../standins/silent-relay.js";
+import { describe, it } from "../support/describe.js";
+
+const RESEND_MS = 100;
+
+const settings = parseSettings(
+  JSON.stringify({
+    role: "entry",
+    name: "entry",
+    dataCentre: "lac",
+    logLevel: "error",
+    platform: { log: "http://127.0.0.1:1", vmList: "http://127.0.0.1:1" },
+  }),
+  "test",
+);
+
+describe("messages between the agents of a group", () => {
+  /*
+   * Operators see proposals of maps end with 1602, again and again: the relay
+   * between two agents has lost track of their connection. It stays open, takes
+   * every message and delivers none, while a new connection would work. Sending
+   * again on the old one, as for a lost message, never helps.
+   */
+  it("arrive again after their connection fell silent", async () => {
+    let delivered = 0;
+    const server = new Server();
+    server.addService(ExpertMapsService, {
+      deliver: (
+        _call: unknown,
+        reply: (error: null, value: object) => void,
+      ) => {
+        delivered += 1;
+        reply(null, {});
+      },
+      describe: () => undefined,
+    });
+    const address = await bindServer(server, settings);
+    await using relay = await startSilentRelay(() => address);
+    using peers = MapPeers.create(createContext(settings), settings.transport);
+    peers.setAddresses(new Map([["other", relay.address]]));
+    const sendUntilDelivered = async (): Promise<void> => {
+      const before = delivered;
+      while (delivered === before) {
+        peers.send("other", {
+          kind: "seal",
+          formation: { number: 1, author: "entry" },
+        });
+        await sleep(RESEND_MS);
+      }
+    };
+    await sendUntilDelivered();
+    assert.is(relay.silence(), 1);
+    await sendUntilDelivered();
+    assert.ok(delivered >= 2);
+    server.forceShutdown();
+  });
+});
