--- a/demo/main.ts
+++ b/demo/main.ts
@@ -37,8 +37,6 @@
 const STEP_MS = 5;
 const CALLS_PER_SECOND = 60;
 const AFTER_FAULTS_MS = 4000;
-/** Steps of the even map, whose skew is shown beside the last one. */
-const SKEW_SAMPLE_MS = 1500;
 const EXIT_BROKEN = 1;
 
 const dataCentres: Readonly<Record<SiteName, readonly string[]>> = {
@@ -149,8 +147,7 @@
   const published = await publish(site, name);
   await site.settled();
   const addresses = site.entries.map((entry) => entry.daemon.process.callers);
-  await sleep(SKEW_SAMPLE_MS);
-  const skewBefore = site.group?.skew();
+  const skewBefore = await site.group?.firstSkew();
   const caller = { site: name, addresses: () => addresses, random };
   say(`load: ${CALLS_PER_SECOND} calls a second`);
   const load = startLoad(caller, CALLS_PER_SECOND);
--- a/demo/site-group.ts
+++ b/demo/site-group.ts
@@ -3,6 +3,7 @@
  * store. Whenever an engine begins a step, its running requests get a token,
  * so a straggler slows every answer down as it does in earnest.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import { createRandom, type Random, type StepReport } from "../src/internal.js";
 import type { EngineStandIn } from "../standins/engine.js";
 import {
@@ -42,6 +43,8 @@
 const LARGEST_REPORT_DELAY_MS = 60;
 const LOST_REPORT_SHARE = 0.05;
 const SKEW_SAMPLE_STEPS = 200;
+const FIRST_SAMPLE_STEPS = 50;
+const POLL_MS = 100;
 
 export class SiteGroup implements AsyncDisposable {
   readonly steps: StepRecord[] = [];
@@ -138,6 +141,15 @@
     };
   }
 
+  /** Skew of the map that the group formed with, once it is known. */
+  async firstSkew(): Promise<SkewSample> {
+    for (;;) {
+      const sample = this.skew();
+      if (sample.steps >= FIRST_SAMPLE_STEPS) return sample;
+      await sleep(POLL_MS);
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopSteps();
     await this.weightStore[Symbol.asyncDispose]();
