Have agents carry out the orders of the log

Cause: orders were decided, but no process followed the log or spoke to an engine. Change: each agent of a model engine follows its group's stream, keeps the newest order of each kind, and gives it to its engine; fencing numbers are compared kind by kind, so that an adapter's order doesn't outdate a model's. Expert map and order metrics joined the one table.

--- a/fuzz/orders-world.ts
+++ b/fuzz/orders-world.ts
@@ -76,7 +76,7 @@
   private deskNumber = 0;
   private agentView: Lease = noLease;
   private agentPosition = 0;
-  private newestOrder = -1;
+  private newestOrders: readonly Order[] = [];
 
   private constructor(private readonly settings: OrdersWorldSettings) {
     this.random = createRandom(settings.seed);
@@ -202,11 +202,12 @@
       const offset = this.agentPosition;
       if (record.kind !== "order") {
         this.agentView = applyLeaseRecord(this.agentView, record, offset);
-      } else if (acceptedOrder(this.agentView, record, offset)) {
-        this.newestOrder = Math.max(this.newestOrder, offset);
+      } else {
+        const order = acceptedOrder(this.agentView, record, offset);
+        if (order !== undefined) this.newestOrders = [order];
       }
     }
-    this.desk.learn(this.newestOrder);
+    this.desk.learn(this.newestOrders);
   }
 
   /** Gives the order of a record to the agent, or to the engine if it checks. */
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -15,6 +15,8 @@
 import { ExpertMapsService } from "../../wire/generated/expertmap.js";
 import { ExpertMaps } from "../expert-map/expert-maps.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
+import { EngineClient } from "../expert-map/engine-client.js";
+import { OrderTask } from "../orders/order-task.js";
 import { RunnerClient } from "./runner-client.js";
 
 const DRAIN_CHECK_MS = 50;
@@ -33,6 +35,8 @@
   private readonly configuration: ConfigurationFollower;
   /** Only where the engine's ranks run on an expert map. */
   private readonly expertMaps: ExpertMaps | undefined;
+  private readonly engine: EngineClient;
+  private readonly orders: OrderTask;
   private readonly server = new Server(channelOptions);
   private leaving = false;
   private peers = "";
@@ -58,6 +62,16 @@
       vmList: platform.vmList,
       transport: settings.transport,
     });
+    const { checksFencing, orderEffectMs: effectMs } = runner;
+    this.engine = EngineClient.create(runner.address);
+    this.orders = OrderTask.create({
+      context,
+      log,
+      engine: this.engine,
+      runner: settings.name,
+      group,
+      settings: { checksFencing, effectMs },
+    });
     const { weightStore } = platform;
     if (weightStore !== undefined && settings.ranks.length > 0) {
       this.expertMaps = ExpertMaps.create({
@@ -105,6 +119,7 @@
     await this.operators[Symbol.asyncDispose]();
     await this.runner[Symbol.asyncDispose]();
     await this.expertMaps?.[Symbol.asyncDispose]();
+    await this.engine[Symbol.asyncDispose]();
   }
 
   private async start(): Promise<void> {
@@ -136,7 +151,21 @@
       signal,
       run: (s) => configuration.keepCheckpoints(s),
     });
-    const { expertMaps } = this;
+    const { expertMaps, orders } = this;
+    if (settings.runner.kind === "model") {
+      void runTask({
+        name: "orders-log",
+        emit,
+        signal,
+        run: (s) => orders.follow(s),
+      });
+      void runTask({
+        name: "orders",
+        emit,
+        signal,
+        run: (s) => orders.give(s),
+      });
+    }
     if (expertMaps !== undefined) {
       this.server.addService(ExpertMapsService, expertMaps.service);
       void runTask({
@@ -170,6 +199,7 @@
       configuration: configuration.summary,
       group: settings.group,
       running: sessions.runningCount,
+      orders: this.orders.status,
       expertMap: this.expertMaps?.status ?? null,
     };
   }
--- a/src/daemon/expert-map/expert-maps.ts
+++ b/src/daemon/expert-map/expert-maps.ts
@@ -62,7 +62,7 @@
     const { context, settings } = options;
     this.engine = EngineClient.create(settings.runner.address);
     this.peers = MapPeers.create(context, settings.transport);
-    this.metrics = MapMetrics.create(context.metrics);
+    this.metrics = MapMetrics.create(context.measurements);
     const log = LogClient.create(settings.platform.log);
     this.record = MapRecord.create(log, settings.group);
     this.service = {
--- a/src/orders/order-desk.ts
+++ b/src/orders/order-desk.ts
@@ -19,6 +19,7 @@
   type OrderAnswer,
   type OrderCall,
   type OrderEffect,
+  type OrderKind,
 } from "../internal.js";
 
 /** Switched off only by the fuzzer. */
@@ -49,7 +50,8 @@
 const LOG_RETRY_MS = 1_000;
 
 export class OrderDesk {
-  private highest = -1;
+  /** Highest fencing number known for each kind. */
+  private readonly highest = new Map<OrderKind, number>();
   private logRead = false;
   private running: Running | undefined;
   private outstanding: OrderCall | undefined;
@@ -76,22 +78,27 @@
     return new OrderDesk(settings, emit, safeguards, now);
   }
 
-  /** An order for this engine counts in the log, which was read to its end. */
-  learn(newest: number): void {
+  /** No order is under way. */
+  get idle(): boolean {
+    return this.running === undefined;
+  }
+
+  /** The newest orders for this engine in the log, read to its end. */
+  learn(newest: readonly Order[]): void {
     this.logRead = true;
-    this.highest = Math.max(this.highest, newest);
+    for (const order of newest) this.raise(order);
   }
 
   take(order: Order, now: number): readonly OrderEffect[] {
     const refusal = this.refusalOf(order, now);
     if (refusal !== undefined) {
       const { fencing } = order;
-      const { highest } = this;
+      const highest = this.highestOf(order);
       this.emit(171, { fencing, highest, error: refusal.number });
       this.reply({ kind: "failed", order, error: refusal });
       return this.proceed(now);
     }
-    this.highest = Math.max(this.highest, order.fencing);
+    this.raise(order);
     this.running = {
       order,
       takenAt: now,
@@ -138,7 +145,8 @@
 
   private refusalOf(order: Order, now: number): ApricotdeckError | undefined {
     const { fencing } = order;
-    const { highest, safeguards } = this;
+    const { safeguards } = this;
+    const highest = this.highestOf(order);
     if (safeguards.comparesFencing && fencing < highest) {
       return failure(1701, { fencing, highest });
     }
@@ -200,13 +208,22 @@
     const { running } = this;
     if (running === undefined) return;
     this.running = undefined;
-    const { highest } = this;
     const { order } = running;
     const { fencing } = order;
+    const highest = this.highestOf(order);
     this.emit(171, { fencing, highest, error: error.number });
     this.reply({ kind: "failed", order, error });
   }
 
+  private highestOf({ kind }: Order): number {
+    return this.highest.get(kind) ?? -1;
+  }
+
+  private raise(order: Order): void {
+    const highest = Math.max(this.highestOf(order), order.fencing);
+    this.highest.set(order.kind, highest);
+  }
+
   private reply(reply: (OrderEffect & { kind: "reply" })["reply"]): void {
     this.effects.push({ kind: "reply", reply });
   }
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -55,6 +55,56 @@
   // admission and placement
 
   // expert map and orders
+  mapProposals: {
+    name: "apricotdeck_map_proposals_total",
+    kind: "counter",
+    unit: "proposals",
+    labels: ["end"],
+    meaning: "Proposals of this agent by their end.",
+  },
+  mapSwitchDuration: {
+    name: "apricotdeck_map_switch_duration_seconds",
+    kind: "histogram",
+    unit: "s",
+    labels: [],
+    meaning: "Time from a proposal of this agent to its end.",
+    buckets: SECONDS,
+  },
+  mapHeld: {
+    name: "apricotdeck_map_held_seconds_total",
+    kind: "counter",
+    unit: "s",
+    labels: [],
+    meaning: "Time that the engine held at an undecided step.",
+  },
+  mapFetchedBytes: {
+    name: "apricotdeck_map_fetched_bytes_total",
+    kind: "counter",
+    unit: "bytes",
+    labels: [],
+    meaning: "Bytes of weights fetched for expert maps.",
+  },
+  mapVersion: {
+    name: "apricotdeck_map_version",
+    kind: "gauge",
+    unit: "version",
+    labels: [],
+    meaning: "Version of the expert map that the engine runs on.",
+  },
+  stepReports: {
+    name: "apricotdeck_step_reports_total",
+    kind: "counter",
+    unit: "reports",
+    labels: [],
+    meaning: "Step reports checked against the expected map.",
+  },
+  orders: {
+    name: "apricotdeck_orders_total",
+    kind: "counter",
+    unit: "orders",
+    labels: ["end"],
+    meaning: "Orders to the engine by their end.",
+  },
 
   // balance
 } as const satisfies Readonly<Record<string, MetricEntry>>;
--- a/tests/expertmap/group-site.ts
+++ b/tests/expertmap/group-site.ts
@@ -32,6 +32,7 @@
   startWeightStore,
   type WeightStoreStandIn,
 } from "../../standins/weight-store.js";
+import { waitFor } from "../support/wait.js";
 
 export interface GroupSiteOptions {
   readonly members: number;
@@ -48,8 +49,6 @@
 
 const GROUP = "pool";
 const STEP_MS = 5;
-const POLL_MS = 10;
-const LONGEST_WAIT_MS = 10_000;
 
 export class GroupSite implements AsyncDisposable {
   readonly steps: StepRecord[] = [];
@@ -259,11 +258,3 @@
     return parseSettings(JSON.stringify(settings), name) as AgentSettings;
   }
 }
-
-export async function waitFor(condition: () => boolean): Promise<void> {
-  const deadline = Date.now() + LONGEST_WAIT_MS;
-  while (!condition()) {
-    if (Date.now() > deadline) throw new TypeError("waited in vain");
-    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-  }
-}
--- a/tests/expertmap/sockets.test.ts
+++ b/tests/expertmap/sockets.test.ts
@@ -1,7 +1,8 @@
 import * as assert from "uvu/assert";
 import { ApricotdeckError } from "../../src/internal.js";
 import { describe, it } from "../support/describe.js";
-import { GroupSite, waitFor } from "./group-site.js";
+import { waitFor } from "../support/wait.js";
+import { GroupSite } from "./group-site.js";
 
 const PROPOSAL_TIMEOUT_MS = 8_000;
 const options = {
--- a/tests/orders/order-desk.test.ts
+++ b/tests/orders/order-desk.test.ts
@@ -52,7 +52,7 @@
     // would obey it and the new model would be gone.
     it("refuses a paused holder's order after a newer one", () => {
       const desk = createDesk(false);
-      desk.learn(9);
+      desk.learn([order(9, "new")]);
       const [reply] = confirm(desk, order(9, "new"), EFFECT_MS);
       assert.is(reply.kind, "confirmed");
       assert.equal(errors(desk.take(order(5, "old"), EFFECT_MS + 1)), [1701]);
@@ -63,7 +63,7 @@
     it("gives nothing before it has read the log", () => {
       const desk = createDesk(false);
       assert.equal(errors(desk.take(order(5, "old"), EFFECT_MS)), [1702]);
-      desk.learn(9);
+      desk.learn([order(9, "new")]);
       assert.equal(errors(desk.take(order(5, "old"), EFFECT_MS)), [1701]);
     });
 
@@ -71,7 +71,7 @@
     // engine only after this agent's own first order was confirmed.
     it("waits out the orders of the agent before it", () => {
       const desk = createDesk(false);
-      desk.learn(9);
+      desk.learn([order(9, "new")]);
       const early = desk.take(order(9, "new"), EFFECT_MS - 1);
       assert.equal(errors(early), [1702]);
       const effects = desk.take(order(9, "new"), EFFECT_MS);
@@ -82,7 +82,7 @@
     // newer one must not be confirmed before it can't come any more.
     it("gives no other order while a lost one can take effect", () => {
       const desk = createDesk(false);
-      desk.learn(9);
+      desk.learn([order(9, "new")]);
       desk.take(order(9, "lost"), EFFECT_MS);
       desk.failed(EFFECT_MS + 100);
       const soon = desk.take(order(10, "new"), EFFECT_MS + 101);
