--- a/measure/decisions.ts
+++ b/measure/decisions.ts
@@ -99,6 +99,7 @@
 ): boolean {
   const request: PlacementRequest = {
     pool: admitted.pool,
+    priority: admitted.priority,
     promptTokens: 4096,
     outputTokens: 200,
     prefix: PREFIX_TABLE[randomBelow(random, PREFIXES)],
@@ -114,7 +115,7 @@
     placement.onEnded(placed, choice.serviceMs);
     admission.onEnded(admitted, {
       costTokens: admitted.costTokens,
-      serviceMs: choice.serviceMs,
+      durationMs: choice.serviceMs,
     });
   });
   return true;
--- a/measure/measurements.ts
+++ b/measure/measurements.ts
@@ -6,6 +6,7 @@
 export const measurements: Readonly<
   Partial<Record<string, () => Promise<Measure>>>
 > = {
+  admission: async () => (await import("./admission.js")).measureAdmission,
   decisions: async () => (await import("./decisions.js")).measureDecisions,
   placement: async () => (await import("./placement.js")).measurePlacement,
   path: async () => (await import("./path.js")).measurePath,
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -12,6 +12,7 @@
 import type {
   AdmissionInputs,
   AdmissionRequest,
+  AdmissionTuning,
   Ended,
   Offer,
 } from "./types.js";
@@ -21,6 +22,19 @@
 /** Longer than this no prediction of a queue is worth anything. */
 const LONGEST_RETRY_MS = 60_000;
 
+/**
+ * A queue as long as the deadlines allow serves no more than a shorter one,
+ * but serves everybody late: what is started near its deadline is often cut.
+ */
+const DEFAULT_TUNING: AdmissionTuning = { waitShare: 0.25, serviceMargin: 2 };
+
+/**
+ * The margin takes this part of the deadline at most. Without a bound, a first
+ * estimate that was too long refused every request of a profile, so that no
+ * answer ever came to correct it.
+ */
+const MOST_MARGIN_SHARE = 0.5;
+
 interface PoolState {
   readonly queue: PoolQueue;
   queuedSinceMs: number;
@@ -32,8 +46,10 @@
   private readonly waiting = new Map<string, Waiting>();
   private readonly giveUps = MinHeap.create<Waiting>();
   private readonly limits: AccountLimits;
+  private readonly tuning: AdmissionTuning;
 
   private constructor(private readonly inputs: AdmissionInputs) {
+    this.tuning = { ...DEFAULT_TUNING, ...inputs.tuning };
     this.limits = AccountLimits.create(inputs.now, inputs.entries);
   }
 
@@ -75,7 +91,7 @@
       if (queue === undefined || head === undefined) break;
       const { request } = head.waiting;
       if (!this.inputs.start(request)) break;
-      queue.takeHead(pool.queue.onStarted(request, queue));
+      pool.queue.startHead(queue, request);
       this.waiting.delete(request.id);
     }
     this.tellEmptied(poolKey, pool);
@@ -90,7 +106,7 @@
     while (this.giveUps.leastKey <= nowMs) {
       const waiting = this.giveUps.pop();
       if (waiting === undefined || waiting.left) continue;
-      const isLate = latestStart(waiting.request) <= nowMs;
+      const isLate = this.latestStart(waiting.request) <= nowMs;
       this.abandon(waiting, isLate ? 1502 : 1503);
     }
   }
@@ -98,7 +114,7 @@
   /** A started request is over: frees its place and settles its cost. */
   onEnded(request: AdmissionRequest, ended: Ended): void {
     const pool = this.poolOf(request.pool);
-    pool.queue.onEnded(request, ended.costTokens, ended.serviceMs);
+    pool.queue.onEnded(request, ended.costTokens, ended.durationMs);
     const excess = ended.costTokens - request.costTokens;
     this.limits.correct(request.account, excess);
     this.drain(request.pool);
@@ -112,7 +128,7 @@
     const pool = this.poolOf(request.pool);
     pool.queue.onEnded(request, 0, undefined);
     const waiting = this.enqueue(request, pool, true);
-    if (latestGiveUp(request) > this.inputs.now()) return;
+    if (this.latestGiveUp(request) > this.inputs.now()) return;
     this.abandon(waiting, 1502);
   }
 
@@ -144,7 +160,8 @@
   ): Offer | undefined {
     const nowMs = this.inputs.now();
     const waitMs = pool.queue.predictWaitMs(request);
-    const slackMs = latestGiveUp(request) - nowMs;
+    const leftMs = this.latestGiveUp(request) - nowMs;
+    const slackMs = leftMs * this.tuning.waitShare;
     if (waitMs >= slackMs) {
       return this.refuse(request, pool, 1502, waitMs - Math.max(0, slackMs));
     }
@@ -191,13 +208,13 @@
     const waiting = { request, standing, left: false };
     pool.queue.push(waiting, atFront);
     this.waiting.set(request.id, waiting);
-    this.giveUps.push(latestGiveUp(request), waiting);
+    this.giveUps.push(this.latestGiveUp(request), waiting);
     return waiting;
   }
 
   private leave(waiting: Waiting): void {
     const { request } = waiting;
-    this.poolOf(request.pool).queue.profileOf(request).leave(waiting);
+    this.poolOf(request.pool).queue.leave(waiting);
     this.waiting.delete(request.id);
     this.refundAccount(request);
   }
@@ -261,14 +278,18 @@
     this.pools.set(key, pool);
     return pool;
   }
-}
 
-/** Started later, it can't be finished within its deadline. */
-function latestStart({ deadlineAtMs, serviceMs }: AdmissionRequest): number {
-  return deadlineAtMs - serviceMs;
-}
+  /** Started later, it can hardly be finished within its deadline. */
+  private latestStart(request: AdmissionRequest): number {
+    const { arrivedAtMs, deadlineAtMs, serviceMs } = request;
+    const mostMs = (deadlineAtMs - arrivedAtMs) * MOST_MARGIN_SHARE;
+    const marginMs = serviceMs * this.tuning.serviceMargin;
+    return deadlineAtMs - Math.min(mostMs, marginMs);
+  }
 
-function latestGiveUp(request: AdmissionRequest): number {
-  const { arrivedAtMs, queue } = request;
-  return Math.min(latestStart(request), arrivedAtMs + queue.maximumWaitMs);
+  private latestGiveUp(request: AdmissionRequest): number {
+    const { arrivedAtMs, queue } = request;
+    const longestMs = arrivedAtMs + queue.maximumWaitMs;
+    return Math.min(this.latestStart(request), longestMs);
+  }
 }
--- a/src/admission/agent-limit.ts
+++ b/src/admission/agent-limit.ts
@@ -18,9 +18,12 @@
  */
 const RESERVED_SHARE = 0.5;
 const RESERVED_FOR_PRIORITY = 0;
+/** Requests that an entry may have above the mean beyond the slots. */
+const OVER_MEAN = 2;
 
 export class AgentLimit {
   private running = 0;
+  private readonly byEntry = new Map<string, number>();
 
   private constructor(private readonly settings: AgentLimitSettings) {}
 
@@ -33,20 +36,46 @@
   }
 
   /** Takes a place; false when the attempt has to be refused. */
-  enter(priority: number): boolean {
-    if (this.running >= this.limitFor(priority)) return false;
+  enter(priority: number, entry: string): boolean {
+    if (this.running >= attemptLimit(this.settings, priority)) return false;
+    if (priority !== RESERVED_FOR_PRIORITY && this.isOverShare(entry)) {
+      return false;
+    }
     this.running += 1;
+    this.byEntry.set(entry, (this.byEntry.get(entry) ?? 0) + 1);
     return true;
   }
 
-  leave(): void {
+  leave(entry: string): void {
     this.running = Math.max(0, this.running - 1);
+    const left = (this.byEntry.get(entry) ?? 0) - 1;
+    if (left > 0) this.byEntry.set(entry, left);
+    else this.byEntry.delete(entry);
   }
 
-  private limitFor(priority: number): number {
-    const { slots, queueShare } = this.settings;
-    const queue = Math.ceil(slots * queueShare);
-    if (priority === RESERVED_FOR_PRIORITY) return slots + queue;
-    return slots + Math.ceil(queue * (1 - RESERVED_SHARE));
+  /**
+   * Beyond the slots, an entry far above the mean of the entries has to wait. An entry replaces each of its ended requests at once, so without
+   * this the one that came first keeps the runners: of three entries under
+   * twice the load, one had 64 requests running and another 13.
+   */
+  private isOverShare(entry: string): boolean {
+    if (this.running < this.settings.slots) return false;
+    const own = this.byEntry.get(entry) ?? 0;
+    const entries = this.byEntry.size + (own === 0 ? 1 : 0);
+    return own > OVER_MEAN + this.running / entries;
   }
 }
+
+/**
+ * Requests of a priority that an agent takes at once. Entries reckon with the
+ * same number: when they knew one limit for all, two attempts in three of a
+ * saturated pool were refused by agents.
+ */
+export function attemptLimit(
+  { slots, queueShare }: AgentLimitSettings,
+  priority: number,
+): number {
+  const queue = Math.ceil(slots * queueShare);
+  if (priority === RESERVED_FOR_PRIORITY) return slots + queue;
+  return slots + Math.ceil(queue * (1 - RESERVED_SHARE));
+}
--- a/src/admission/output-estimate.ts
+++ b/src/admission/output-estimate.ts
@@ -6,8 +6,8 @@
 
 /** Share of a new answer in the mean: about the last twenty count. */
 const ANSWER_SHARE = 0.05;
-/** Before the first answer of an account under a profile. */
-const FIRST_ESTIMATE = 256;
+/** Before the first answer of an account under a profile. Low: see above. */
+const FIRST_ESTIMATE = 64;
 
 export class OutputEstimate {
   private readonly means = new Map<string, number>();
--- a/src/admission/pool-queue.ts
+++ b/src/admission/pool-queue.ts
@@ -15,17 +15,19 @@
  * highest one its deadlines.
  */
 export const STARVATION_SHARE = 0.05;
-/** Share of a new observation in the mean duration. */
+/** Share of a new answer in the mean duration. */
 const DURATION_SHARE = 0.05;
 
 export class PoolQueue {
   private profiles: readonly ProfileQueue[] = [];
   private readonly standings = new Map<string, AccountStanding>();
   private virtualTime = 0;
+  private activeWeight = 0;
   /** Tokens that lower priorities may start ahead of higher ones. */
   private lowerCredit = 0;
-  /** Mean duration of a token's request, weighted by cost; 0 if unknown. */
-  private durationMs = 0;
+  /** Running sums of cost times duration and of cost. */
+  private costDuration = 0;
+  private cost = 0;
 
   private constructor() {
     // Made by create.
@@ -57,7 +59,13 @@
   standingOf(account: string): AccountStanding {
     const known = this.standings.get(account);
     if (known !== undefined) return known;
-    const standing = { account, finishTag: this.virtualTime };
+    const standing = {
+      account,
+      finishTag: this.virtualTime,
+      runningTokens: 0,
+      requests: 0,
+      activeWeight: 0,
+    };
     this.standings.set(account, standing);
     return standing;
   }
@@ -65,6 +73,19 @@
   push(waiting: Waiting, atFront: boolean): void {
     const queue = this.profileOf(waiting.request);
     queue.push(waiting, this.virtualTime, atFront);
+    this.countRequest(waiting.request, 1);
+  }
+
+  /** Takes out a request that won't be served. */
+  leave(waiting: Waiting): void {
+    this.profileOf(waiting.request).leave(waiting);
+    this.countRequest(waiting.request, -1);
+  }
+
+  /** Takes out the head of a profile, which starts. */
+  startHead(queue: ProfileQueue, request: AdmissionRequest): void {
+    queue.takeHead(this.onStarted(request, queue));
+    this.countRequest(request, -1);
   }
 
   /** The profile whose head is served next. */
@@ -87,47 +108,73 @@
     this.virtualTime = startTag;
     queue.running += 1;
     queue.runningTokens += costTokens;
+    standing.runningTokens += costTokens;
     this.turnCredit(queue.priority, costTokens);
+    this.countRequest(request, 1);
     return standing.finishTag;
   }
 
   onEnded(
     request: AdmissionRequest,
     costTokens: number,
-    serviceMs: number | undefined,
+    durationMs: number | undefined,
   ): void {
     const queue = this.profileOf(request);
     queue.running = Math.max(0, queue.running - 1);
+    this.countRequest(request, -1);
     const left = queue.runningTokens - request.costTokens;
     queue.runningTokens = Math.max(0, left);
     const excess = (costTokens - request.costTokens) / request.weight;
-    this.standingOf(request.account).finishTag += excess;
-    if (serviceMs === undefined) return;
-    const difference = serviceMs - this.durationMs;
-    const share = this.durationMs === 0 ? 1 : DURATION_SHARE;
-    this.durationMs += share * difference;
+    const standing = this.standingOf(request.account);
+    standing.finishTag += excess;
+    standing.runningTokens -= request.costTokens;
+    if (excess < 0) queue.onRefunded(request.account, this.virtualTime);
+    if (durationMs === undefined) return;
+    const kept = 1 - DURATION_SHARE;
+    this.costDuration = kept * this.costDuration + costTokens * durationMs;
+    this.cost = kept * this.cost + costTokens;
   }
 
   /**
    * Predicted wait of a new request; 0 while nothing is known. By Little's law
-   * the pool serves the tokens in flight once in their mean duration. That
-   * holds from the first moment of a burst on, when completions still show the
-   * idle time before; a rate counted from them refused nine in ten of a burst
-   * that the pool could have served.
+   * the pool serves the tokens in flight once in their mean duration, also in
+   * the first moment of a burst, when the rate of answers still shows the idle
+   * time before. The account's line moves at its share of what is in flight,
+   * or at its fair share if that is more.
    */
   predictWaitMs(request: AdmissionRequest): number {
-    if (this.durationMs === 0) return 0;
+    if (this.cost === 0) return 0;
     const queue = this.profileOf(request);
     const { account, weight, priority } = request;
     const higher = this.profiles.filter((other) => other.priority < priority);
-    const ahead =
-      sum(higher, ({ waitingTokens }) => waitingTokens) +
-      queue.tokensAhead(account, weight);
     const inFlight = sum(this.profiles, ({ runningTokens }) => runningTokens);
     const taken = sum(higher, ({ runningTokens }) => runningTokens);
     const open = Math.max(inFlight - taken, STARVATION_SHARE * inFlight);
-    if (open === 0) return 0;
-    return (ahead / open) * this.durationMs;
+    if (open <= 0) return 0;
+    const standing = this.standingOf(account);
+    const others = this.activeWeight - standing.activeWeight;
+    const fairShare = weight / (others + weight);
+    const share = Math.max(fairShare, standing.runningTokens / open);
+    const ahead =
+      sum(higher, ({ waitingTokens }) => waitingTokens) +
+      queue.waitingTokensOf(account) / Math.min(1, share);
+    return (ahead / open) * (this.costDuration / this.cost);
+  }
+
+  /**
+   * Accounts with running work count as active too. Counting only those that
+   * wait at the moment promised a flooding account more than it got, and its
+   * requests were given up after nine seconds in place of refused at once.
+   */
+  private countRequest(
+    { account, weight }: AdmissionRequest,
+    change: number,
+  ): void {
+    const standing = this.standingOf(account);
+    standing.requests += change;
+    const active = standing.requests > 0 ? weight : 0;
+    this.activeWeight += active - standing.activeWeight;
+    standing.activeWeight = active;
   }
 
   private starvedProfile(
--- a/src/admission/profile-queue.ts
+++ b/src/admission/profile-queue.ts
@@ -12,6 +12,11 @@
   readonly account: string;
   /** Virtual time at which its work so far is paid for. */
   finishTag: number;
+  runningTokens: number;
+  /** Requests waiting or running. */
+  requests: number;
+  /** As counted among the active accounts; 0 when it has no requests. */
+  activeWeight: number;
 }
 
 export interface Waiting {
@@ -28,7 +33,8 @@
   /** Index of the first that may still be waiting. */
   first: number;
   tokens: number;
-  inHeap: boolean;
+  /** Its place in the order; infinite when it has none. */
+  tag: number;
 }
 
 /** Entries of a line that are served and dropped in one go. */
@@ -44,7 +50,6 @@
   waitingCount = 0;
   private readonly lines = new Map<string, Line>();
   private readonly order = MinHeap.create<Line>();
-  private activeWeight = 0;
 
   private constructor({ profile, priority, concurrency }: AdmissionRequest) {
     this.profile = profile;
@@ -69,7 +74,16 @@
     if (atFront) line.waiting.splice(line.first, 0, waiting);
     else line.waiting.push(waiting);
     this.count(line, waiting.request.costTokens, 1);
-    this.schedule(line, virtualTime);
+    this.retag(line, virtualTime);
+  }
+
+  /**
+   * Moves an account forward whose work was cheaper than it was charged for.
+   * Without this every refusal by an agent cost the account a turn.
+   */
+  onRefunded(account: string, virtualTime: number): void {
+    const line = this.lines.get(account);
+    if (line !== undefined && line.tokens > 0) this.retag(line, virtualTime);
   }
 
   /** The request that is served next, and its start tag. */
@@ -79,13 +93,13 @@
       if (line === undefined) return undefined;
       const waiting = firstOf(line);
       const tag = this.order.leastKey;
-      if (waiting !== undefined && line.standing.finishTag <= tag) {
-        return { waiting, tag };
-      }
-      // Empty by now, or charged for other work meanwhile: put right.
+      const isCurrent = tag === line.tag && waiting !== undefined;
+      if (isCurrent && line.standing.finishTag <= tag) return { waiting, tag };
+      // Moved or empty by now, or charged for other work: put right.
       this.order.pop();
-      line.inHeap = false;
-      if (waiting !== undefined) this.schedule(line, tag);
+      if (tag !== line.tag) continue;
+      line.tag = Number.POSITIVE_INFINITY;
+      if (waiting !== undefined) this.retag(line, tag);
     }
   }
 
@@ -93,11 +107,11 @@
   takeHead(nextTag: number): void {
     const line = this.order.pop();
     if (line === undefined) return;
-    line.inHeap = false;
+    line.tag = Number.POSITIVE_INFINITY;
     const waiting = firstOf(line);
     if (waiting === undefined) return;
     this.leave(waiting);
-    if (firstOf(line) !== undefined) this.schedule(line, nextTag);
+    if (firstOf(line) !== undefined) this.retag(line, nextTag);
   }
 
   /** Marks a waiting request as gone; its place is skipped later. */
@@ -108,14 +122,8 @@
     if (line !== undefined) this.count(line, -waiting.request.costTokens, -1);
   }
 
-  /**
-   * Work that is served before a new request of the account: a fair share of
-   * the others' lines for each token in its own, never more than all of them.
-   */
-  tokensAhead(account: string, weight: number): number {
-    const own = this.lines.get(account)?.tokens ?? 0;
-    const others = this.activeWeight + (own > 0 ? 0 : weight);
-    return Math.min(this.waitingTokens, (own * others) / weight);
+  waitingTokensOf(account: string): number {
+    return this.lines.get(account)?.tokens ?? 0;
   }
 
   /** The youngest request of the account that has most for its weight. */
@@ -131,7 +139,7 @@
   }
 
   loadWith(account: string, weight: number, tokens: number): number {
-    return ((this.lines.get(account)?.tokens ?? 0) + tokens) / weight;
+    return (this.waitingTokensOf(account) + tokens) / weight;
   }
 
   private lineOf({ request, standing }: Waiting): Line {
@@ -143,26 +151,24 @@
       waiting: [],
       first: 0,
       tokens: 0,
-      inHeap: false,
+      tag: Number.POSITIVE_INFINITY,
     };
     this.lines.set(request.account, line);
     return line;
   }
 
-  private schedule(line: Line, virtualTime: number): void {
-    if (line.inHeap) return;
-    line.inHeap = true;
-    this.order.push(Math.max(virtualTime, line.standing.finishTag), line);
+  /** Puts a line into the order, or forward in it; never back. */
+  private retag(line: Line, virtualTime: number): void {
+    const tag = Math.max(virtualTime, line.standing.finishTag);
+    if (tag >= line.tag) return;
+    line.tag = tag;
+    this.order.push(tag, line);
   }
 
   private count(line: Line, tokens: number, requests: number): void {
-    const wasActive = line.tokens > 0;
     line.tokens += tokens;
     this.waitingTokens += tokens;
     this.waitingCount += requests;
-    const isActive = line.tokens > 0;
-    if (wasActive === isActive) return;
-    this.activeWeight += isActive ? line.weight : -line.weight;
   }
 }
 
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -51,8 +51,8 @@
 export interface Ended {
   /** Prompt and output as they were; the estimate when unknown. */
   readonly costTokens: number;
-  /** From start to end; undefined when it says nothing about the pool. */
-  readonly serviceMs: number | undefined;
+  /** From sending to the end; undefined when it tells nothing of the pool. */
+  readonly durationMs: number | undefined;
 }
 
 export interface AdmissionInputs {
@@ -65,4 +65,13 @@
   readonly giveUp: (request: AdmissionRequest, refusal: Refusal) => void;
   /** Live entries, this one included, as the VM list has them. */
   readonly entries: () => number;
+  readonly tuning?: Partial<AdmissionTuning>;
+}
+
+/** Constants of the policy; docs/measurements/admission.md has the figures. */
+export interface AdmissionTuning {
+  /** Part of the time left that a request may be predicted to wait. */
+  readonly waitShare: number;
+  /** Expected service times that must be left when a request starts. */
+  readonly serviceMargin: number;
 }
--- a/src/placement/defaults.ts
+++ b/src/placement/defaults.ts
@@ -22,6 +22,6 @@
     stepMs: 5,
     adapterLoadMs: 500,
     kvTransfer: undefined,
-    queueShare: 0.25,
+    queueShare: 0.5,
   };
 }
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -6,7 +6,7 @@
  * to the end of the answer.
  */
 import { Left, Right, type Either } from "purify-ts/Either";
-import { failure, type ApricotdeckError } from "../internal.js";
+import { attemptLimit, failure, type ApricotdeckError } from "../internal.js";
 import { DEFAULT_TUNING } from "./defaults.js";
 import { Candidates, Pool } from "./pool.js";
 import { PrefixIndex, type Match } from "./prefix-index.js";
@@ -76,11 +76,12 @@
     const matches = this.matchesOf(request);
     const best =
       this.bestOfSample(request, pool, matches) ??
-      this.bestOfAll(request, pool, matches) ??
-      lastResort(request, pool);
-    if (best === undefined) return noRunner(request);
-    const prediction = this.predict(best, request, pool, matches);
-    return Right(toChoice(best, prediction));
+      this.bestOfAll(request, pool, matches);
+    const chosen = best ?? lastResort(request, pool);
+    if (chosen === undefined) return noRunner(request);
+    const prediction = this.predict(chosen, request, pool, matches);
+    const hasRoom = best !== undefined && prediction.hasRoom;
+    return Right(toChoice(chosen, { ...prediction, hasRoom }));
   }
 
   /** The chosen runner was sent the request. */
@@ -129,7 +130,8 @@
     const state = this.release(placed);
     if (state === undefined) return;
     const before = state.othersCount;
-    state.onFull(this.inputs.now(), this.limitOf(state));
+    const limit = this.limitOf(state, placed.request.priority);
+    state.onFull(this.inputs.now(), limit);
     this.tellPools(state, before);
     state.health.onNoVerdict();
   }
@@ -213,13 +215,14 @@
       nowMs: this.inputs.now(),
       settings: this.inputs.settings,
       tuning: this.tuning,
-      limit: this.limitOf(state),
+      limit: this.limitOf(state, request.priority),
     });
   }
 
-  private limitOf(state: RunnerState): number {
+  private limitOf(state: RunnerState, priority: number): number {
     const { slots } = state.description;
-    return slots + Math.ceil(slots * this.inputs.settings.queueShare);
+    const { queueShare } = this.inputs.settings;
+    return attemptLimit({ slots, queueShare }, priority);
   }
 
   private release({ choice }: Placed): RunnerState | undefined {
@@ -250,9 +253,9 @@
 }
 
 /**
- * All runners are left out: the one whose probe is due first. A pool that
- * fails as a whole is more likely to suffer from one common cause than from
- * many faults, and refusing everything would keep it out for good.
+ * All runners are left out: the one whose probe is due first, told to have no
+ * room. A pool that fails as a whole is not given up: requests wait for the
+ * next probe, a few seconds away, in place of breaking one after the other.
  */
 function lastResort(
   request: PlacementRequest,
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -21,6 +21,8 @@
 export interface PlacementRequest {
   readonly pool: string;
   readonly adapter?: string;
+  /** 0 is served first, and has room where the others have none. */
+  readonly priority: number;
   readonly promptTokens: number;
   /** Expected, not the caller's upper limit. */
   readonly outputTokens: number;
--- a/tests/placement/placement.test.ts
+++ b/tests/placement/placement.test.ts
@@ -37,6 +37,7 @@
 function request(values: Partial<PlacementRequest> = {}): PlacementRequest {
   return {
     pool: POOL,
+    priority: 5,
     promptTokens: 1024,
     outputTokens: 100,
     prefix: [],
