--- a/src/internal.ts
+++ b/src/internal.ts
@@ -6,6 +6,7 @@
 export * from "./shared/events.js";
 export * from "./shared/exhaustive.js";
 export * from "./shared/hybrid-clock.js";
+export * from "./shared/metrics.js";
 export * from "./shared/random.js";
 
 // configuration
@@ -36,6 +37,13 @@
 export * from "./claims/coordinator.js";
 
 // session
+export * from "./session/agent-gate.js";
+export * from "./session/agent-types.js";
+export * from "./session/entry-sessions.js";
+export * from "./session/entry-types.js";
+export * from "./session/ledger.js";
+export * from "./session/limits.js";
+export * from "./session/types.js";
 
 // admission
 export * from "./admission/types.js";
@@ -57,6 +65,8 @@
 export * from "./balance/load-forecast.js";
 export * from "./balance/lower-bound.js";
 export * from "./balance/planner.js";
+export * from "./balance/planner-task.js";
+export * from "./balance/planner-thread.js";
 export * from "./balance/rank-reports.js";
 export * from "./balance/refine.js";
 export * from "./balance/repack.js";
@@ -73,6 +83,7 @@
 export * from "./expertmap/proposer.js";
 export * from "./expertmap/formation.js";
 export * from "./expertmap/staging.js";
+export * from "./expertmap/membership.js";
 export * from "./expertmap/step-check.js";
 export * from "./expertmap/agent.js";
 
