--- a/measure/slopes-subjects.ts
+++ b/measure/slopes-subjects.ts
@@ -164,6 +164,7 @@
 
 export const REQUEST = {
   pool: "model-0",
+  priority: 0,
   promptTokens: 800,
   outputTokens: 200,
   prefix: [],
