--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -13,12 +13,8 @@
 import { LogClient } from "../../platform/log-client.js";
 import { BackendDirectory } from "./backend-directory.js";
 import { createCallerServer } from "./caller-server.js";
-import { Conservation } from "./conservation.js";
-import {
-  runRequest,
-  unexpectedResult,
-  type RequestResult,
-} from "./request-task.js";
+import { runRequest } from "./request-task.js";
+import { Sessions } from "./sessions.js";
 import type { AnswerWriter, Work } from "./work.js";
 import { pause } from "../background-task.js";
 
@@ -47,7 +43,7 @@
 
 class Entry implements Daemon {
   private readonly stop = new AbortController();
-  private readonly conservation: Conservation;
+  private readonly sessions: Sessions;
   private readonly configuration: ConfigurationFollower;
   private readonly directory: BackendDirectory;
   private readonly server = new Server(channelOptions);
@@ -61,10 +57,13 @@
     readonly context: ProcessContext,
     private readonly onLeave: () => void,
   ) {
-    const { emit } = context;
     const { platform, transport } = settings;
     const log = LogClient.create(platform.log);
-    this.conservation = Conservation.create(emit);
+    this.sessions = Sessions.create({
+      context,
+      transport,
+      mayRetry: () => true,
+    });
     this.configuration = ConfigurationFollower.create({
       context,
       log,
@@ -72,8 +71,7 @@
       transport: settings.transport,
     });
     this.directory = BackendDirectory.create({
-      context,
-      transport,
+      sessions: this.sessions,
       vmList: platform.vmList,
     });
   }
@@ -103,22 +101,29 @@
     const { graceMs } = this.settings;
     this.context.emit(102, { graceMs });
     this.callers.stopAccepting();
+    this.sessions.leave(graceMs);
     const deadline = Date.now() + graceMs;
-    while (this.inFlight > 0 && Date.now() < deadline) {
+    let cutRequests = 0;
+    while (!this.sessions.isDrained) {
+      if (Date.now() < deadline) cutRequests = this.inFlight;
       await pause(DRAIN_CHECK_MS, this.stop.signal);
     }
-    this.context.emit(103, { cutRequests: this.inFlight });
+    if (Date.now() < deadline) cutRequests = 0;
+    // The last bytes of the last answers are still on their way out.
+    await pause(DRAIN_CHECK_MS, this.stop.signal);
+    this.context.emit(103, { cutRequests });
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
+    await this.sessions[Symbol.asyncDispose]();
     this.server.forceShutdown();
     await this.callers[Symbol.asyncDispose]();
     await this.operators[Symbol.asyncDispose]();
   }
 
   private get inFlight(): number {
-    return this.conservation.counts().inFlight;
+    return this.sessions.inFlight;
   }
 
   private async start(): Promise<void> {
@@ -175,37 +180,25 @@
   private async serve(work: Work, writer: AnswerWriter): Promise<void> {
     const { id: request, account, profile, acceptedAtMs } = work;
     const { emit, measurements } = this.context;
-    this.conservation.accept(request);
-    measurements.set("requestsInFlight", this.inFlight);
     emit(121, { request, account, profile: profile.name });
-    const result = await this.runWork(work, writer);
-    this.conservation.finish(request, result.outcome);
-    const durationMs = Date.now() - acceptedAtMs;
-    const { outcome } = result;
-    measurements.observe("requestDuration", durationMs / 1000, { outcome });
+    const finished = runRequest({
+      work,
+      writer,
+      configuration: this.configuration.configuration,
+      directory: this.directory,
+      sessions: this.sessions,
+    });
+    measurements.set("requestsInFlight", this.inFlight);
+    const { outcome } = await finished;
+    const seconds = (Date.now() - acceptedAtMs) / 1000;
+    measurements.observe("requestDuration", seconds, { outcome });
     measurements.set("requestsInFlight", this.inFlight);
-    emit(124, { request, ...result, durationMs });
-  }
-
-  private async runWork(
-    work: Work,
-    writer: AnswerWriter,
-  ): Promise<RequestResult> {
-    try {
-      return await runRequest({
-        work,
-        writer,
-        configuration: this.configuration.configuration,
-        directory: this.directory,
-        emit: this.context.emit,
-      });
-    } catch (error) {
-      return unexpectedResult(error);
-    }
   }
 
   private status(): unknown {
-    const { context, configuration, directory, conservation } = this;
+    const { context, configuration, directory } = this;
+    const sessions = this.sessions.status();
+    const { notRun, brokenOff, ...counts } = sessions.conservation;
     const { inForce } = configuration;
     return {
       name: context.name,
@@ -217,7 +210,9 @@
       version: inForce?.version ?? null,
       hash: inForce?.hash ?? null,
       configuration: configuration.summary,
-      conservation: conservation.counts(),
+      conservation: { ...counts, "not-run": notRun, "broken-off": brokenOff },
+      dropped: sessions.dropped,
+      sessions: sessions.sessions,
       backends: directory.all().map(({ vm, session }) => ({
         name: vm.name,
         live: session?.takesWork ?? false,
