--- a/measure/skew.ts
+++ b/measure/skew.ts
@@ -5,6 +5,7 @@
  */
 import { parseArgs } from "node:util";
 import {
+  ApricotdeckError,
   checkShape,
   raise,
   type GroupShape,
@@ -88,8 +89,20 @@
   readonly policies: Readonly<Record<string, RunResult>>;
 }
 
+const EXIT_USAGE = 2;
+
+/** A wrong option or trace is told in one line, which names it. */
 export const measureSkew: Measure = async (args) => {
-  const options = await readOptions(args);
+  try {
+    measureAll(await readOptions(args));
+  } catch (thrown) {
+    if (!(thrown instanceof ApricotdeckError)) throw thrown;
+    console.error(thrown.message);
+    process.exitCode = EXIT_USAGE;
+  }
+};
+
+function measureAll(options: Options): void {
   const results: TraceResult[] = [];
   for (const trace of options.traces) {
     for (const skewWeight of curveWeights(options)) {
@@ -103,7 +116,7 @@
   console.log(
     JSON.stringify({ measurement: "skew", seed, shape, costs, results }),
   );
-};
+}
 
 function curveWeights({ curve, settings }: Options): readonly number[] {
   if (!curve) return [settings.skewWeight];
--- a/src/balance/layer-search.ts
+++ b/src/balance/layer-search.ts
@@ -152,21 +152,39 @@
 
   /** One more replica of an expert of the slowest rank, on another rank. */
   private considerReplicas(slowest: number, expert: number): void {
+    const share = this.tokens[expert] / (this.replicas[expert] + 1);
+    const before = this.times[slowest];
     for (let slot = 0; slot < this.slots.length; slot++) {
+      // Most slots fall out here, by the cheapest question.
+      const touched = this.timeAfterPlacing(slot, share);
+      if (before - touched <= this.bestGain) continue;
       const rank = this.rankOfSlot[slot];
       if (rank === slowest || this.isHeld(expert, rank)) continue;
-      if (this.isRedundant(slot)) this.considerPlacing(slowest, slot, expert);
+      if (!this.isRedundant(slot)) continue;
+      this.considerPlacing(slowest, slot, expert, touched);
     }
   }
 
   /** The slowest rank gives up a redundant replica for a cooler expert. */
   private considerDropping(slowest: number, slot: number): void {
+    const before = this.times[slowest];
     for (let expert = 0; expert < this.replicas.length; expert++) {
+      const share = this.tokens[expert] / (this.replicas[expert] + 1);
+      const touched = this.timeAfterPlacing(slot, share);
+      if (before - touched <= this.bestGain) continue;
       if (this.isHeld(expert, slowest)) continue;
-      this.considerPlacing(slowest, slot, expert);
+      this.considerPlacing(slowest, slot, expert, touched);
     }
   }
 
+  /** Time of a slot's rank when an expert of this share takes the slot. */
+  private timeAfterPlacing(slot: number, share: number): number {
+    const dropped = this.slots[slot];
+    const droppedShare = dropped === EMPTY_SLOT ? 0 : this.shares[dropped];
+    const rank = this.rankOfSlot[slot];
+    return this.times[rank] + (share - droppedShare) * this.slowness[rank];
+  }
+
   private isRedundant(slot: number): boolean {
     const expert = this.slots[slot];
     return expert === EMPTY_SLOT || this.replicas[expert] > 1;
@@ -176,20 +194,23 @@
     return this.holds[expert * this.shape.ranks + rank] === 1;
   }
 
-  private considerPlacing(slowest: number, slot: number, added: number): void {
+  /** `targetTime` is that of the slot's own rank after the change. */
+  private considerPlacing(
+    slowest: number,
+    slot: number,
+    added: number,
+    targetTime: number,
+  ): void {
     const before = this.times[slowest];
     const dropped = this.slots[slot];
     const target = this.rankOfSlot[slot];
     const replicas = this.replicas[added];
-    const addedShare = this.tokens[added] / (replicas + 1);
-    const relief = this.tokens[added] / replicas - addedShare;
-    const droppedShare = dropped === EMPTY_SLOT ? 0 : this.shares[dropped];
-    const work = addedShare - droppedShare;
-    let touched = this.times[target] + work * this.slowness[target];
-    if (before - touched <= this.bestGain) return;
+    const relief = this.shares[added] - this.tokens[added] / (replicas + 1);
+    let touched = targetTime;
     if (target !== slowest) {
       touched = Math.max(touched, before - relief * this.slowness[slowest]);
     }
+    if (before - touched <= this.bestGain) return;
     const burden = this.slowestAfterDrop(dropped, added, target, relief);
     touched = Math.max(touched, burden);
     const gain = before - touched;
