Gather step reports into windows, and offer balance to embedders

Cause: engines report steps of ranks, the balancer takes windows. Change: a window adds up the steps of each rank once and under one map; the parts of balance are in the library's index. Conclusion: gathering the reports of a whole group at one agent is left.

--- a/src/index.ts
+++ b/src/index.ts
@@ -35,3 +35,31 @@
   RunnerDescription,
   RunnerLoad,
 } from "./internal.js";
+
+// balance
+export {
+  Balancer,
+  checkMap,
+  checkShape,
+  createEvenMap,
+  levelRequests,
+  Planner,
+  PlannerThread,
+  runPlannerTask,
+  StepWindow,
+} from "./internal.js";
+export type {
+  Decision,
+  ExpertMap,
+  ExpertMove,
+  GroupShape,
+  MoveCosts,
+  MovePlan,
+  Plan,
+  PlanForecast,
+  PlannerTaskOptions,
+  PlannerWindow,
+  RankReport,
+  RankStep,
+  StayReason,
+} from "./internal.js";
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -72,6 +72,7 @@
 export * from "./balance/repack.js";
 export * from "./balance/request-shares.js";
 export * from "./balance/step-model.js";
+export * from "./balance/step-window.js";
 
 // expertmap
 export * from "./expertmap/ballot.js";
--- a/tests/balance/reports.test.ts
+++ b/tests/balance/reports.test.ts
@@ -5,6 +5,7 @@
   levelRequests,
   LoadForecast,
   RankSpeeds,
+  StepWindow,
   UNKNOWN_TOKENS,
   type EventNumber,
   type ExpertMap,
@@ -43,6 +44,39 @@
   });
 });
 
+describe("a window of steps", () => {
+  const step = {
+    rank: 1,
+    step: 7,
+    version: 4,
+    durationMs: 5,
+    counts: [[0, 20, 30]],
+  };
+
+  it("adds up what each rank worked on and how long", () => {
+    const window = StepWindow.create(MAP);
+    window.add(step);
+    window.add({ ...step, step: 8, counts: [[0, 1, 2]] });
+    const [only, ...others] = window.close(3);
+    assert.equal([...Array.from(only.tokens)], [21, 32]);
+    assert.is(only.busySeconds, 0.01);
+    assert.is(only.window, 3);
+    assert.is(others.length, 0);
+  });
+
+  it("counts a step once, and none of another map", () => {
+    // Reports are asked for again after a lost answer, and a window spans a
+    // switch: counted twice, or for the wrong experts, they would move experts
+    // for a load that isn't there.
+    const window = StepWindow.create(MAP);
+    window.add(step);
+    window.add(step);
+    window.add({ ...step, step: 6, version: 3 });
+    const [only] = window.close(0);
+    assert.equal([...Array.from(only.tokens)], [20, 30]);
+  });
+});
+
 describe("speeds of ranks", () => {
   it("show a rank that takes longer for the same work", () => {
     const speeds = RankSpeeds.create(SHAPE);
