--- a/src/balance/window-collector.ts
+++ b/src/balance/window-collector.ts
@@ -46,7 +46,8 @@
   readonly window: number;
   readonly map: ExpertMap;
   readonly tokens: Float64Array;
-  steps: number;
+  /** Reports are asked for again after a lost answer: each counts once. */
+  readonly steps: Set<number>;
   busySeconds: number;
   requestTokens: number;
 }
@@ -97,7 +98,7 @@
       window,
       map,
       tokens: new Float64Array(layers * slotsPerRank),
-      steps: 0,
+      steps: new Set(),
       busySeconds: 0,
       requestTokens: 0,
     };
@@ -109,11 +110,12 @@
 
   private addTo(
     open: OpenWindow,
-    { rank, counts, durationMs }: RankStep,
+    { rank, step, counts, durationMs }: RankStep,
     requestTokens: number,
   ): void {
+    if (open.steps.has(step)) return;
     addCounts(open, rank, counts);
-    open.steps += 1;
+    open.steps.add(step);
     open.busySeconds += durationMs / 1000;
     open.requestTokens += requestTokens;
   }
@@ -137,8 +139,8 @@
   /** Steps whose reports were lost count like those that came. */
   private reportOf(rank: number, open: OpenWindow): RankReport[] {
     const { windowSteps, leastShare } = this.settings;
-    if (open.steps < windowSteps * leastShare) return [];
-    const scale = windowSteps / open.steps;
+    if (open.steps.size < windowSteps * leastShare) return [];
+    const scale = windowSteps / open.steps.size;
     return [
       {
         rank,
--- a/tests/balance/windows.test.ts
+++ b/tests/balance/windows.test.ts
@@ -70,6 +70,17 @@
     assert.equal(Array.from(windows[0].tokens), [50]);
   });
 
+  /*
+   * An answer with step reports is lost and asked for again. Counted twice,
+   * they would move experts for a load that isn't there.
+   */
+  it("count a step once", () => {
+    const collector = WindowCollector.create(settings);
+    const steps = [...range(0, 10), 4, 4, ...range(10, 13)];
+    const [window] = collect(collector, steps);
+    assert.equal(Array.from(window.tokens), [50]);
+  });
+
   it("come once, although a step of theirs comes late", () => {
     const collector = WindowCollector.create(settings);
     const windows = collect(collector, [...range(0, 13), 3, ...range(13, 14)]);
