--- a/src/expertmap/proposer.ts
+++ b/src/expertmap/proposer.ts
@@ -179,8 +179,11 @@
   ): ProposerEnd | undefined {
     const { mapHash } = proposal;
     const outcome = this.votes.outcome(proposal);
-    if (outcome !== undefined) return { mapHash, end: outcome };
     const left = !sameBallot(state.group, proposal.group);
+    // Not before the map is in force: whoever proposes next starts from it.
+    const ahead = !left && state.version < proposal.version;
+    if (outcome === "committed" && ahead) return undefined;
+    if (outcome !== undefined) return { mapHash, end: outcome };
     const overtaken = state.version > proposal.version;
     return left || overtaken ? { mapHash, end: failure(1604) } : undefined;
   }
