Tell the fixed part of a step from the work of a rank

Change: the fixed part is fitted over the ranks of each window by the median of pairwise slopes and taken off before speeds are estimated; the step model counts it like requests that can't be moved. A trace 'fixed-part' has it.

--- a/demo/faults.ts
+++ b/demo/faults.ts
@@ -13,7 +13,9 @@
 const LAST_NEW_WORK_MS = 3000;
 const LIST_LAG_MS = 2000;
 /** Five windows of reports before the first plan, the fetch, the switch. */
-const MAP_SETTLED_MS = 15_000;
+const MAP_SETTLED_MS = 12_000;
+/** Without every rank's vote no map can change after a runner has left. */
+const WAVE_SETTLED_MS = 20_000;
 
 /** The connections to one agent go silent while new ones work. */
 export function silenceRunner(index: number): Fault {
@@ -40,7 +42,7 @@
 export function drainRunner(index: number): Fault {
   return {
     name: `runner ${index} leaves`,
-    afterMs: MAP_SETTLED_MS,
+    afterMs: WAVE_SETTLED_MS,
     cause: async (site) => {
       const { daemon, engine } = site.runners[index];
       const { name, operators, ended } = daemon.process;
--- a/demo/site.ts
+++ b/demo/site.ts
@@ -58,6 +58,7 @@
 
 const POLL_MS = 50;
 const GRACE_MS = 10_000;
+const WINDOW_STEPS = 200;
 
 export async function startSite(options: SiteOptions): Promise<Site> {
   const log = await startLog();
@@ -127,9 +128,11 @@
       logLevel: options.logLevel ?? "info",
       graceMs: options.graceMs ?? GRACE_MS,
     };
+    // Ten seconds a window would be most of a demo.
+    const limits = { windowSteps: WINDOW_STEPS };
     if (kind === "entry") return { role: "entry", ...common };
     return kind === "runner"
-      ? { role: "agent", ...common, group: modelGroup, ranks: [index] }
+      ? { role: "agent", ...common, group: modelGroup, ranks: [index], limits }
       : { role: "agent", ...common, group: serviceGroup };
   };
 }
--- a/measure/traces.ts
+++ b/measure/traces.ts
@@ -3,13 +3,20 @@
  * of ten seconds, the tokens of each layer and expert, the speeds and request
  * work of the ranks, and the ranks whose reports are lost.
  */
-import { createRandom, type GroupShape, type Random } from "../src/internal.js";
+import {
+  createRandom,
+  type GroupShape,
+  type Random,
+  type RankState,
+} from "../src/internal.js";
 
 export interface TraceWindow {
   /** Tokens of each layer and expert: layer * experts + expert. */
   readonly tokens: Float64Array;
   readonly speeds: Float64Array;
   readonly requestTokens: Float64Array;
+  /** Fixed part of a step as tokens of work, in no report. */
+  readonly fixedTokens: number;
   /** Ranks whose report of this window never arrives. */
   readonly lostReports: ReadonlySet<number>;
 }
@@ -47,6 +54,8 @@
   /** Request work over the expert work of an average rank. */
   readonly request?: (rank: number, window: number) => number;
   readonly loses?: (rank: number, window: number, random: Random) => boolean;
+  /** Fixed part of a step over the expert work of an average rank. */
+  readonly fixed?: number;
 }
 
 const recipes: Readonly<Record<string, Recipe>> = {
@@ -57,6 +66,12 @@
   "loud-noise": { fitted: true, popularity: still, dispersion: 80 },
   drift: { fitted: true, popularity: drifting },
   wave: { fitted: true, popularity: waves },
+  /** Half of every step doesn't depend on the tokens of a rank. */
+  "fixed-part": {
+    fitted: true,
+    popularity: waves,
+    ranks: () => ({ fixed: 1 }),
+  },
   oscillation: { fitted: true, popularity: oscillating },
   flash: { fitted: true, popularity: flashing },
   "heavy-tail": { fitted: true, popularity: heavyTail },
@@ -134,7 +149,7 @@
 ): TraceWindow {
   const ranks = Array.from({ length: shape.ranks }, (_, rank) => rank);
   const meanWork = shape.layers * TOKENS_PER_RANK;
-  const { speed, request, loses } = faults;
+  const { speed, request, loses, fixed = 0 } = faults;
   return {
     tokens,
     speeds: Float64Array.from(ranks, (rank) => speed?.(rank, window) ?? 1),
@@ -142,6 +157,7 @@
       ranks,
       (rank) => (request?.(rank, window) ?? 0) * meanWork,
     ),
+    fixedTokens: fixed * meanWork,
     lostReports: new Set(
       ranks.filter((rank) => loses?.(rank, window, random) ?? false),
     ),
@@ -240,3 +256,10 @@
   const drift = drifting(tail, random);
   return drift;
 }
+
+/** Ranks as they are in a window, the fixed part among their work. */
+export function ranksOf(window: TraceWindow): RankState {
+  const { speeds, requestTokens, fixedTokens } = window;
+  const work = requestTokens.map((tokens) => tokens + fixedTokens);
+  return { speeds, requestTokens: work };
+}
--- a/src/balance/balancer.ts
+++ b/src/balance/balancer.ts
@@ -87,9 +87,11 @@
 
   /** Speeds and request work of the ranks, as far as reports told. */
   get ranks(): RankState {
+    const { fixedTokens } = this.rankSpeeds;
     return {
       speeds: this.rankSpeeds.current(),
-      requestTokens: this.requestTokens,
+      // A step's fixed part weighs like requests that no placement can move.
+      requestTokens: this.requestTokens.map((tokens) => tokens + fixedTokens),
     };
   }
 
--- a/src/balance/rank-reports.ts
+++ b/src/balance/rank-reports.ts
@@ -1,4 +1,5 @@
 /** Turns the reports of single ranks into tokens of experts and rank speeds. */
+import { FixedTime, type RankPoint } from "./fixed-time.js";
 import { medianOf, sum } from "./numbers.js";
 import { countReplicas } from "./step-model.js";
 import { UNKNOWN_TOKENS } from "./load-forecast.js";
@@ -60,12 +61,16 @@
  * accelerators differ by about so much, and moving experts for it never ends.
  */
 const SPEED_TOLERANCE = 0.05;
+/** Of a rank that took hardly longer than the fixed part, noise is left. */
+const LEAST_TIME_SHARE = 0.05;
 const SLOWEST_SPEED = 0.05;
 const FASTEST_SPEED = 2;
 
 /** Estimates each rank's speed from its reports; 1 is the median rank. */
 export class RankSpeeds {
   private readonly estimates: Float64Array;
+  private readonly fixedTime = FixedTime.create();
+  private fixed = 0;
 
   private constructor(shape: GroupShape) {
     this.estimates = new Float64Array(shape.ranks).fill(1);
@@ -75,14 +80,24 @@
     return new RankSpeeds(shape);
   }
 
+  /** Work of the median rank that takes as long as a step without tokens. */
+  get fixedTokens(): number {
+    return this.fixed;
+  }
+
   /** A rank that sent no report, or did no work, keeps its estimate. */
   observe(reports: readonly RankReport[]): void {
     const measured = reports.filter((report) => report.busySeconds > 0);
-    const rates = measured.map(rateOf);
-    const median = medianOf(rates);
-    if (median === 0) return;
+    const points = measured.map(pointOf);
+    this.fixedTime.observe(points);
+    const median = medianOf(points.map(({ seconds }) => seconds));
+    const fixedSeconds = this.fixedTime.secondsOf(median);
+    const rates = points.map((point) => rateOf(point, fixedSeconds));
+    const medianRate = medianOf(rates);
+    if (medianRate === 0) return;
+    this.fixed = fixedSeconds * medianRate;
     measured.forEach(({ rank }, index) => {
-      const speed = clampSpeed(rates[index] / median);
+      const speed = clampSpeed(rates[index] / medianRate);
       const old = this.estimates[rank];
       this.estimates[rank] = old + SPEED_SMOOTHING * (speed - old);
     });
@@ -96,8 +111,14 @@
   }
 }
 
-function rateOf(report: RankReport): number {
-  return (sum(report.tokens) + report.requestTokens) / report.busySeconds;
+function pointOf(report: RankReport): RankPoint {
+  const tokens = sum(report.tokens) + report.requestTokens;
+  return { tokens, seconds: report.busySeconds };
+}
+
+/** Tokens a second beside the fixed part, which no time falls short of. */
+function rateOf({ tokens, seconds }: RankPoint, fixedSeconds: number): number {
+  return tokens / Math.max(seconds - fixedSeconds, LEAST_TIME_SHARE * seconds);
 }
 
 function clampSpeed(speed: number): number {
--- a/src/balance/window-collector.ts
+++ b/src/balance/window-collector.ts
@@ -31,13 +31,12 @@
 }
 
 /**
- * 200 steps of five milliseconds are a second: short against the drift of
- * demand, and some ten thousand tokens for each expert of a busy layer, so
- * that the share of noise in them is small. Reports are known to come up to
- * half a second late.
+ * 2,000 steps of five milliseconds are the ten seconds that the planner's
+ * constants were measured with. Reports are known to come up to half a second
+ * late.
  */
 export const DEFAULT_WINDOWS: WindowSettings = {
-  windowSteps: 200,
+  windowSteps: 2000,
   lateSteps: 100,
   leastShare: 0.25,
 };
--- a/src/daemon/balance/expert-balance.ts
+++ b/src/daemon/balance/expert-balance.ts
@@ -6,6 +6,7 @@
  */
 import type { sendUnaryData, ServerUnaryCall } from "@grpc/grpc-js";
 import {
+  DEFAULT_WINDOWS,
   PlannerThread,
   toFailure,
   WindowAssembly,
@@ -53,7 +54,7 @@
     },
   };
 
-  private readonly collector = WindowCollector.create();
+  private readonly collector: WindowCollector;
   private readonly client: ReportClient;
   private assembly: WindowAssembly | undefined;
   private planner: PlannerThread | undefined;
@@ -64,6 +65,8 @@
   private constructor(private readonly options: ExpertBalanceOptions) {
     const { context, settings } = options;
     this.client = ReportClient.create(context, settings.transport);
+    const { windowSteps } = settings.limits;
+    this.collector = WindowCollector.create({ ...DEFAULT_WINDOWS, windowSteps });
   }
 
   static create(options: ExpertBalanceOptions): ExpertBalance {
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -6,7 +6,7 @@
 import { readFileSync } from "node:fs";
 import { parse, printParseErrorCode, type ParseError } from "jsonc-parser";
 import { z } from "zod";
-import { raise } from "../internal.js";
+import { DEFAULT_WINDOWS, raise } from "../internal.js";
 
 const MIB = 1024 * 1024;
 
@@ -148,6 +148,11 @@
           .min(1)
           .default(200_000_000)
           .describe("This agent's share of the weight store's rate, bytes/s."),
+        windowSteps: z
+          .int()
+          .min(10)
+          .default(DEFAULT_WINDOWS.windowSteps)
+          .describe("Steps of one window of the balance of experts."),
       })
       .readonly()
       .prefault({}),
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -62,6 +62,7 @@
 export * from "./balance/types.js";
 export * from "./balance/balancer.js";
 export * from "./balance/expert-map.js";
+export * from "./balance/fixed-time.js";
 export * from "./balance/load-forecast.js";
 export * from "./balance/lower-bound.js";
 export * from "./balance/planner.js";
