--- a/src/daemon/balance/expert-balance.ts
+++ b/src/daemon/balance/expert-balance.ts
@@ -66,7 +66,10 @@
     const { context, settings } = options;
     this.client = ReportClient.create(context, settings.transport);
     const { windowSteps } = settings.limits;
-    this.collector = WindowCollector.create({ ...DEFAULT_WINDOWS, windowSteps });
+    this.collector = WindowCollector.create({
+      ...DEFAULT_WINDOWS,
+      windowSteps,
+    });
   }
 
   static create(options: ExpertBalanceOptions): ExpertBalance {
