Fuzz the acceptance of publications over mixed releases

Change: only an accepted publication without a base is a start, and one without a base has to be of the baseline format, so that no release is left without content. The shrunk history is a test of its own.

--- a/fuzz/claims/claims.ts
+++ b/fuzz/claims/claims.ts
@@ -8,18 +8,13 @@
   claimRules,
   coordinatorRules,
 } from "../../src/internal.js";
-import {
-  checkParameters,
-  type FuzzResult,
-  type FuzzSettings,
-  type FuzzTarget,
-} from "../target.js";
+import { runHistories } from "../run-property.js";
+import type { FuzzResult, FuzzSettings, FuzzTarget } from "../target.js";
 import { NO_FAULTS } from "./log.js";
 import { AGENTS, ClaimsWorld, ENTRIES, type WorldRules } from "./world.js";
 
 const KEYS = 2;
 const LONGEST_HISTORY = 30;
-const PROGRESS_EVERY = 10_000;
 
 type Command =
   | { readonly kind: "call"; readonly entry: number; readonly key: number }
@@ -229,34 +224,16 @@
 const MUTATION_LIMIT = 2_000;
 
 function run(settings: FuzzSettings): Promise<FuzzResult> {
-  const { mutation, onProgress } = settings;
+  const { mutation } = settings;
   const rules = mutation === undefined ? sound : mutants[mutation];
   if (rules === undefined) throw new RangeError(`no mutation ${mutation}`);
-  let histories = 0;
-  let commands = 0;
-  const property = fc.property(
-    fc.array(command, { maxLength: LONGEST_HISTORY, size: "max" }),
-    (steps) => {
-      histories += 1;
-      commands += steps.length;
-      if (histories % PROGRESS_EVERY === 0) onProgress?.(histories);
-      const violations = runHistory(rules, steps);
-      if (violations.length > 0) throw new Error(violations.join("; "));
-    },
-  );
-  const details = fc.check(property, checkParameters<[Command[]]>(settings));
-  const steps = details.counterexample?.[0] ?? [];
-  const error = details.errorInstance;
-  const reason = error instanceof Error ? error.message : "";
-  return Promise.resolve({
-    histories: details.failed ? histories : details.numRuns,
-    commands,
-    violations: details.failed ? 1 : 0,
-    counterexample: details.failed
-      ? [...steps.map((step) => JSON.stringify(step)), reason]
-      : [],
-    path: details.counterexamplePath ?? "",
+  const history = fc.array(command, {
+    maxLength: LONGEST_HISTORY,
+    size: "max",
   });
+  return Promise.resolve(
+    runHistories(settings, history, (steps) => runHistory(rules, steps)),
+  );
 }
 
 export const claimsTarget: FuzzTarget = {
--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -5,5 +5,7 @@
 
 export const targets: Readonly<Partial<Record<string, LoadTarget>>> = {
   expertmap: async () => (await import("./expertmap.js")).expertmap,
+  configuration: async () =>
+    (await import("./configuration/configuration.js")).configurationTarget,
   claims: async () => (await import("./claims/claims.js")).claimsTarget,
 };
--- a/src/configuration/anchor.ts
+++ b/src/configuration/anchor.ts
@@ -40,8 +40,11 @@
   }
   if (!standsAlone(envelope, chain)) return { state: waiting, verdicts: [] };
   // Nothing was published since what its author saw, so every reader accepts
-  // it, also one that knows what came before.
-  return applyPublication(state, EMPTY_CHAIN, record, envelope, rules);
+  // it, also one that knows what came before; unless it is invalid, when those
+  // keep what they have and this one still lacks it.
+  const alone = applyPublication(state, EMPTY_CHAIN, record, envelope, rules);
+  const isAccepted = alone.verdicts.some(({ kind }) => kind === "accepted");
+  return isAccepted ? alone : { state: waiting, verdicts: [] };
 }
 
 /**
--- a/src/configuration/envelope.ts
+++ b/src/configuration/envelope.ts
@@ -6,6 +6,7 @@
  */
 import { Left, Right, type Either } from "purify-ts";
 import { z } from "zod";
+import { BASELINE_FORMAT } from "./formats.js";
 import type { Checkpoint, Publication } from "./types.js";
 
 const offset = z.int().min(0);
@@ -43,12 +44,19 @@
   checkpointSchema,
 ]);
 
+const FIRST_FORMAT_REASON =
+  "formatVersion: a publication without a base is of the baseline format";
+
 /** Left: why the record can't be read. */
 export function parseEnvelope(
   data: Uint8Array,
 ): Either<string, Publication | Checkpoint> {
   const parsed = envelopeSchema.safeParse(parseJson(data));
-  if (parsed.success) return Right(parsed.data);
+  if (parsed.success) {
+    return isMisplaced(parsed.data)
+      ? Left(FIRST_FORMAT_REASON)
+      : Right(parsed.data);
+  }
   const issue = parsed.error.issues.at(0);
   const path = issue?.path.map(String).join(".") ?? "";
   return Left(`${path}: ${issue?.message ?? "unreadable"}`);
@@ -58,6 +66,15 @@
   return new TextEncoder().encode(JSON.stringify(record));
 }
 
+/**
+ * A reader that lost everything starts from a publication without a base. Were
+ * it of a newer format, an older release would be left without any content.
+ */
+function isMisplaced(record: Publication | Checkpoint): boolean {
+  if (record.kind === "checkpoint" || record.basedOn !== null) return false;
+  return record.formatVersion !== BASELINE_FORMAT;
+}
+
 function parseJson(data: Uint8Array): unknown {
   try {
     return JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(data));
--- a/tests/configuration/acceptance.test.ts
+++ b/tests/configuration/acceptance.test.ts
@@ -182,6 +182,17 @@
     const applied = applyRecords(start, records);
     assert.equal(kinds(applied), ["accepted", "duplicate"]);
   });
+
+  // The accepted version was trimmed before any checkpoint. Readers that know
+  // it keep it over the invalid publication; one that took the invalid one for
+  // a start would think that nothing had ever been accepted.
+  it("does not start from an invalid publication", () => {
+    const start = skipTrimmed(initialConfigurationState, 9);
+    const broken = publication({ seenThrough: 9, configuration: 1 });
+    const { state, verdicts } = applyRecord(start, recordAt(9, broken));
+    assert.equal(verdicts, []);
+    assert.is(state.chain.kind, "unknown");
+  });
 });
 
 describe("a snapshot of a peer", () => {
