--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -7,5 +7,6 @@
   expertmap: async () => (await import("./expertmap.js")).expertmap,
   configuration: async () =>
     (await import("./configuration/configuration.js")).configurationTarget,
+  orders: async () => (await import("./orders.js")).orders,
   claims: async () => (await import("./claims/claims.js")).claimsTarget,
 };
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -58,6 +58,7 @@
 export * from "./balance/lower-bound.js";
 export * from "./balance/planner.js";
 export * from "./balance/rank-reports.js";
+export * from "./balance/refine.js";
 export * from "./balance/repack.js";
 export * from "./balance/request-shares.js";
 export * from "./balance/step-model.js";
@@ -76,3 +77,6 @@
 export * from "./expertmap/agent.js";
 
 // orders
+export * from "./orders/types.js";
+export * from "./orders/lease.js";
+export * from "./orders/order-desk.js";
