--- a/src/daemon/entry/request-task.ts
+++ b/src/daemon/entry/request-task.ts
@@ -160,6 +160,7 @@
     priority: work.profile.priority,
     deadlineMs: Math.max(1, work.deadlineAtMs - Date.now()),
     costTokens: work.costTokens,
+    sequence: 0,
     fromIndex: 0,
     resumeOf: "",
     account: work.account,
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -36,6 +36,13 @@
 export * from "./claims/coordinator.js";
 
 // session
+export * from "./session/agent-gate.js";
+export * from "./session/agent-types.js";
+export * from "./session/entry-sessions.js";
+export * from "./session/entry-types.js";
+export * from "./session/ledger.js";
+export * from "./session/limits.js";
+export * from "./session/types.js";
 
 // admission
 export * from "./admission/types.js";
