Claim calls that may not be repeated before they are dispatched

Cause: the entry sent such calls straight to an agent, so a caller's repeat at another entry started them again.

Change: the entry follows the claim streams, appends its claims in batches and dispatches a call only under its own claim that was read back. The agent starts a claimed attempt once and answers other entries about it, ruling it out when they ask for that. A repeat of a call whose answer the agent does not hold is told that it ran.

--- a/src/daemon/agent/agent-sessions.ts
+++ b/src/daemon/agent/agent-sessions.ts
@@ -5,7 +5,13 @@
   ServerDuplexStream,
   ServerUnaryCall,
 } from "@grpc/grpc-js";
-import { toFailure, type ErrorNumber } from "../../internal.js";
+import {
+  ClaimGate,
+  toFailure,
+  type AttemptAnswer,
+  type AttemptQuestion,
+  type ErrorNumber,
+} from "../../internal.js";
 import {
   AgentService,
   type AgentBatch,
@@ -41,9 +47,12 @@
 export class AgentSessions {
   private readonly writers = new Set<FrameWriter<AgentFrame>>();
   private readonly running = new Map<string, RunningAttempt>();
+  private readonly gate: ClaimGate;
   private leaving = false;
 
-  private constructor(private readonly options: AgentSessionsOptions) {}
+  private constructor(private readonly options: AgentSessionsOptions) {
+    this.gate = ClaimGate.create(options.context.incarnation);
+  }
 
   static create(options: AgentSessionsOptions): AgentSessions {
     return new AgentSessions(options);
@@ -67,6 +76,11 @@
     },
   };
 
+  /** What entries are told that repeat a call. */
+  askAttempt(question: AttemptQuestion, nowMs: number): AttemptAnswer {
+    return this.gate.answer(question, nowMs);
+  }
+
   get runningCount(): number {
     return this.running.size;
   }
@@ -136,12 +150,13 @@
     dispatch: Dispatch,
     writer: FrameWriter<AgentFrame>,
   ): Promise<void> {
-    const { attempt, request } = dispatch;
+    const { attempt, request, repeatable, account } = dispatch;
     const { context, runner, attemptLimit } = this.options;
     const send = (body: FrameBody): void => {
       writer.push({ body });
     };
     const refuse = (error: ErrorNumber): void => {
+      if (!repeatable) this.gate.refuse(attempt, account, Date.now());
       const value = { attempt, error, retryAfterMs: 0 };
       send({ $case: "refused", value });
     };
@@ -153,6 +168,14 @@
       refuse(1404);
       return;
     }
+    if (!repeatable) {
+      const verdict = this.gate.tryStart(attempt, account, Date.now());
+      if (verdict === "started-before") return;
+      if (verdict !== "start") {
+        refuse(1310);
+        return;
+      }
+    }
     const abort = new AbortController();
     this.running.set(attempt, { abort, repeatable: dispatch.repeatable });
     send({ $case: "started", value: { attempt } });
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -12,7 +12,9 @@
 import { bindServer } from "../peer-server.js";
 import { channelOptions } from "../transport.js";
 import { ConfigurationFeedService } from "../../wire/generated/configuration.js";
+import { ClaimsService } from "../../wire/generated/claims.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
+import { createClaimService } from "./claim-service.js";
 import { RunnerClient } from "./runner-client.js";
 
 const DRAIN_CHECK_MS = 50;
@@ -122,6 +124,12 @@
       run: (s) => configuration.keepCheckpoints(s),
     });
     this.server.addService(AgentService, this.sessions.service);
+    this.server.addService(
+      ClaimsService,
+      createClaimService(context, (question) =>
+        this.sessions.askAttempt(question, Date.now()),
+      ),
+    );
     this.server.addService(
       ConfigurationFeedService,
       configuration.feed.service,
--- /dev/null
+++ b/src/daemon/agent/claim-service.ts
@@ -0,0 +1,39 @@
+/** Answers entries that repeat a call about the attempt that holds its claim. */
+import type { sendUnaryData, ServerUnaryCall } from "@grpc/grpc-js";
+import type { AttemptAnswer, AttemptQuestion } from "../../internal.js";
+import {
+  AttemptKnowledge,
+  type AskAttemptReply,
+  type AskAttemptRequest,
+  type ClaimsServer,
+} from "../../wire/generated/claims.js";
+import type { ProcessContext } from "../process-context.js";
+
+export function createClaimService(
+  context: ProcessContext,
+  answer: (question: AttemptQuestion) => AttemptAnswer,
+): ClaimsServer {
+  return {
+    askAttempt: (
+      { request }: ServerUnaryCall<AskAttemptRequest, AskAttemptReply>,
+      reply: sendUnaryData<AskAttemptReply>,
+    ) => {
+      const { clock, attempt, agentIncarnation, account } = request;
+      context.clock.observe(clock);
+      const tombstone = request.withdraw;
+      const question = { attempt, agentIncarnation, account, tombstone };
+      const knowledge = knowledgeOf[answer(question).kind];
+      reply(null, { clock: context.clock.read(), knowledge });
+    },
+  };
+}
+
+const knowledgeOf: Readonly<Record<AttemptAnswer["kind"], AttemptKnowledge>> = {
+  started: AttemptKnowledge.ATTEMPT_KNOWLEDGE_STARTED,
+  "answer-gone": AttemptKnowledge.ATTEMPT_KNOWLEDGE_ANSWER_GONE,
+  waiting: AttemptKnowledge.ATTEMPT_KNOWLEDGE_WAITING,
+  tombstoned: AttemptKnowledge.ATTEMPT_KNOWLEDGE_WITHDRAWN,
+  forgotten: AttemptKnowledge.ATTEMPT_KNOWLEDGE_FORGOTTEN,
+  "other-incarnation": AttemptKnowledge.ATTEMPT_KNOWLEDGE_OTHER_INCARNATION,
+  unreachable: AttemptKnowledge.ATTEMPT_KNOWLEDGE_UNSPECIFIED,
+};
--- a/src/daemon/entry/agent-session.ts
+++ b/src/daemon/entry/agent-session.ts
@@ -39,6 +39,8 @@
   private readonly stream: ClientDuplexStream<EntryBatch, AgentBatch>;
   private readonly writer: FrameWriter<EntryFrame>;
   private opened = false;
+  /** Empty before the agent has opened the session. */
+  agentIncarnation = "";
   leaving = false;
   load: LoadReport | undefined;
 
@@ -118,6 +120,7 @@
       case "opened": {
         const { runner, number } = this.options;
         this.opened = true;
+        this.agentIncarnation = body.value.session?.agentIncarnation ?? "";
         this.options.context.emit(141, { runner, session: number });
         break;
       }
--- a/src/daemon/entry/backend-directory.ts
+++ b/src/daemon/entry/backend-directory.ts
@@ -53,6 +53,10 @@
     return [...this.tasks.values()];
   }
 
+  find(name: string): Backend | undefined {
+    return this.tasks.get(name);
+  }
+
   /** Follows the list until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -13,6 +13,8 @@
 import { ConfigurationFeedService } from "../../wire/generated/configuration.js";
 import { LogClient } from "../../platform/log-client.js";
 import { BackendDirectory } from "./backend-directory.js";
+import { askAgent } from "./claim-asker.js";
+import { ClaimTasks, claimTaskList } from "./claim-tasks.js";
 import { createCallerServer } from "./caller-server.js";
 import { Conservation } from "./conservation.js";
 import {
@@ -52,6 +54,7 @@
   private readonly conservation: Conservation;
   private readonly configuration: ConfigurationFollower;
   private readonly directory: BackendDirectory;
+  private readonly claims: ClaimTasks;
   private readonly durations: Histogram<"outcome">;
   private readonly server = new Server(channelOptions);
   private leaving = false;
@@ -79,6 +82,21 @@
       transport,
       vmList: platform.vmList,
     });
+    this.claims = ClaimTasks.create({
+      context,
+      log,
+      appendsPerSecond: settings.claims.appendsPerSecond,
+      ask: (claim, tombstone) =>
+        askAgent(
+          {
+            context,
+            transport,
+            addressOf: (agent) => this.directory.find(agent)?.vm.address,
+          },
+          claim,
+          tombstone,
+        ),
+    });
     this.durations = new Histogram({
       name: "apricotdeck_request_duration_seconds",
       help: "Time from acceptance to the final outcome of a request, s",
@@ -166,6 +184,9 @@
       signal,
       run: (s) => directory.run(s),
     });
+    for (const { name, run } of claimTaskList(this.claims)) {
+      void runTask({ name, emit, signal, run });
+    }
     this.server.addService(
       ConfigurationFeedService,
       configuration.feed.service,
@@ -206,6 +227,7 @@
         configuration: this.configuration.configuration,
         directory: this.directory,
         emit: this.context.emit,
+        claims: this.claims,
       });
     } catch (error) {
       return unexpectedResult(error);
--- a/src/daemon/entry/request-task.ts
+++ b/src/daemon/entry/request-task.ts
@@ -14,6 +14,8 @@
 import type { Dispatch } from "../../wire/generated/session.js";
 import type { AttemptFrame } from "./agent-session.js";
 import type { Backend, BackendDirectory } from "./backend-directory.js";
+import type { ClaimTasks } from "./claim-tasks.js";
+import { runClaimed } from "./claimed-request.js";
 import type { AnswerWriter, Work } from "./work.js";
 
 export interface RequestTaskOptions {
@@ -22,6 +24,7 @@
   readonly configuration: Configuration;
   readonly directory: BackendDirectory;
   readonly emit: Emit;
+  readonly claims: ClaimTasks;
 }
 
 export type RequestOutcome = "answered" | "not-run" | "unknown" | "broken-off";
@@ -46,7 +49,14 @@
 export async function runRequest(
   options: RequestTaskOptions,
 ): Promise<RequestResult> {
-  const { writer } = options;
+  return options.work.profile.repeatable
+    ? runRepeatable(options)
+    : runOnce(options);
+}
+
+async function runRepeatable(
+  options: RequestTaskOptions,
+): Promise<RequestResult> {
   let last = failure(1209);
   const tried = new Set<string>();
   for (let placement = 0; placement < MAXIMUM_PLACEMENTS; placement += 1) {
@@ -54,18 +64,68 @@
     if (backend === undefined) break;
     tried.add(backend.vm.name);
     const end = await runAttempt(options, backend);
-    if (end.kind === "whole") {
-      writer.end();
-      return { outcome: "answered", error: 0, pieces: end.pieces };
-    }
+    if (end.kind === "whole") return finish(options, end);
     last = end.error;
     if (last.entry.outcome !== "not-run") break;
   }
-  writer.fail(last, last.entry.outcome === "not-run" ? RETRY_AFTER_MS : 0);
-  const { outcome } = last.entry;
+  return refuse(options, last);
+}
+
+/** A request that may not be repeated runs under its claim only. */
+function runOnce(options: RequestTaskOptions): Promise<RequestResult> {
+  const { work, writer, claims, directory } = options;
+  const tried = new Set<string>();
+  return runClaimed<RequestResult>({
+    work,
+    claims,
+    signal: writer.signal,
+    choose: () => {
+      const backend = place(options, tried);
+      if (backend?.session === undefined) return undefined;
+      const { name: agent } = backend.vm;
+      tried.add(agent);
+      return { agent, agentIncarnation: backend.session.agentIncarnation };
+    },
+    dispatch: async ({ agent, agentIncarnation, attempt }) => {
+      const backend = directory.find(agent);
+      const session = backend?.session;
+      if (
+        backend === undefined ||
+        session?.agentIncarnation !== agentIncarnation
+      ) {
+        return { kind: "refused", error: failure(1401) };
+      }
+      const end = await runAttempt(options, backend, attempt);
+      if (end.kind === "whole") {
+        return { kind: "done", result: finish(options, end) };
+      }
+      const { error } = end;
+      if (error.entry.outcome === "not-run") return { kind: "refused", error };
+      return { kind: "done", result: refuse(options, error) };
+    },
+    attach: () => Promise.resolve(refuse(options, failure(1309))),
+    refuse: (error) => refuse(options, error),
+  });
+}
+
+function finish(
+  { writer }: RequestTaskOptions,
+  { pieces }: Extract<AttemptEnd, { readonly kind: "whole" }>,
+): RequestResult {
+  writer.end();
+  return { outcome: "answered", error: 0, pieces };
+}
+
+function refuse(
+  { writer }: RequestTaskOptions,
+  error: ApricotdeckError,
+): RequestResult {
+  const { outcome, status } = error.entry;
+  const comesBack = outcome === "not-run" || status === 503;
+  writer.fail(error, comesBack ? RETRY_AFTER_MS : 0);
   return {
     outcome: outcome === "none" ? "unknown" : outcome,
-    error: last.number,
+    error: error.number,
     pieces: 0,
   };
 }
@@ -90,8 +150,8 @@
 async function runAttempt(
   { work, writer, emit }: RequestTaskOptions,
   { vm, session }: Backend,
+  attempt: string = randomUUID(),
 ): Promise<AttemptEnd> {
-  const attempt = randomUUID();
   const { promise, resolve } = createDeferred<AttemptEnd>();
   let pieces = 0;
   let checksum = 0;
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -80,6 +80,13 @@
     ...common,
     callers: listen.prefault({}),
     limits: callerLimits.prefault({}),
+    claims: z
+      .strictObject({
+        /** This entry's part of the appends that the log takes. */
+        appendsPerSecond: z.int().min(1).default(50),
+      })
+      .readonly()
+      .prefault({}),
   })
   .readonly();
 
