--- a/measure/measurements.ts
+++ b/measure/measurements.ts
@@ -8,4 +8,6 @@
 > = {
   path: async () => (await import("./path.js")).measurePath,
   skew: async () => (await import("./skew.js")).measureSkew,
+  claims: async () => (await import("./claims.js")).measure,
+  configuration: async () => (await import("./configuration.js")).measure,
 };
--- a/src/claims/append-schedule.ts
+++ b/src/claims/append-schedule.ts
@@ -15,7 +15,9 @@
 
 export class AppendSchedule {
   private readonly batchers: readonly ClaimBatcher[];
-  private allowedAtMs = Number.NEGATIVE_INFINITY;
+  /** Appends that may be made at once; refilled at the entry's rate. */
+  private allowance = CLAIM_SHARDS;
+  private refilledAtMs = Number.NEGATIVE_INFINITY;
   private nextShard = 0;
   private batches = 0;
 
@@ -62,15 +64,24 @@
 
   /** The next batch to append now, if any. */
   take(nowMs: number): ShardBatch | undefined {
-    if (nowMs < this.allowedAtMs) return undefined;
+    this.refill(nowMs);
+    if (this.allowance < 1) return undefined;
     for (let turn = 0; turn < CLAIM_SHARDS; turn += 1) {
       const shard = (this.nextShard + turn) % CLAIM_SHARDS;
       const batch = this.batchers[shard].take(nowMs);
       if (batch === undefined) continue;
       this.nextShard = (shard + 1) % CLAIM_SHARDS;
-      this.allowedAtMs = nowMs + MS_PER_SECOND / this.appendsPerSecond;
+      this.allowance -= 1;
       return { shard, batch };
     }
     return undefined;
   }
+
+  /** A call that comes alone is appended at once, whichever shard it is of. */
+  private refill(nowMs: number): void {
+    const sinceMs = Math.max(nowMs - this.refilledAtMs, 0);
+    const gained = (sinceMs / MS_PER_SECOND) * this.appendsPerSecond;
+    this.allowance = Math.min(CLAIM_SHARDS, this.allowance + gained);
+    this.refilledAtMs = nowMs;
+  }
 }
--- a/src/daemon/agent/agent-sessions.ts
+++ b/src/daemon/agent/agent-sessions.ts
@@ -172,7 +172,7 @@
       const verdict = this.gate.tryStart(attempt, account, Date.now());
       if (verdict === "started-before") return;
       if (verdict !== "start") {
-        refuse(1310);
+        refuse(1406);
         return;
       }
     }
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -308,14 +308,6 @@
     "Look at the effect of the call; don't send it under a new key.",
   ),
 
-  1310: entry(
-    "attempt-withdrawn",
-    503,
-    "not-run",
-    "The attempt was ruled out before it could start.",
-    "None needed; the entry looks up which attempt took its place.",
-  ),
-
   // 1400: sessions between entry and agent
   1401: entry(
     "session-incarnation",
