--- a/measure/measurements.ts
+++ b/measure/measurements.ts
@@ -12,4 +12,5 @@
   skew: async () => (await import("./skew.js")).measureSkew,
   claims: async () => (await import("./claims.js")).measure,
   configuration: async () => (await import("./configuration.js")).measure,
+  slopes: async () => (await import("./slopes.js")).measureSlopes,
 };
--- a/src/daemon/entry/claim-tasks.ts
+++ b/src/daemon/entry/claim-tasks.ts
@@ -2,7 +2,6 @@
  * Carries out what the claim coordinator decides: reads and appends the claim
  * streams, asks agents and hands each call its next step.
  */
-import { Counter, type Registry } from "prom-client";
 import { v7 as uuidV7 } from "uuid";
 import {
   CLAIM_SHARDS,
@@ -43,6 +42,7 @@
 }
 
 interface WaitingCall {
+  readonly begunAtMs: number;
   readonly choose: () => AgentChoice | undefined;
   readonly onStep: (step: ClaimStep) => void;
 }
@@ -50,14 +50,10 @@
 export class ClaimTasks {
   private readonly coordinator: ClaimCoordinator;
   private readonly calls = new Map<string, WaitingCall>();
-  private readonly steps: Counter<"step">;
-  private readonly appends: Counter<"result">;
   private readonly outages = new Map<number, number>();
 
   private constructor(private readonly options: ClaimTasksOptions) {
     const { context, appendsPerSecond } = options;
-    this.steps = stepCounter(context.metrics);
-    this.appends = appendCounter(context.metrics);
     this.coordinator = ClaimCoordinator.create({
       entry: context.name,
       entryIncarnation: context.incarnation,
@@ -78,7 +74,8 @@
     choose: () => AgentChoice | undefined,
     onStep: (step: ClaimStep) => void,
   ): void {
-    this.calls.set(request.call, { choose, onStep });
+    const begunAtMs = Date.now();
+    this.calls.set(request.call, { choose, onStep, begunAtMs });
     this.perform(this.coordinator.begin(request, Date.now()));
   }
 
@@ -150,7 +147,7 @@
       case "dispatch":
       case "attach":
       case "refuse": {
-        this.steps.inc({ step: effect.kind });
+        this.measureStep(effect);
         const waiting = this.calls.get(effect.call);
         if (effect.kind !== "dispatch") this.calls.delete(effect.call);
         waiting?.onStep(effect);
@@ -158,17 +155,25 @@
     }
   }
 
+  private measureStep({ kind: step, call }: ClaimStep): void {
+    const { measurements } = this.options.context;
+    const waitedMs = Date.now() - (this.calls.get(call)?.begunAtMs ?? 0);
+    measurements.count("claimSteps", { step });
+    measurements.observe("claimWait", waitedMs / 1000, { step });
+  }
+
   private async append(shard: number, batch: ClaimBatch): Promise<void> {
+    const { measurements } = this.options.context;
     const record = Buffer.from(encodeClaimBatch(batch));
     try {
       await this.options.log.append(claimStream(shard), [record]);
-      this.appends.inc({ result: "answered" });
+      measurements.count("claimAppends", { result: "answered" });
       this.perform(
         this.coordinator.onAppendAnswered(shard, batch.nonce, Date.now()),
       );
     } catch {
       // It may have landed all the same; reading tells.
-      this.appends.inc({ result: "failed" });
+      measurements.count("claimAppends", { result: "failed" });
       this.perform(
         this.coordinator.onAppendFailed(shard, batch.nonce, Date.now()),
       );
@@ -220,21 +225,3 @@
   };
   return [...shards, tick];
 }
-
-function stepCounter(metrics: Registry): Counter<"step"> {
-  return new Counter({
-    name: "apricotdeck_claim_steps_total",
-    help: "Steps of calls that may not be repeated",
-    labelNames: ["step"],
-    registers: [metrics],
-  });
-}
-
-function appendCounter(metrics: Registry): Counter<"result"> {
-  return new Counter({
-    name: "apricotdeck_claim_appends_total",
-    help: "Appends to the claim streams",
-    labelNames: ["result"],
-    registers: [metrics],
-  });
-}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -6,6 +6,7 @@
 export * from "./shared/events.js";
 export * from "./shared/exhaustive.js";
 export * from "./shared/hybrid-clock.js";
+export * from "./shared/metrics.js";
 export * from "./shared/random.js";
 
 // configuration
@@ -64,6 +65,8 @@
 export * from "./balance/load-forecast.js";
 export * from "./balance/lower-bound.js";
 export * from "./balance/planner.js";
+export * from "./balance/planner-task.js";
+export * from "./balance/planner-thread.js";
 export * from "./balance/rank-reports.js";
 export * from "./balance/refine.js";
 export * from "./balance/repack.js";
