--- a/fuzz/claims/claims.ts
+++ b/fuzz/claims/claims.ts
@@ -3,11 +3,7 @@
  * that ever starts, one outcome for every call, all readers alike.
  */
 import fc from "fast-check";
-import {
-  claimGateRules,
-  claimRules,
-  coordinatorRules,
-} from "../../src/internal.js";
+import { claimRules, coordinatorRules } from "../../src/internal.js";
 import { runHistories } from "../run-property.js";
 import type { FuzzResult, FuzzSettings, FuzzTarget } from "../target.js";
 import { NO_FAULTS } from "./log.js";
@@ -193,7 +189,7 @@
 
 const sound: WorldRules = {
   coordinator: coordinatorRules,
-  gate: claimGateRules,
+  keeper: (gate) => gate,
 };
 
 const withTable = (change: Partial<typeof claimRules>): WorldRules => ({
@@ -217,13 +213,20 @@
   "second-claim-wins": withTable({ isNextGeneration: () => true }),
   "late-release-counts": withTable({ fits: () => true }),
   "trimmed-records-ignored": withTable({ isComplete: () => true }),
-  "tombstone-ignored": {
+  "tombstone-not-kept": {
     ...sound,
-    gate: { ...claimGateRules, honoursTombstones: false },
+    keeper: (gate) => ({
+      find: (attempt, incarnation) => gate.find(attempt, incarnation),
+      withdraw: () => true,
+    }),
   },
   "agent-incarnation-unchecked": {
     ...sound,
-    gate: { ...claimGateRules, checksIncarnation: false },
+    keeper: (gate, incarnation) => ({
+      find: (attempt) => gate.find(attempt, incarnation),
+      withdraw: (attempt, _meantFor, nowMs) =>
+        gate.withdraw(attempt, incarnation, nowMs),
+    }),
   },
 };
 
--- a/src/daemon/agent/claim-service.ts
+++ b/src/daemon/agent/claim-service.ts
@@ -18,10 +18,10 @@
       { request }: ServerUnaryCall<AskAttemptRequest, AskAttemptReply>,
       reply: sendUnaryData<AskAttemptReply>,
     ) => {
-      const { clock, attempt, agentIncarnation, account } = request;
+      const { clock, attempt, agentIncarnation } = request;
       context.clock.observe(clock);
       const tombstone = request.withdraw;
-      const question = { attempt, agentIncarnation, account, tombstone };
+      const question = { attempt, agentIncarnation, tombstone };
       const knowledge = knowledgeOf[answer(question).kind];
       reply(null, { clock: context.clock.read(), knowledge });
     },
--- a/src/daemon/entry/claim-asker.ts
+++ b/src/daemon/entry/claim-asker.ts
@@ -32,9 +32,9 @@
   if (address === undefined) return { kind: "unreachable" };
   const credentials = clientCredentials(transport, address);
   const client = new ClaimsClient(address, credentials, channelOptions);
-  const { attempt, agentIncarnation, account } = claim;
+  const { attempt, agentIncarnation } = claim;
   const clock = context.clock.read();
-  const request = { clock, attempt, agentIncarnation, account, withdraw };
+  const request = { clock, attempt, agentIncarnation, withdraw };
   const deadline = Date.now() + ASK_TIMEOUT_MS;
   const reply = await new Promise<AskAttemptReply | undefined>((resolve) => {
     client.askAttempt(request, new Metadata(), { deadline }, (error, value) => {
--- a/src/daemon/entry/request-task.ts
+++ b/src/daemon/entry/request-task.ts
@@ -1,21 +1,17 @@
 /** One task for each accepted request: place, dispatch, stream, finish. */
-import { randomUUID } from "node:crypto";
-import { crc32 } from "node:zlib";
 import {
   createDeferred,
   failure,
-  isErrorNumber,
-  toFailure,
-  type ApricotdeckError,
+  unreachable,
+  type Call,
   type Configuration,
-  type Emit,
   type ErrorNumber,
+  type FinalOutcome,
 } from "../../internal.js";
-import type { Dispatch } from "../../wire/generated/session.js";
-import type { AttemptFrame } from "./agent-session.js";
 import type { Backend, BackendDirectory } from "./backend-directory.js";
 import type { ClaimTasks } from "./claim-tasks.js";
-import { runClaimed } from "./claimed-request.js";
+import { createClaimedPlacing } from "./claimed-placing.js";
+import type { RequestEffect, Sessions } from "./sessions.js";
 import type { AnswerWriter, Work } from "./work.js";
 
 export interface RequestTaskOptions {
@@ -23,111 +19,105 @@
   readonly writer: AnswerWriter;
   readonly configuration: Configuration;
   readonly directory: BackendDirectory;
-  readonly emit: Emit;
+  readonly sessions: Sessions;
   readonly claims: ClaimTasks;
 }
 
-export type RequestOutcome = "answered" | "not-run" | "unknown" | "broken-off";
-
 export interface RequestResult {
-  readonly outcome: RequestOutcome;
+  readonly outcome: FinalOutcome;
   readonly error: ErrorNumber | 0;
-  readonly pieces: number;
 }
 
-const MAXIMUM_PLACEMENTS = 3;
 const RETRY_AFTER_MS = 1000;
 
-type AttemptEnd =
-  | { readonly kind: "whole"; readonly pieces: number }
-  | {
-      readonly kind: "failed";
-      readonly error: ApricotdeckError;
-      readonly pieces: number;
-    };
-
+/** Throws 1213 when the entry is leaving; resolves with the final outcome. */
 export async function runRequest(
   options: RequestTaskOptions,
 ): Promise<RequestResult> {
-  return options.work.profile.repeatable
-    ? runRepeatable(options)
-    : runOnce(options);
+  const { work, writer, sessions } = options;
+  const { promise, resolve } = createDeferred<RequestResult>();
+  const tried = new Set<string>();
+  const claimed = work.profile.repeatable
+    ? undefined
+    : createClaimedPlacing(options, () => {
+        const backend = place(options, tried);
+        if (backend?.session === undefined) return undefined;
+        const { name: agent } = backend.vm;
+        tried.add(agent);
+        const { agentIncarnation } = backend.session;
+        return { agent, agentIncarnation };
+      });
+  const deadlineMs = work.deadlineAtMs - Date.now();
+  writer.signal.addEventListener("abort", () => {
+    sessions.cancel(work.id);
+  });
+  sessions
+    .accept(callOf(work), deadlineMs, {
+      place: (previous) => {
+        if (claimed === undefined) placeRequest(options, tried);
+        else claimed.place(previous);
+      },
+      onEffect: (effect) => {
+        if (effect.kind === "finish") {
+          claimed?.end();
+          resolve(effect);
+        }
+        passOn(writer, effect);
+      },
+    })
+    .ifLeft((error) => {
+      throw error;
+    });
+  return promise;
 }
 
-async function runRepeatable(
-  options: RequestTaskOptions,
-): Promise<RequestResult> {
-  let last = failure(1209);
-  const tried = new Set<string>();
-  for (let placement = 0; placement < MAXIMUM_PLACEMENTS; placement += 1) {
+/** Runners that refused or broke off aren't tried twice. */
+function placeRequest(options: RequestTaskOptions, tried: Set<string>): void {
+  const { work, sessions } = options;
+  for (;;) {
     const backend = place(options, tried);
-    if (backend === undefined) break;
-    tried.add(backend.vm.name);
-    const end = await runAttempt(options, backend);
-    if (end.kind === "whole") return finish(options, end);
-    last = end.error;
-    if (last.entry.outcome !== "not-run") break;
+    if (backend === undefined) {
+      sessions.refuse(work.id, 1209, RETRY_AFTER_MS);
+      return;
+    }
+    const { name } = backend.vm;
+    tried.add(name);
+    if (sessions.dispatch(work.id, name).isRight()) return;
   }
-  return refuse(options, last);
-}
-
-/** A request that may not be repeated runs under its claim only. */
-function runOnce(options: RequestTaskOptions): Promise<RequestResult> {
-  const { work, writer, claims, directory } = options;
-  const tried = new Set<string>();
-  return runClaimed<RequestResult>({
-    work,
-    claims,
-    signal: writer.signal,
-    choose: () => {
-      const backend = place(options, tried);
-      if (backend?.session === undefined) return undefined;
-      const { name: agent } = backend.vm;
-      tried.add(agent);
-      return { agent, agentIncarnation: backend.session.agentIncarnation };
-    },
-    dispatch: async ({ agent, agentIncarnation, attempt }) => {
-      const backend = directory.find(agent);
-      const session = backend?.session;
-      if (
-        backend === undefined ||
-        session?.agentIncarnation !== agentIncarnation
-      ) {
-        return { kind: "refused", error: failure(1401) };
-      }
-      const end = await runAttempt(options, backend, attempt);
-      if (end.kind === "whole") {
-        return { kind: "done", result: finish(options, end) };
-      }
-      const { error } = end;
-      if (error.entry.outcome === "not-run") return { kind: "refused", error };
-      return { kind: "done", result: refuse(options, error) };
-    },
-    attach: () => Promise.resolve(refuse(options, failure(1309))),
-    refuse: (error) => refuse(options, error),
-  });
 }
 
-function finish(
-  { writer }: RequestTaskOptions,
-  { pieces }: Extract<AttemptEnd, { readonly kind: "whole" }>,
-): RequestResult {
-  writer.end();
-  return { outcome: "answered", error: 0, pieces };
+function passOn(writer: AnswerWriter, effect: RequestEffect): void {
+  switch (effect.kind) {
+    case "piece":
+      writer.piece(effect.data as Buffer);
+      return;
+    case "head":
+      writer.head(effect.status, effect.headers);
+      return;
+    case "discard":
+      writer.discard();
+      return;
+    case "finish":
+      if (effect.error === 0) writer.end();
+      else writer.fail(failure(effect.error), retryAfterMs(effect));
+      return;
+    case "place":
+    case "run-over":
+      return;
+    default:
+      unreachable(effect);
+  }
 }
 
-function refuse(
-  { writer }: RequestTaskOptions,
-  error: ApricotdeckError,
-): RequestResult {
-  const { outcome, status } = error.entry;
-  const comesBack = outcome === "not-run" || status === 503;
-  writer.fail(error, comesBack ? RETRY_AFTER_MS : 0);
-  return {
-    outcome: outcome === "none" ? "unknown" : outcome,
-    error: error.number,
-    pieces: 0,
-  };
+/**
+ * What was not run may simply be sent again. A claim that was not decided may
+ * be repeated under its key, and tells when.
+ */
+function retryAfterMs(
+  effect: Extract<RequestEffect, { kind: "finish" }>,
+): number {
+  if (effect.outcome !== "not-run") return effect.retryAfterMs;
+  return effect.retryAfterMs || RETRY_AFTER_MS;
 }
 
 function place(
@@ -147,90 +137,22 @@
     .at(0);
 }
 
-async function runAttempt(
-  { work, writer, emit }: RequestTaskOptions,
-  { vm, session }: Backend,
-  attempt: string = randomUUID(),
-): Promise<AttemptEnd> {
-  const { promise, resolve } = createDeferred<AttemptEnd>();
-  let pieces = 0;
-  let checksum = 0;
-  let started = false;
-  const fail = (number: ErrorNumber): void => {
-    resolve({ kind: "failed", error: failure(number), pieces });
-  };
-  const onFrame = (frame: AttemptFrame | { $case: "lost" }): void => {
-    switch (frame.$case) {
-      case "started":
-        started = true;
-        break;
-      case "head":
-        writer.head(frame.value.status, frame.value.headers);
-        break;
-      case "piece":
-        if (frame.value.index !== pieces) {
-          emit(125, { attempt, reason: "index" });
-          return;
-        }
-        pieces += 1;
-        checksum = crc32(frame.value.data, checksum);
-        writer.piece(frame.value.data);
-        break;
-      case "end":
-        if (frame.value.count === pieces && frame.value.checksum === checksum) {
-          resolve({ kind: "whole", pieces });
-        } else fail(1210);
-        break;
-      case "refused":
-      case "broken": {
-        const { error } = frame.value;
-        fail(isErrorNumber(error) ? error : 1215);
-        break;
-      }
-      case "lost":
-        fail(started ? 1210 : 1211);
-    }
-  };
-  writer.signal.addEventListener("abort", () => {
-    session?.cancel(attempt);
-    fail(1210);
-  });
-  const timer = setTimeout(() => {
-    session?.cancel(attempt);
-    fail(1212);
-  }, work.deadlineAtMs - Date.now());
-  emit(122, { request: work.id, attempt, runner: vm.name });
-  session?.dispatch(dispatchOf(work, attempt), onFrame);
-  const end = await promise;
-  clearTimeout(timer);
-  session?.forget(attempt);
-  return end;
-}
-
-function dispatchOf(work: Work, attempt: string): Dispatch {
+function callOf(work: Work): Call {
+  const { id: request, account, method, path, headers, body } = work;
+  const { streamed, costTokens, idempotencyKey, model } = work;
+  const { repeatable, priority } = work.profile;
   return {
-    attempt,
-    request: work.id,
-    method: work.method,
-    path: work.path,
-    headers: work.headers,
-    body: work.body,
-    streamed: work.streamed,
-    repeatable: work.profile.repeatable,
-    priority: work.profile.priority,
-    deadlineMs: Math.max(1, work.deadlineAtMs - Date.now()),
-    costTokens: work.costTokens,
-    sequence: 0,
-    fromIndex: 0,
-    resumeOf: "",
-    account: work.account,
-    idempotencyKey: work.idempotencyKey,
-    model: work.model,
+    request,
+    account,
+    method,
+    path,
+    headers,
+    body,
+    streamed,
+    repeatable,
+    priority,
+    costTokens,
+    idempotencyKey,
+    model,
   };
 }
-
-/** What the task itself threw: nobody knows how far the work went. */
-export function unexpectedResult(error: unknown): RequestResult {
-  const { number } = toFailure(error, 1215);
-  return { outcome: "unknown", error: number, pieces: 0 };
-}
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -32,7 +32,7 @@
 export * from "./claims/batcher.js";
 export * from "./claims/append-schedule.js";
 export * from "./claims/abandoned.js";
-export * from "./claims/gate.js";
+export * from "./claims/attempt-answer.js";
 export * from "./claims/coordinator-types.js";
 export * from "./claims/coordinator.js";
 
--- a/tests/claims/at-most-once.test.ts
+++ b/tests/claims/at-most-once.test.ts
@@ -32,6 +32,8 @@
   readonly status: number;
   readonly outcome: string | undefined;
   readonly retryAfter: string | null;
+  /** Attempt that the service ran. */
+  readonly ran: string | undefined;
 }
 
 /** A dig order sent to one of the entries. */
@@ -46,10 +48,13 @@
       ...(key === undefined ? {} : { "idempotency-key": key }),
     },
   });
-  const body = (await response.json()) as { error?: { outcome?: string } };
+  const body = (await response.json()) as {
+    readonly id?: string;
+    readonly error?: { readonly outcome?: string };
+  };
   const retryAfter = response.headers.get("retry-after");
   const outcome = body.error?.outcome;
-  return { status: response.status, outcome, retryAfter };
+  return { status: response.status, outcome, retryAfter, ran: body.id };
 }
 
 describe("calls that may not be repeated, over separate processes", () => {
@@ -66,12 +71,18 @@
     assert.is(ran.length, 2);
 
     // A caller repeats at the other entry, one after the other and at once. The
-    // claim is found in the log, and the call runs no second time.
+    // claim is found in the log; the repeat gets the answer of the first, and
+    // the call runs no second time.
     const key = uuidV7();
-    assert.is((await order(site, 0, key)).status, 200);
-    await order(site, 1, key);
+    const first = await order(site, 0, key);
+    assert.equal(await order(site, 1, key), first);
     const racing = uuidV7();
-    await Promise.all([order(site, 0, racing), order(site, 1, racing)]);
+    const [one, other] = await Promise.all([
+      order(site, 0, racing),
+      order(site, 1, racing),
+    ]);
+    assert.is(one.status, 200);
+    assert.equal(other, one);
     assert.is(ran.length, 4);
 
     // The claim lands, but the log's answer to its append is lost. The entry
