Keep the calls of the claim coordinator in a class of their own

Cause: the coordinator had grown, and the attempt of a call that had ended was kept for good, a leak of one entry for each call that may not be repeated.

Change: calls and the attempts they wait for live and end together.

Conclusion: the tests of the claims pass unchanged.

--- a/fuzz/claims/world.ts
+++ b/fuzz/claims/world.ts
@@ -91,6 +91,7 @@
   private readonly dispatched = new Map<string, Dispatched>();
   private readonly toldNotRun = new Set<string>();
   private ids = 0;
+  private connections = 0;
   private readSoon = false;
 
   private constructor(private readonly rules: WorldRules) {
@@ -380,7 +381,8 @@
         return;
       }
       this.dispatched.set(attempt, { call, key: claim.key, answer });
-      sendDispatch(agent, claim, call, nowMs);
+      this.connections += 1;
+      sendDispatch(agent, claim, call, this.connections, nowMs);
     });
   }
 
@@ -483,14 +485,12 @@
   { gate, sessions }: Agent,
   claim: ClaimEntry,
   request: string,
+  connection: number,
   nowMs: number,
 ): void {
   const { entry, entryIncarnation, attempt, account, key } = claim;
   const number = (sessions.get(entryIncarnation) ?? 0) + 1;
   sessions.set(entryIncarnation, number);
-  const connection = Number(
-    `${entryIncarnation.replace(/\D+/g, "")}0${number}`,
-  );
   const session = { entry, entryIncarnation, number };
   const open = { ...session, dataCentre: "lac", release: "1" };
   gate.receive(connection, { kind: "open", ...open }, nowMs);
--- a/src/claims/coordinator.ts
+++ b/src/claims/coordinator.ts
@@ -11,12 +11,12 @@
 import type { ErrorNumber, LogRecord } from "../internal.js";
 import { AbandonedClaims } from "./abandoned.js";
 import { AppendSchedule } from "./append-schedule.js";
+import { ClaimCalls } from "./calls.js";
 import {
   coordinatorRules,
   type CallState,
   type CoordinatorRules,
   type CoordinatorSettings,
-  type Phase,
 } from "./coordinator-types.js";
 import { CLAIM_SHARDS, shardOf } from "./keys.js";
 import { ClaimTable } from "./table.js";
@@ -50,9 +50,7 @@
 export class ClaimCoordinator {
   private readonly tables: readonly ClaimTable[];
   private readonly schedule: AppendSchedule;
-  private readonly calls = new Map<string, CallState>();
-  /** Attempt to the call's name: own attempts that wait for their reading. */
-  private readonly attempts = new Map<string, string>();
+  private readonly calls = ClaimCalls.create();
   private readonly abandoned = AbandonedClaims.create();
   private readonly rules: CoordinatorRules;
   private effects: ClaimEffect[] = [];
@@ -164,7 +162,7 @@
 
   /** To be called every few milliseconds. */
   tick(nowMs: number): readonly ClaimEffect[] {
-    for (const state of this.calls.values()) {
+    for (const state of this.calls.all()) {
       const { phase } = state;
       if (phase.kind === "dispatched") continue;
       if (nowMs >= state.giveUpAtMs) {
@@ -224,7 +222,7 @@
     choice: AgentChoice,
     nowMs: number,
   ): void {
-    const { call, account, key } = request;
+    const { account, key } = request;
     const { entry, entryIncarnation, newAttempt } = this.settings;
     const attempt = newAttempt();
     const claim: ClaimEntry = {
@@ -238,8 +236,7 @@
       agent: choice.agent,
       agentIncarnation: choice.agentIncarnation,
     };
-    this.attempts.set(attempt, call);
-    this.setPhase(request, { kind: "claiming", claim }, nowMs);
+    this.calls.move(request, { kind: "claiming", claim }, nowMs);
     this.schedule.add(shardOf(request), claim);
     if (!this.rules.awaitsReading) this.dispatch(request, claim, nowMs);
   }
@@ -253,7 +250,7 @@
       this.schedule.add(shard, release(entry, "not-dispatched"));
       this.settings.emit(133, { attempt: entry.attempt });
     }
-    const state = this.calls.get(this.attempts.get(entry.attempt) ?? "");
+    const state = this.calls.byAttempt(entry.attempt);
     if (state === undefined) return;
     if (entry.kind === "claim") {
       this.settleClaim(state, entry, result, nowMs);
@@ -274,7 +271,6 @@
       this.dispatch(request, claim, nowMs);
       return;
     }
-    this.attempts.delete(claim.attempt);
     if (result === "expired") {
       this.refuse(request, request.isOwnKey ? 1901 : 1302);
       return;
@@ -309,14 +305,14 @@
     nowMs: number,
   ): void {
     const { call } = request;
-    this.setPhase(request, { kind: "dispatched", claim }, nowMs);
+    this.calls.move(request, { kind: "dispatched", claim }, nowMs);
     this.settings.emit(131, { call, attempt: claim.attempt });
     this.effects.push({ kind: "dispatch", call, claim });
   }
 
   private ask(request: ClaimRequest, claim: ClaimEntry, nowMs: number): void {
     const { call } = request;
-    const { awaited } = this.setPhase(
+    const { awaited } = this.calls.move(
       request,
       { kind: "asking", claim },
       nowMs,
@@ -336,7 +332,7 @@
       case "started":
         this.settings.emit(132, { call: request.call, attempt: claim.attempt });
         this.effects.push({ kind: "attach", call: request.call, claim });
-        this.drop(request);
+        this.calls.delete(request.call);
         return;
       case "answer-gone":
         this.refuse(request, 1309);
@@ -351,7 +347,7 @@
           return;
         }
         const askAtMs = nowMs + ASK_AGAIN_MS;
-        this.setPhase(request, { kind: "pausing", claim, askAtMs }, nowMs);
+        this.calls.move(request, { kind: "pausing", claim, askAtMs }, nowMs);
         return;
       }
       case "forgotten":
@@ -367,7 +363,6 @@
     proof: ReleaseProof,
     nowMs: number,
   ): void {
-    this.attempts.delete(claim.attempt);
     if (!this.holds(request, claim)) {
       this.proceed(request, nowMs);
       return;
@@ -394,10 +389,8 @@
       this.refuse(request, 1305);
       return;
     }
-    this.attempts.set(attempt, request.call);
-    const state = this.setPhase(request, { kind: "closing", claim }, nowMs);
     const giveUpAtMs = nowMs + CLOSE_WAIT_MS;
-    this.calls.set(request.call, { ...state, giveUpAtMs });
+    this.calls.move(request, { kind: "closing", claim }, nowMs, giveUpAtMs);
     const close = { kind: "close", account, key, generation, attempt } as const;
     this.schedule.add(shardOf(request), close);
   }
@@ -421,34 +414,12 @@
    */
   private abandon(claim: ClaimEntry, nowMs: number): void {
     this.schedule.withdraw(shardOf(claim), claim.attempt);
-    this.attempts.delete(claim.attempt);
     this.abandoned.add(claim.attempt, nowMs);
   }
 
   private refuse(request: ClaimRequest, error: ErrorNumber): void {
     this.effects.push({ kind: "refuse", call: request.call, error });
-    this.drop(request);
-  }
-
-  private drop({ call }: ClaimRequest): void {
-    this.calls.delete(call);
-  }
-
-  private setPhase(
-    request: ClaimRequest,
-    phase: Phase,
-    nowMs: number,
-  ): CallState {
-    const known = this.calls.get(request.call);
-    const { attempt } = phase.claim;
-    const awaited =
-      known?.awaited.attempt === attempt
-        ? known.awaited
-        : { attempt, sinceMs: nowMs };
-    const giveUpAtMs = known?.giveUpAtMs ?? request.giveUpAtMs;
-    const state = { request, phase, awaited, giveUpAtMs };
-    this.calls.set(request.call, state);
-    return state;
+    this.calls.delete(request.call);
   }
 }
 
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -34,6 +34,7 @@
 export * from "./claims/abandoned.js";
 export * from "./claims/attempt-answer.js";
 export * from "./claims/coordinator-types.js";
+export * from "./claims/calls.js";
 export * from "./claims/coordinator.js";
 
 // session
