--- a/tests/claims/at-most-once.test.ts
+++ b/tests/claims/at-most-once.test.ts
@@ -38,7 +38,7 @@
 
 /** A dig order sent to one of the entries. */
 async function order(site: Site, entry: number, key?: string): Promise<Answer> {
-  const address = site.entries[entry].process.callers;
+  const address = site.entries[entry].daemon.process.callers;
   const response = await fetch(`http://${address}/services/records/orders`, {
     method: "POST",
     body: "dig at valve 12",
