--- a/src/index.ts
+++ b/src/index.ts
@@ -76,23 +76,3 @@
   RankStep,
   StayReason,
 } from "./internal.js";
-
-// Calls that run at most once: claims through the log.
-export {
-  answerAboutAttempt,
-  checkKeyAge,
-  ClaimCoordinator,
-  claimStream,
-  ClaimTable,
-  decodeClaimBatch,
-  encodeClaimBatch,
-  parseIdempotencyKey,
-} from "./internal.js";
-export type {
-  AttemptAnswer,
-  AttemptKeeper,
-  ClaimEffect,
-  ClaimRequest,
-  ClaimStatus,
-  CoordinatorSettings,
-} from "./internal.js";
