Move the fetch for a staged map to a module of its own

Change: what ties the fetch to the engine's staging stands alone. Conclusion: same behaviour, one job less in the agent.

--- a/src/expertmap/agent.ts
+++ b/src/expertmap/agent.ts
@@ -11,14 +11,12 @@
   hashMap,
   MapProposer,
   MapSwitch,
-  ranksOf,
   sameBallot,
   Staging,
+  StagingFetch,
   StepCheck,
   unreachable,
   WeightFetch,
-  weightKey,
-  weightsOf,
   type ApricotdeckError,
   type Ballot,
   type Emit,
@@ -69,14 +67,13 @@
   private readAt = Number.NEGATIVE_INFINITY;
   private callAt = Number.NEGATIVE_INFINITY;
   private sealAsked: { formation: Ballot; from: Set<string> } | undefined;
-  private fetchFor = "";
   private inForce: ExpertMap | undefined;
   private effects: MapEffect[] = [];
   private readonly votes: MapSwitch;
   private readonly proposer: MapProposer;
   private readonly former: GroupFormer;
   private readonly staging: Staging;
-  private readonly fetch: WeightFetch;
+  private readonly fetch: StagingFetch;
   private readonly steps = StepCheck.create();
 
   private constructor(private readonly settings: GroupAgentSettings) {
@@ -84,7 +81,8 @@
     this.votes = MapSwitch.create({ member, agent, emit, safeguards });
     this.proposer = MapProposer.create(agent, this.votes);
     this.staging = Staging.create(member, agent);
-    this.fetch = WeightFetch.create(settings.fetch, random);
+    const fetch = WeightFetch.create(settings.fetch, random);
+    this.fetch = StagingFetch.create(member, this.staging, fetch);
     const { mayGoForward } = safeguards;
     this.former = GroupFormer.create(
       { member, agent, random, emit, mayGoForward },
@@ -152,7 +150,7 @@
     if (call?.kind === "arm") this.votes.armAnswered(call.proposal);
     if (call?.kind === "seal") this.tellSealed(answer);
     if (call?.kind === "stage" && answer.staged !== null) {
-      this.startFetch(call, answer.staged);
+      this.fetch.start(call, answer.staged);
     }
     return this.proceed(now);
   }
@@ -275,16 +273,6 @@
     for (const to of asked?.from ?? []) this.send(0)(to, message);
   }
 
-  private startFetch(
-    call: EngineCall & { readonly kind: "stage" },
-    staged: NonNullable<EngineAnswer["staged"]>,
-  ): void {
-    this.fetchFor = call.mapHash;
-    const named = new Set(staged.map(weightKey));
-    const wanted = call.weights.filter((item) => named.has(weightKey(item)));
-    this.fetch.start(wanted, staged);
-  }
-
   private proceed(now: number): readonly MapEffect[] {
     if (this.state !== undefined) this.advance(this.state, now);
     if (this.outstanding === undefined) this.callEngine(now);
@@ -299,8 +287,7 @@
     const end = this.proposer.tick(state, now, send);
     if (end !== undefined) this.effects.push({ kind: "ended", ...end });
     this.votes.tick(now, send);
-    if (state.stagingHash !== this.fetchFor) return;
-    const part = this.fetch.next(now);
+    const part = this.fetch.next(state, now);
     if (part !== undefined) this.effects.push({ kind: "fetch", part });
   }
 
@@ -323,31 +310,11 @@
     return (
       votes.wantedCall(state, mapByHash, now) ??
       staging.wantedCall(state) ??
-      this.resumeCall(state) ??
+      this.fetch.resumeCall(state) ??
       this.readCall(now)
     );
   }
 
-  /**
-   * Learns from the engine how far the weights have come: after a new start of
-   * this agent, and when the engine lacks weights that were thought fetched
-   * because it started again in between.
-   */
-  private resumeCall(state: EngineMapState): EngineCall | undefined {
-    const { fetchFor, staging, settings } = this;
-    const { stagingHash, stagingComplete, members } = state;
-    const fetching = stagingHash === fetchFor && !this.fetch.idle;
-    if (stagingComplete || fetching) return undefined;
-    const { formation } = staging;
-    const joins =
-      formation !== undefined && hashMap(formation.map) === stagingHash;
-    const map = joins ? formation.map : staging.mapByHash(stagingHash);
-    if (map === undefined) return undefined;
-    const list = joins ? formation.members : members;
-    const weights = weightsOf(map, ranksOf(list, settings.member));
-    return { kind: "stage", mapHash: stagingHash, weights };
-  }
-
   private readCall(now: number): EngineCall | undefined {
     const { state, settings } = this;
     const busy =
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -85,6 +85,7 @@
 export * from "./expertmap/proposer.js";
 export * from "./expertmap/formation.js";
 export * from "./expertmap/staging.js";
+export * from "./expertmap/staging-fetch.js";
 export * from "./expertmap/membership.js";
 export * from "./expertmap/step-check.js";
 export * from "./expertmap/agent.js";
