--- a/fuzz/claims/claims.ts
+++ b/fuzz/claims/claims.ts
@@ -3,25 +3,16 @@
  * that ever starts, one outcome for every call, all readers alike.
  */
 import fc from "fast-check";
-import {
-  claimGateRules,
-  claimRules,
-  coordinatorRules,
-} from "../../src/internal.js";
-import {
-  checkParameters,
-  type FuzzResult,
-  type FuzzSettings,
-  type FuzzTarget,
-} from "../target.js";
+import { claimRules, coordinatorRules } from "../../src/internal.js";
+import { runHistories } from "../run-property.js";
+import type { FuzzResult, FuzzSettings, FuzzTarget } from "../target.js";
 import { NO_FAULTS } from "./log.js";
 import { AGENTS, ClaimsWorld, ENTRIES, type WorldRules } from "./world.js";
 
 const KEYS = 2;
 const LONGEST_HISTORY = 30;
-const PROGRESS_EVERY = 10_000;
 
-type Command =
+export type ClaimsCommand =
   | { readonly kind: "call"; readonly entry: number; readonly key: number }
   | { readonly kind: "call-without-key"; readonly entry: number }
   | { readonly kind: "advance"; readonly ms: number }
@@ -47,12 +38,12 @@
 
 const entry = fc.nat({ max: ENTRIES - 1 });
 const agent = fc.nat({ max: AGENTS - 1 });
-const kind = <K extends Command["kind"]>(value: K): fc.Arbitrary<K> =>
+const kind = <K extends ClaimsCommand["kind"]>(value: K): fc.Arbitrary<K> =>
   fc.constant(value);
 const shortWait = fc.constantFrom(0, 1, 2, 5, 20, 120, 600, 1_200, 2_500);
 const longWait = fc.constantFrom(120_000, 700_000, 4_000_000);
 
-const command: fc.Arbitrary<Command> = fc.oneof(
+const command: fc.Arbitrary<ClaimsCommand> = fc.oneof(
   {
     weight: 8,
     arbitrary: fc.record({
@@ -106,7 +97,7 @@
 function runCommand(
   world: ClaimsWorld,
   keys: readonly string[],
-  step: Command,
+  step: ClaimsCommand,
 ): void {
   switch (step.kind) {
     case "call":
@@ -155,7 +146,7 @@
 function checkRepeats(
   world: ClaimsWorld,
   keys: readonly string[],
-  steps: readonly Command[],
+  steps: readonly ClaimsCommand[],
 ): void {
   const lost = steps.some(
     ({ kind }) => kind === "restart-agent" || kind === "trim",
@@ -176,10 +167,16 @@
   }
 }
 
-/** The violations of one history. */
-export function runHistory(
+/** The violations of one history under the real rules. */
+export function replayClaims(
+  steps: readonly ClaimsCommand[],
+): readonly string[] {
+  return runHistory(sound, steps);
+}
+
+function runHistory(
   rules: WorldRules,
-  steps: readonly Command[],
+  steps: readonly ClaimsCommand[],
 ): readonly string[] {
   const world = ClaimsWorld.create(rules);
   const keys = Array.from({ length: KEYS }, () => world.newId());
@@ -192,7 +189,7 @@
 
 const sound: WorldRules = {
   coordinator: coordinatorRules,
-  gate: claimGateRules,
+  keeper: (gate) => gate,
 };
 
 const withTable = (change: Partial<typeof claimRules>): WorldRules => ({
@@ -216,47 +213,36 @@
   "second-claim-wins": withTable({ isNextGeneration: () => true }),
   "late-release-counts": withTable({ fits: () => true }),
   "trimmed-records-ignored": withTable({ isComplete: () => true }),
-  "tombstone-ignored": {
+  "tombstone-not-kept": {
     ...sound,
-    gate: { ...claimGateRules, honoursTombstones: false },
+    keeper: (gate) => ({
+      find: (attempt, incarnation) => gate.find(attempt, incarnation),
+      withdraw: () => true,
+    }),
   },
   "agent-incarnation-unchecked": {
     ...sound,
-    gate: { ...claimGateRules, checksIncarnation: false },
+    keeper: (gate, incarnation) => ({
+      find: (attempt) => gate.find(attempt, incarnation),
+      withdraw: (attempt, _meantFor, nowMs) =>
+        gate.withdraw(attempt, incarnation, nowMs),
+    }),
   },
 };
 
 const MUTATION_LIMIT = 2_000;
 
 function run(settings: FuzzSettings): Promise<FuzzResult> {
-  const { mutation, onProgress } = settings;
+  const { mutation } = settings;
   const rules = mutation === undefined ? sound : mutants[mutation];
   if (rules === undefined) throw new RangeError(`no mutation ${mutation}`);
-  let histories = 0;
-  let commands = 0;
-  const property = fc.property(
-    fc.array(command, { maxLength: LONGEST_HISTORY, size: "max" }),
-    (steps) => {
-      histories += 1;
-      commands += steps.length;
-      if (histories % PROGRESS_EVERY === 0) onProgress?.(histories);
-      const violations = runHistory(rules, steps);
-      if (violations.length > 0) throw new Error(violations.join("; "));
-    },
-  );
-  const details = fc.check(property, checkParameters<[Command[]]>(settings));
-  const steps = details.counterexample?.[0] ?? [];
-  const error = details.errorInstance;
-  const reason = error instanceof Error ? error.message : "";
-  return Promise.resolve({
-    histories: details.failed ? histories : details.numRuns,
-    commands,
-    violations: details.failed ? 1 : 0,
-    counterexample: details.failed
-      ? [...steps.map((step) => JSON.stringify(step)), reason]
-      : [],
-    path: details.counterexamplePath ?? "",
+  const history = fc.array(command, {
+    maxLength: LONGEST_HISTORY,
+    size: "max",
   });
+  return Promise.resolve(
+    runHistories(settings, history, (steps) => runHistory(rules, steps)),
+  );
 }
 
 export const claimsTarget: FuzzTarget = {
--- a/src/internal.ts
+++ b/src/internal.ts
@@ -32,8 +32,9 @@
 export * from "./claims/batcher.js";
 export * from "./claims/append-schedule.js";
 export * from "./claims/abandoned.js";
-export * from "./claims/gate.js";
+export * from "./claims/attempt-answer.js";
 export * from "./claims/coordinator-types.js";
+export * from "./claims/calls.js";
 export * from "./claims/coordinator.js";
 
 // session
@@ -86,6 +87,7 @@
 export * from "./expertmap/proposer.js";
 export * from "./expertmap/formation.js";
 export * from "./expertmap/staging.js";
+export * from "./expertmap/staging-fetch.js";
 export * from "./expertmap/membership.js";
 export * from "./expertmap/step-check.js";
 export * from "./expertmap/agent.js";
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -49,6 +49,28 @@
   },
 
   // claims
+  claimSteps: {
+    name: "apricotdeck_claim_steps_total",
+    kind: "counter",
+    unit: "steps",
+    labels: ["step"],
+    meaning: "Calls that may not be repeated: dispatched, attached, refused.",
+  },
+  claimAppends: {
+    name: "apricotdeck_claim_appends_total",
+    kind: "counter",
+    unit: "appends",
+    labels: ["result"],
+    meaning: "Appends to the claim streams: answered or failed.",
+  },
+  claimWait: {
+    name: "apricotdeck_claim_wait_seconds",
+    kind: "histogram",
+    unit: "s",
+    labels: ["step"],
+    meaning: "Time from the beginning of a call to each of its steps.",
+    buckets: SECONDS,
+  },
 
   // sessions
 
