--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -7,6 +7,8 @@
   drain: async () => (await import("./drain.js")).drainTarget,
   requests: async () => (await import("./requests.js")).requestsTarget,
   expertmap: async () => (await import("./expertmap.js")).expertmap,
+  configuration: async () =>
+    (await import("./configuration/configuration.js")).configurationTarget,
   orders: async () => (await import("./orders.js")).orders,
   claims: async () => (await import("./claims/claims.js")).claimsTarget,
 };
--- a/src/daemon/entry/request-task.ts
+++ b/src/daemon/entry/request-task.ts
@@ -9,6 +9,8 @@
   type FinalOutcome,
 } from "../../internal.js";
 import type { Backend, BackendDirectory } from "./backend-directory.js";
+import type { ClaimTasks } from "./claim-tasks.js";
+import { createClaimedPlacing } from "./claimed-placing.js";
 import type { RequestEffect, Sessions } from "./sessions.js";
 import type { AnswerWriter, Work } from "./work.js";
 
@@ -18,6 +20,7 @@
   readonly configuration: Configuration;
   readonly directory: BackendDirectory;
   readonly sessions: Sessions;
+  readonly claims: ClaimTasks;
 }
 
 export interface RequestResult {
@@ -34,17 +37,31 @@
   const { work, writer, sessions } = options;
   const { promise, resolve } = createDeferred<RequestResult>();
   const tried = new Set<string>();
+  const claimed = work.profile.repeatable
+    ? undefined
+    : createClaimedPlacing(options, () => {
+        const backend = place(options, tried);
+        if (backend?.session === undefined) return undefined;
+        const { name: agent } = backend.vm;
+        tried.add(agent);
+        const { agentIncarnation } = backend.session;
+        return { agent, agentIncarnation };
+      });
   const deadlineMs = work.deadlineAtMs - Date.now();
   writer.signal.addEventListener("abort", () => {
     sessions.cancel(work.id);
   });
   sessions
     .accept(callOf(work), deadlineMs, {
-      place: () => {
-        placeRequest(options, tried);
+      place: (previous) => {
+        if (claimed === undefined) placeRequest(options, tried);
+        else claimed.place(previous);
       },
       onEffect: (effect) => {
-        if (effect.kind === "finish") resolve(effect);
+        if (effect.kind === "finish") {
+          claimed?.end();
+          resolve(effect);
+        }
         passOn(writer, effect);
       },
     })
@@ -92,11 +109,14 @@
   }
 }
 
-/** Only what was not run may simply be sent again. */
+/**
+ * What was not run may simply be sent again. A claim that was not decided may
+ * be repeated under its key, and tells when.
+ */
 function retryAfterMs(
   effect: Extract<RequestEffect, { kind: "finish" }>,
 ): number {
-  if (effect.outcome !== "not-run") return 0;
+  if (effect.outcome !== "not-run") return effect.retryAfterMs;
   return effect.retryAfterMs || RETRY_AFTER_MS;
 }
 
--- a/src/daemon/entry/sessions.ts
+++ b/src/daemon/entry/sessions.ts
@@ -49,6 +49,8 @@
   /** Runs that this entry follows there. */
   readonly inFlight: number;
   readonly load: LoadReport | undefined;
+  /** Empty before the first session. */
+  readonly agentIncarnation: string;
 }
 
 interface Runner {
@@ -58,6 +60,7 @@
   takesWork: boolean;
   inFlight: number;
   load: LoadReport | undefined;
+  agentIncarnation: string;
 }
 
 const TICK_MS = 100;
@@ -103,6 +106,7 @@
       takesWork: false,
       inFlight: 0,
       load: undefined,
+      agentIncarnation: "",
     });
     this.machine.addAgent(name, performance.now());
   }
@@ -191,9 +195,13 @@
       case "close-session":
         void this.closeSession(effect.runner, effect.session);
         return;
-      case "session-live":
+      case "session-live": {
+        const runner = this.runners.get(effect.runner);
+        if (runner === undefined) return;
+        runner.agentIncarnation = effect.session.agentIncarnation;
         this.noteWork(effect.runner, true);
         return;
+      }
       case "session-lost":
       case "agent-leaving":
         this.noteWork(effect.runner, false);
--- a/src/session/entry-request.ts
+++ b/src/session/entry-request.ts
@@ -51,7 +51,7 @@
     holder: undefined,
     sequence: 0,
     evidence: "none",
-    earlier: "none",
+    earlier: evidenceBefore(call),
     nextIndex: 0,
     checksum: 0,
     headTaken: false,
@@ -61,6 +61,11 @@
   };
 }
 
+/** A caller may have sent its key to another entry, which may have started it. */
+function evidenceBefore({ repeatable, idempotencyKey }: Call): Evidence {
+  return repeatable || idempotencyKey === "" ? "none" : "maybe";
+}
+
 export function strongerEvidence(a: Evidence, b: Evidence): Evidence {
   if (a === "started" || b === "started") return "started";
   return a === "maybe" || b === "maybe" ? "maybe" : "none";
--- a/src/session/entry-sessions.ts
+++ b/src/session/entry-sessions.ts
@@ -42,6 +42,9 @@
   readonly unproved: number;
 }
 
+/** Refusals by which the claims prove that a caller's key never ran. */
+const provesNotRun: ReadonlySet<ErrorNumber> = new Set([1301, 1305, 1306]);
+
 export class EntrySessions {
   private readonly links = new Map<string, EntryLink>();
   private readonly requests: EntryRequests;
@@ -152,6 +155,7 @@
   refuse(id: string, error: ErrorNumber, now: number, retryAfterMs = 0): void {
     const request = this.requests.byId.get(id);
     if (request?.phase !== "placing") return;
+    if (provesNotRun.has(error)) request.earlier = "none";
     this.requests.giveUp(request, error, now, retryAfterMs);
   }
 
