Keep heartbeats in rhythm under load, measure paths without relays

Cause: a dispatch counted as a heartbeat, so a busy entry never told its agents what was settled, and they held every answer for the whole hold time. And the path measurement had fallen to half: the relays for faults stood between entries and agents also there, in the process that makes the load.

Change: an entry's heartbeats go out in a steady rhythm. A site can do without relays, and the path measurement does.

--- a/demo/site.ts
+++ b/demo/site.ts
@@ -31,6 +31,11 @@
   /** Engines that run elsewhere, in place of one stand-in for each runner. */
   readonly engineAddresses?: readonly string[];
   readonly graceMs?: number;
+  /**
+   * Relays between entries and agents, for faults; they run in this process.
+   * A measurement does without them, or it would measure them too.
+   */
+  readonly relays?: boolean;
 }
 
 export interface SiteRunner {
@@ -133,7 +138,7 @@
   const vms = [
     ...runners.map((item) => ({
       ...backendVm(item, options.modelGroup),
-      address: item.relay.address,
+      address: options.relays === false ? item.agent.peers : item.relay.address,
     })),
     ...services.map((item) => backendVm(item, options.serviceGroup)),
     ...entries.map(entryVm),
--- a/measure/path.ts
+++ b/measure/path.ts
@@ -103,6 +103,7 @@
       serviceGroup: SERVICE_GROUP,
       logLevel: "warn",
       engineAddresses: addresses,
+      relays: false,
     });
     await site.publish(siteConfiguration("dyfrwr", RUNNERS));
     await site.settled();
--- a/src/index.ts
+++ b/src/index.ts
@@ -35,3 +35,24 @@
   RunnerDescription,
   RunnerLoad,
 } from "./internal.js";
+export {
+  addConservation,
+  AgentGate,
+  EntrySessions,
+  SESSION_LIMITS,
+} from "./internal.js";
+export type {
+  AgentEffect,
+  AgentFrame,
+  AgentGateOptions,
+  AgentStatus,
+  Call,
+  CloseReply,
+  Conservation,
+  EntryEffect,
+  EntryFrame,
+  EntrySessionsOptions,
+  EntryStatus,
+  SessionId,
+  SessionLimits,
+} from "./internal.js";
--- a/src/session/entry-link.ts
+++ b/src/session/entry-link.ts
@@ -37,7 +37,7 @@
   private nextSequence = 1;
   private stateSince = 0;
   private heardAt = 0;
-  private sentAt = 0;
+  private heartbeatAt = 0;
   private reconnectAt = 0;
   private failures = 0;
 
@@ -79,7 +79,7 @@
     this.stateSince = now;
     const { runner, number } = this;
     this.perform({ kind: "connect", runner, number });
-    this.send({ kind: "open", number, ...this.entry }, now);
+    this.send({ kind: "open", number, ...this.entry });
   }
 
   /** Takes the agent's answer to the opening; false if it isn't for us. */
@@ -107,8 +107,7 @@
     this.heardAt = now;
   }
 
-  send(frame: EntryFrame, now: number): void {
-    this.sentAt = now;
+  send(frame: EntryFrame): void {
     const { runner, number } = this;
     this.perform({ kind: "send", runner, number, frame });
   }
@@ -126,14 +125,16 @@
   /**
    * Tells the agent up to where every attempt is settled, so that it can
    * forget them. The map keeps the order of dispatch: its first key is the
-   * lowest sequence still out.
+   * lowest sequence still out. Sent in a steady rhythm also under load: what
+   * the agent isn't told of it has to keep.
    */
   sendHeartbeat(now: number): void {
+    this.heartbeatAt = now;
     const lowest = this.outstanding.keys().next();
     const settledBelow =
       lowest.done === true ? this.nextSequence : lowest.value;
     const { leaving: leavingSeen } = this;
-    this.send({ kind: "heartbeat", settledBelow, leavingSeen }, now);
+    this.send({ kind: "heartbeat", settledBelow, leavingSeen });
   }
 
   /**
@@ -173,7 +174,9 @@
         return now - this.stateSince > limits.openMs ? "not-opened" : undefined;
       case "live":
         if (now - this.heardAt > limits.silentAfterMs) return "silent";
-        if (now - this.sentAt >= limits.heartbeatMs) this.sendHeartbeat(now);
+        if (now - this.heartbeatAt >= limits.heartbeatMs) {
+          this.sendHeartbeat(now);
+        }
         return undefined;
     }
   }
--- a/src/session/entry-sessions.ts
+++ b/src/session/entry-sessions.ts
@@ -317,18 +317,15 @@
     request.giveUpAt = Number.POSITIVE_INFINITY;
     this.requests.nameAttempt(request, attempt);
     const sequence = link.hold(request);
-    link.send(
-      {
-        kind: "dispatch",
-        sequence,
-        attempt,
-        call,
-        deadlineMs: Math.max(1, request.deadlineAt - now),
-        fromIndex: request.nextIndex,
-        resumeOf: isFresh ? "" : request.run,
-      },
-      now,
-    );
+    link.send({
+      kind: "dispatch",
+      sequence,
+      attempt,
+      call,
+      deadlineMs: Math.max(1, request.deadlineAt - now),
+      fromIndex: request.nextIndex,
+      resumeOf: isFresh ? "" : request.run,
+    });
   }
 
   private opened(
@@ -456,7 +453,7 @@
   private end(request: RequestState, error: ErrorNumber, now: number): void {
     const { link, attempt, call, phase } = request;
     if (phase === "dispatched" && call.repeatable && link?.isLive === true) {
-      link.send({ kind: "cancel", attempt }, now);
+      link.send({ kind: "cancel", attempt });
     }
     const neverLeft = error === 1212 && phase === "placing";
     this.requests.giveUp(request, neverLeft ? 1502 : error, now);
--- a/src/session/limits.ts
+++ b/src/session/limits.ts
@@ -1,7 +1,10 @@
 /** Times and sizes of sessions. All times in milliseconds. */
 
 export interface SessionLimits {
-  /** A side that sent nothing for this long sends a heartbeat. */
+  /**
+   * Rhythm of an entry's heartbeats, and the time without any frame after
+   * which an agent sends one.
+   */
   readonly heartbeatMs: number;
   /** A side that heard nothing for this long takes the session for lost. */
   readonly silentAfterMs: number;
--- a/tests/session/loss.test.ts
+++ b/tests/session/loss.test.ts
@@ -164,6 +164,23 @@
   });
 });
 
+describe("steady load", () => {
+  // Operators see the agent's memory stay level. The entry dispatches all the
+  // time; its heartbeats must go out nevertheless, or the agent would hold
+  // every answer for the whole hold time.
+  it("lets the agent forget what its entry has settled", () => {
+    const world = World.create();
+    for (let step = 0; step < 120; step += 1) {
+      world.accept(world.entries[0], REPEATABLE, STREAMED);
+      world.step(50);
+      for (const { machine } of world.agents) {
+        const { held } = machine.status();
+        assert.ok(held < 30, `${held} answers held`);
+      }
+    }
+  });
+});
+
 describe("an answer that nobody reads", () => {
   // The entry died with its callers' connections. Repeatable work is cancelled
   // after the hold time; work that may run once goes on to its end.
