--- a/fuzz/claims/world.ts
+++ b/fuzz/claims/world.ts
@@ -5,7 +5,8 @@
 import {
   CLAIM_SHARDS,
   ClaimCoordinator,
-  ClaimGate,
+  AgentGate,
+  answerAboutAttempt,
   checkKeyAge,
   encodeClaimBatch,
   errorTable,
@@ -15,7 +16,11 @@
   ClaimTable,
   type ClaimEffect,
   type ClaimEntry,
-  type ClaimGateRules,
+  type AgentEffect,
+  type AttemptAnswer,
+  type AttemptKeeper,
+  type AttemptQuestion,
+  type Call as SessionCall,
   type CoordinatorRules,
   type ErrorNumber,
 } from "../../src/internal.js";
@@ -33,7 +38,8 @@
 
 export interface WorldRules {
   readonly coordinator: CoordinatorRules;
-  readonly gate: ClaimGateRules;
+  /** What an agent tells of attempts; a mutation lies about them. */
+  readonly keeper: (gate: AgentGate, incarnation: string) => AttemptKeeper;
 }
 
 interface Entry {
@@ -48,11 +54,23 @@
 interface Agent {
   readonly name: string;
   readonly incarnation: string;
-  readonly gate: ClaimGate;
+  readonly gate: AgentGate;
+  /** Sessions that an entry's incarnation has opened. */
+  readonly sessions: Map<string, number>;
   readonly isReachable: boolean;
   readonly isFull: boolean;
 }
 
+type Answer = (
+  input: (coordinator: ClaimCoordinator) => readonly ClaimEffect[],
+) => void;
+
+interface Dispatched {
+  readonly call: string;
+  readonly key: string;
+  readonly answer: Answer;
+}
+
 interface Call {
   readonly key: string;
   readonly entry: number;
@@ -70,8 +88,10 @@
   private readonly entries: Entry[] = [];
   private readonly agents: Agent[] = [];
   private readonly starts = new Map<string, number>();
+  private readonly dispatched = new Map<string, Dispatched>();
   private readonly toldNotRun = new Set<string>();
   private ids = 0;
+  private connections = 0;
   private readSoon = false;
 
   private constructor(private readonly rules: WorldRules) {
@@ -237,10 +257,47 @@
     const name = `agent${index}`;
     this.ids += 1;
     const incarnation = `${name}.${this.ids}`;
-    const gate = ClaimGate.create(incarnation, this.rules.gate);
-    const isReachable = this.agents[index]?.isReachable ?? true;
-    const isFull = this.agents[index]?.isFull ?? false;
-    this.agents[index] = { name, incarnation, gate, isReachable, isFull };
+    const gate = AgentGate.create({
+      runner: name,
+      group: "group",
+      incarnation,
+      engineResumes: true,
+      mayStart: () =>
+        this.agents[index].isFull
+          ? { error: 1404, retryAfterMs: 0 }
+          : undefined,
+      perform: (effect) => {
+        this.onAgentEffect(effect);
+      },
+      emit: ignoreEvents,
+    });
+    const before = this.agents.at(index);
+    this.agents[index] = {
+      name,
+      incarnation,
+      gate,
+      sessions: new Map(),
+      isReachable: before?.isReachable ?? true,
+      isFull: before?.isFull ?? false,
+    };
+  }
+
+  private onAgentEffect(effect: AgentEffect): void {
+    if (effect.kind === "start-run") {
+      const started = this.dispatched.get(effect.run);
+      if (started === undefined) return;
+      this.start(started.key);
+      this.time.after(HOP_MS, () => {
+        this.finish(started.call, "answered");
+        started.answer((c) => c.end(started.call, this.time.nowMs));
+      });
+    }
+    if (effect.kind !== "send" || effect.frame.kind !== "refused") return;
+    const refused = this.dispatched.get(effect.frame.attempt);
+    if (refused === undefined) return;
+    this.time.after(HOP_MS, () => {
+      refused.answer((c) => c.onRefused(refused.call, this.time.nowMs));
+    });
   }
 
   private chooseAgent(
@@ -277,9 +334,7 @@
     incarnation: number,
     effect: ClaimEffect,
   ): void {
-    const answer = (
-      input: (coordinator: ClaimCoordinator) => readonly ClaimEffect[],
-    ): void => {
+    const answer: Answer = (input) => {
       this.deliver(index, incarnation, input);
     };
     switch (effect.kind) {
@@ -312,47 +367,35 @@
     }
   }
 
-  private dispatch(
-    call: string,
-    claim: ClaimEntry,
-    answer: (input: (c: ClaimCoordinator) => readonly ClaimEffect[]) => void,
-  ): void {
+  private dispatch(call: string, claim: ClaimEntry, answer: Answer): void {
     const delayMs = HOP_MS + this.nextDispatchDelayMs;
     this.nextDispatchDelayMs = 0;
     this.time.after(delayMs, () => {
       const agent = this.agents.find(({ name }) => name === claim.agent);
       const nowMs = this.time.nowMs;
-      const { agentIncarnation, attempt, account } = claim;
+      const { agentIncarnation, attempt } = claim;
       // A session ends with its agent: no frame of it reaches the next one.
       if (agent?.incarnation !== agentIncarnation || !agent.isReachable) {
         this.finish(call, "unknown");
         answer((coordinator) => coordinator.end(call, nowMs));
         return;
       }
-      if (agent.isFull) agent.gate.refuse(attempt, account, nowMs);
-      const verdict = agent.gate.tryStart(attempt, account, nowMs);
-      if (verdict === "start") this.start(claim.key);
-      this.time.after(HOP_MS, () => {
-        if (verdict === "start") this.finish(call, "answered");
-        answer((coordinator) =>
-          verdict === "start"
-            ? coordinator.end(call, this.time.nowMs)
-            : coordinator.onRefused(call, this.time.nowMs),
-        );
-      });
+      this.dispatched.set(attempt, { call, key: claim.key, answer });
+      this.connections += 1;
+      sendDispatch(agent, claim, call, this.connections, nowMs);
     });
   }
 
   private askAgent(
     effect: Extract<ClaimEffect, { readonly kind: "ask" }>,
-    answer: (input: (c: ClaimCoordinator) => readonly ClaimEffect[]) => void,
+    answer: Answer,
   ): void {
     const { call, claim, tombstone } = effect;
-    const { attempt, account, agentIncarnation } = claim;
+    const { attempt, agentIncarnation } = claim;
     this.time.after(HOP_MS, () => {
       const agent = this.agents.find(({ name }) => name === claim.agent);
-      const question = { agentIncarnation, attempt, account, tombstone };
-      const found = agent?.gate.answer(question, this.time.nowMs);
+      const question = { agentIncarnation, attempt, tombstone };
+      const found = agent && this.knowledge(agent, question);
       // A question may take effect although its answer is lost.
       const isHeard = agent?.isReachable === true && found !== undefined;
       const heard = isHeard ? found : ({ kind: "unreachable" } as const);
@@ -364,6 +407,13 @@
     });
   }
 
+  private knowledge(agent: Agent, question: AttemptQuestion): AttemptAnswer {
+    const { gate, incarnation } = agent;
+    gate.tick(this.time.nowMs);
+    const keeper = this.rules.keeper(gate, incarnation);
+    return answerAboutAttempt(keeper, question, this.time.nowMs);
+  }
+
   private start(key: string): void {
     const count = (this.starts.get(key) ?? 0) + 1;
     this.starts.set(key, count);
@@ -429,3 +479,43 @@
     });
   }
 }
+
+/** Every dispatch travels on a session of its own, opened just before it. */
+function sendDispatch(
+  { gate, sessions }: Agent,
+  claim: ClaimEntry,
+  request: string,
+  connection: number,
+  nowMs: number,
+): void {
+  const { entry, entryIncarnation, attempt, account, key } = claim;
+  const number = (sessions.get(entryIncarnation) ?? 0) + 1;
+  sessions.set(entryIncarnation, number);
+  const session = { entry, entryIncarnation, number };
+  const open = { ...session, dataCentre: "lac", release: "1" };
+  gate.receive(connection, { kind: "open", ...open }, nowMs);
+  const call: SessionCall = {
+    ...ANY_CALL,
+    request,
+    account,
+    idempotencyKey: key,
+  };
+  const wanted = { deadlineMs: WAIT_MS, fromIndex: 0, resumeOf: "" };
+  gate.receive(
+    connection,
+    { kind: "dispatch", sequence: 1, attempt, call, ...wanted },
+    nowMs,
+  );
+}
+
+const ANY_CALL = {
+  method: "POST",
+  path: "/services/orders",
+  headers: [],
+  body: new Uint8Array(),
+  streamed: false,
+  repeatable: false,
+  priority: 0,
+  costTokens: 1,
+  model: "",
+} as const;
--- a/src/daemon/agent/agent-sessions.ts
+++ b/src/daemon/agent/agent-sessions.ts
@@ -9,10 +9,13 @@
 } from "@grpc/grpc-js";
 import {
   AgentGate,
+  answerAboutAttempt,
   createDeferred,
   unreachable,
   type AgentEffect,
   type AgentStatus,
+  type AttemptAnswer,
+  type AttemptQuestion,
   type LoadReport,
 } from "../../internal.js";
 import {
@@ -102,6 +105,11 @@
     },
   };
 
+  /** What an entry is told that repeats a call. */
+  askAttempt(question: AttemptQuestion): AttemptAnswer {
+    return answerAboutAttempt(this.gate, question, performance.now());
+  }
+
   get runningCount(): number {
     return this.gate.running;
   }
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -12,9 +12,11 @@
 import { bindServer } from "../peer-server.js";
 import { channelOptions } from "../transport.js";
 import { ConfigurationFeedService } from "../../wire/generated/configuration.js";
+import { ClaimsService } from "../../wire/generated/claims.js";
 import { ExpertMapsService } from "../../wire/generated/expertmap.js";
 import { ExpertMaps } from "../expert-map/expert-maps.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
+import { createClaimService } from "./claim-service.js";
 import { EngineClient } from "../expert-map/engine-client.js";
 import { OrderTask } from "../orders/order-task.js";
 import { RunnerClient } from "./runner-client.js";
@@ -175,6 +177,12 @@
       });
     }
     this.server.addService(AgentService, this.sessions.service);
+    this.server.addService(
+      ClaimsService,
+      createClaimService(context, (question) =>
+        this.sessions.askAttempt(question),
+      ),
+    );
     this.server.addService(
       ConfigurationFeedService,
       configuration.feed.service,
--- a/src/daemon/entry/backend-directory.ts
+++ b/src/daemon/entry/backend-directory.ts
@@ -46,6 +46,11 @@
     }));
   }
 
+  /** host:port of an agent. */
+  addressOf(name: string): string | undefined {
+    return this.vms.get(name)?.address;
+  }
+
   /** Follows the list until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -12,6 +12,8 @@
 import { ConfigurationFeedService } from "../../wire/generated/configuration.js";
 import { LogClient } from "../../platform/log-client.js";
 import { BackendDirectory } from "./backend-directory.js";
+import { askAgent } from "./claim-asker.js";
+import { ClaimTasks, claimTaskList } from "./claim-tasks.js";
 import { createCallerServer } from "./caller-server.js";
 import { runRequest } from "./request-task.js";
 import { Sessions } from "./sessions.js";
@@ -46,6 +48,7 @@
   private readonly sessions: Sessions;
   private readonly configuration: ConfigurationFollower;
   private readonly directory: BackendDirectory;
+  private readonly claims: ClaimTasks;
   private readonly server = new Server(channelOptions);
   private leaving = false;
   private peers = "";
@@ -74,6 +77,17 @@
       sessions: this.sessions,
       vmList: platform.vmList,
     });
+    const asker = {
+      context,
+      transport,
+      addressOf: (agent: string) => this.directory.addressOf(agent),
+    };
+    this.claims = ClaimTasks.create({
+      context,
+      log,
+      appendsPerSecond: settings.claims.appendsPerSecond,
+      ask: (claim, tombstone) => askAgent(asker, claim, tombstone),
+    });
   }
 
   static async create(
@@ -161,6 +175,9 @@
       signal,
       run: (s) => directory.run(s),
     });
+    for (const { name, run } of claimTaskList(this.claims)) {
+      void runTask({ name, emit, signal, run });
+    }
     this.server.addService(
       ConfigurationFeedService,
       configuration.feed.service,
@@ -187,6 +204,7 @@
       configuration: this.configuration.configuration,
       directory: this.directory,
       sessions: this.sessions,
+      claims: this.claims,
     });
     measurements.set("requestsInFlight", this.inFlight);
     const { outcome } = await finished;
