--- a/src/index.ts
+++ b/src/index.ts
@@ -47,26 +47,6 @@
   RunnerDescription,
   RunnerLoad,
 } from "./internal.js";
-export {
-  addConservation,
-  AgentGate,
-  EntrySessions,
-  SESSION_LIMITS,
-} from "./internal.js";
-export type {
-  AgentEffect,
-  AgentFrame,
-  AgentGateOptions,
-  AgentStatus,
-  Call,
-  CloseReply,
-  Conservation,
-  EntryEffect,
-  EntryFrame,
-  EntrySessionsOptions,
-  EntryStatus,
-  SessionId,
-  SessionLimits,
 
 // balance
 export {
@@ -96,3 +76,26 @@
   RankStep,
   StayReason,
 } from "./internal.js";
+
+// session
+export {
+  addConservation,
+  AgentGate,
+  EntrySessions,
+  SESSION_LIMITS,
+} from "./internal.js";
+export type {
+  AgentEffect,
+  AgentFrame,
+  AgentGateOptions,
+  AgentStatus,
+  Call,
+  CloseReply,
+  Conservation,
+  EntryEffect,
+  EntryFrame,
+  EntrySessionsOptions,
+  EntryStatus,
+  SessionId,
+  SessionLimits,
+} from "./internal.js";
