--- a/src/session/entry-sessions.ts
+++ b/src/session/entry-sessions.ts
@@ -10,7 +10,9 @@
   failure,
 } from "../shared/errors.js";
 import { takeAttemptFrame, type AnswerTools } from "./entry-answers.js";
-import { EntryLink, type LostSession } from "./entry-link.js";
+import { EntryAttempts } from "./entry-attempts.js";
+import { EntryDoubt } from "./entry-doubt.js";
+import { EntryLink } from "./entry-link.js";
 import { EntryRequests } from "./entry-requests.js";
 import { type RequestState } from "./entry-request.js";
 import type {
@@ -23,8 +25,6 @@
 import { SESSION_LIMITS, type SessionLimits } from "./limits.js";
 import type { AgentFrame, Call, CloseReply } from "./types.js";
 
-const NO_BYTES = new Uint8Array(0);
-
 export interface EntryStatus {
   readonly conservation: Conservation;
   readonly dropped: DropFigures;
@@ -48,6 +48,8 @@
 export class EntrySessions {
   private readonly links = new Map<string, EntryLink>();
   private readonly requests: EntryRequests;
+  private readonly attempts: EntryAttempts;
+  private readonly doubt: EntryDoubt;
   private readonly drops: DropCounter;
   private readonly answers: AnswerTools;
   private leavingUntil: number | undefined;
@@ -59,16 +61,19 @@
   ) {
     const { perform, emit, without } = options;
     this.requests = EntryRequests.create(options, limits);
+    const { requests } = this;
+    this.attempts = EntryAttempts.create(options, requests, limits);
+    this.doubt = EntryDoubt.create(options, requests, this.attempts, limits);
     this.drops = DropCounter.create(emit);
     this.answers = {
       perform,
       emit,
-      requests: this.requests,
+      requests,
       drop: (attempt, reason) => {
         this.drops.count(attempt, reason);
       },
       resume: (request, now) => {
-        this.resume(request, now);
+        this.attempts.resume(request, now);
       },
       checksIndex: without !== "piece-index",
       checksChecksum: without !== "checksum",
@@ -146,7 +151,7 @@
     request.run = options.attachTo ?? attempt;
     request.evidence = "maybe";
     request.placements += 1;
-    this.send(request, link, attempt, now);
+    this.attempts.send(request, link, attempt, now);
     this.options.emit(122, { request: id, attempt, runner });
     return Right(attempt);
   }
@@ -212,7 +217,7 @@
   ): void {
     const link = this.links.get(runner);
     if (link?.number !== number) return;
-    this.lose(link, reason, now);
+    this.doubt.lose(link, reason, now);
   }
 
   /** The agent's answer to the close of the session of this number. */
@@ -223,31 +228,12 @@
     now: number,
   ): void {
     const link = this.links.get(runner);
-    const lost = link?.lost.get(number);
-    if (link === undefined || lost === undefined) return;
-    link.lost.delete(number);
-    const { agentIncarnation } = lost.session;
-    const isSame = reply.agentIncarnation === agentIncarnation;
-    if (
-      reply.closed &&
-      (isSame || this.options.without === "agent-incarnation")
-    ) {
-      this.proved(link, lost, reply, now);
-      return;
-    }
-    // A restarted agent knows nothing of the session: what its predecessor
-    // started can only be found through the engine. An agent that has
-    // forgotten the session can prove nothing.
-    for (const request of lost.attempts.values()) {
-      if (isSame) this.requests.abandon(request, 1211, "lost", now);
-      else this.awaitResume(link, request, now);
-    }
+    if (link !== undefined) this.doubt.closeAnswered(link, number, reply, now);
   }
 
-  /** The close got no answer; it is sent again until the doubt limit. */
   closeFailed(runner: string, number: number, now: number): void {
-    const lost = this.links.get(runner)?.lost.get(number);
-    if (lost !== undefined) lost.askAt = now + this.limits.closeAgainMs;
+    const link = this.links.get(runner);
+    if (link !== undefined) this.doubt.closeFailed(link, number, now);
   }
 
   /** The agent takes no new work: by its notice, the VM list or a refusal. */
@@ -309,32 +295,6 @@
     };
   }
 
-  private send(
-    request: RequestState,
-    link: EntryLink,
-    attempt: string,
-    now: number,
-  ): void {
-    const isFresh = request.run === attempt;
-    const call = isFresh ? request.call : { ...request.call, body: NO_BYTES };
-    request.phase = "dispatched";
-    request.giveUpAt = Number.POSITIVE_INFINITY;
-    this.requests.nameAttempt(request, attempt);
-    const sequence = link.hold(request);
-    link.send(
-      {
-        kind: "dispatch",
-        sequence,
-        attempt,
-        call,
-        deadlineMs: Math.max(1, request.deadlineAt - now),
-        fromIndex: request.nextIndex,
-        resumeOf: isFresh ? "" : request.run,
-      },
-      now,
-    );
-  }
-
   private opened(
     link: EntryLink,
     frame: Extract<AgentFrame, { kind: "opened" }>,
@@ -344,7 +304,7 @@
       this.drops.count("", "session-not-live");
       return;
     }
-    for (const request of link.resuming) this.resume(request, now);
+    for (const request of link.resuming) this.attempts.resume(request, now);
   }
 
   private afterAttemptFrame(
@@ -362,105 +322,15 @@
 
   private tickLink(link: EntryLink, now: number): void {
     const trouble = link.tick(now);
-    if (trouble !== undefined) this.lose(link, trouble, now);
-    for (const lost of link.lost.values()) {
-      if (now >= lost.giveUpAt) this.unproved(link, lost, now);
-      else if (now >= lost.askAt) this.askForClose(link, lost);
-    }
-  }
-
-  private lose(link: EntryLink, reason: string, now: number): void {
-    const lost = link.lose(reason, now);
-    if (lost === undefined) return;
-    for (const request of lost.attempts.values()) request.phase = "doubt";
-    this.askForClose(link, lost);
-  }
-
-  private askForClose(link: EntryLink, lost: LostSession): void {
-    lost.askAt = Number.POSITIVE_INFINITY;
-    const { runner } = link;
-    const { session } = lost;
-    this.options.perform({ kind: "close-session", runner, session });
-  }
-
-  /**
-   * The agent has closed the session: what it lists has started and goes on
-   * from the next piece; everything else can never start any more.
-   */
-  private proved(
-    link: EntryLink,
-    lost: LostSession,
-    reply: CloseReply,
-    now: number,
-  ): void {
-    const { runner } = link;
-    const session = lost.session.number;
-    const started = new Set(reply.started.map(({ attempt }) => attempt));
-    this.options.emit(143, { runner, session, started: started.size });
-    for (const request of lost.attempts.values()) {
-      const isResumption = request.run !== request.attempt;
-      if (started.has(request.attempt)) {
-        request.evidence = "started";
-        this.awaitResume(link, request, now);
-      } else if (isResumption) {
-        this.awaitResume(link, request, now);
-      } else {
-        this.requests.placeAgain(request, 1403, 0, now);
-      }
-    }
-  }
-
-  /** No proof came: what was sent may have run, and callers are told so. */
-  private unproved(link: EntryLink, lost: LostSession, now: number): void {
-    const { runner } = link;
-    const session = lost.session.number;
-    link.lost.delete(session);
-    const requests = lost.attempts.size;
-    if (requests > 0) this.options.emit(144, { runner, session, requests });
-    for (const request of lost.attempts.values()) {
-      if (this.options.without === "unanswered-close")
-        request.evidence = "none";
-      this.requests.abandon(request, 1211, "lost", now);
-    }
-  }
-
-  private awaitResume(
-    link: EntryLink,
-    request: RequestState,
-    now: number,
-  ): void {
-    request.holder?.delete(request.sequence);
-    request.holder = undefined;
-    request.phase = "resuming";
-    request.giveUpAt = now + this.limits.resumeMs;
-    link.resuming.add(request);
-    if (link.isLive) this.resume(request, now);
-  }
-
-  /** Goes on with the run of the request under a new attempt. */
-  private resume(request: RequestState, now: number): void {
-    const { link } = request;
-    if (link === undefined) return;
-    request.holder?.delete(request.sequence);
-    link.resuming.delete(request);
-    request.resumes += 1;
-    if (request.resumes > this.limits.resumes) {
-      this.requests.abandon(request, 1217, "broken", now);
-      return;
-    }
-    const attempt = this.options.createAttemptId();
-    this.send(request, link, attempt, now);
-    const { runner } = link;
-    const { request: id } = request.call;
-    const fromIndex = request.nextIndex;
-    this.options.emit(126, { request: id, attempt, runner, fromIndex });
+    if (trouble !== undefined) this.doubt.lose(link, trouble, now);
+    this.doubt.tick(link, now);
   }
 
   /** Gives a request up for good; its work is cancelled where it may be. */
   private end(request: RequestState, error: ErrorNumber, now: number): void {
     const { link, attempt, call, phase } = request;
     if (phase === "dispatched" && call.repeatable && link?.isLive === true) {
-      link.send({ kind: "cancel", attempt }, now);
+      link.send({ kind: "cancel", attempt });
     }
     const neverLeft = error === 1212 && phase === "placing";
     this.requests.giveUp(request, neverLeft ? 1502 : error, now);
