--- a/demo/site-members.ts
+++ b/demo/site-members.ts
@@ -79,8 +79,6 @@
   readonly engineAddress: string | undefined;
   /** Engines that step together on an expert map. */
   readonly group: SiteGroup | undefined;
-  /** Entries connect straight to the agent, which is faster. */
-  readonly isDirect: boolean;
 }
 
 /** An engine that nobody calls need not step often. */
@@ -88,7 +86,7 @@
 
 export async function startRunner(
   settings: DaemonSettings,
-  { stepMs, engineAddress, group, isDirect }: RunnerOptions,
+  { stepMs, engineAddress, group }: RunnerOptions,
 ): Promise<SiteRunner> {
   const isElsewhere = engineAddress !== undefined;
   const extension = group?.join(settings.name);
@@ -106,7 +104,10 @@
     daemon,
     engine,
     relay,
-    vm: () => (isDirect ? daemon.vm : { ...daemon.vm, address: relay.address }),
+    // The relay runs in this process: with engines elsewhere, as in a
+    // measurement, it would be measured too.
+    vm: () =>
+      isElsewhere ? daemon.vm : { ...daemon.vm, address: relay.address },
     async [Symbol.asyncDispose]() {
       await daemon[Symbol.asyncDispose]();
       await relay[Symbol.asyncDispose]();
--- a/demo/site.ts
+++ b/demo/site.ts
@@ -31,8 +31,6 @@
   /** Engines that run elsewhere, in place of one stand-in for each runner. */
   readonly engineAddresses?: readonly string[];
   readonly graceMs?: number;
-  /** No relays between entries and agents, which would cost time. */
-  readonly isDirect?: boolean;
   /** The runners' engines as one lock-step group; each on its own if absent. */
   readonly group?: SiteGroupOptions;
 }
@@ -80,7 +78,6 @@
       stepMs: options.stepMs,
       engineAddress: options.engineAddresses?.at(index),
       group,
-      isDirect: options.isDirect ?? false,
     }),
   );
   const services = await startMany(options.services, (index) =>
--- a/measure/path.ts
+++ b/measure/path.ts
@@ -103,7 +103,6 @@
       serviceGroup: SERVICE_GROUP,
       logLevel: "warn",
       engineAddresses: addresses,
-      isDirect: true,
     });
     await site.publish(siteConfiguration("dyfrwr", RUNNERS));
     await site.settled();
