--- a/src/session/entry-sessions.ts
+++ b/src/session/entry-sessions.ts
@@ -265,6 +265,11 @@
     return this.leavingUntil !== undefined && this.requests.byId.size === 0;
   }
 
+  /** Requests without a final outcome. */
+  get inFlight(): number {
+    return this.requests.byId.size;
+  }
+
   tick(now: number): void {
     const pauseMs = now - (this.lastTick ?? now);
     this.lastTick = now;
