--- a/src/admission/agent-limit.ts
+++ b/src/admission/agent-limit.ts
@@ -79,3 +79,13 @@
   if (priority === RESERVED_FOR_PRIORITY) return slots + queue;
   return slots + Math.ceil(queue * (1 - RESERVED_SHARE));
 }
+
+/** As entries reckon with unless they are told otherwise. */
+const USUAL_QUEUE_SHARE = 0.5;
+
+/** The part of an agent's places that a priority may use. */
+export function priorityLimit(attempts: number, priority: number): number {
+  const queueShare = USUAL_QUEUE_SHARE;
+  const slots = Math.max(1, Math.floor(attempts / (1 + queueShare)));
+  return Math.min(attempts, attemptLimit({ slots, queueShare }, priority));
+}
--- a/src/daemon/agent/agent-sessions.ts
+++ b/src/daemon/agent/agent-sessions.ts
@@ -10,6 +10,7 @@
 import {
   AgentGate,
   createDeferred,
+  priorityLimit,
   unreachable,
   type AgentEffect,
   type AgentStatus,
@@ -70,8 +71,8 @@
       group,
       incarnation: context.incarnation,
       engineResumes,
-      mayStart: () =>
-        this.gate.running < attemptLimit
+      mayStart: ({ priority }) =>
+        this.gate.running < priorityLimit(attemptLimit, priority)
           ? undefined
           : { error: 1404, retryAfterMs: FULL_RETRY_AFTER_MS },
       perform: (effect) => {
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -15,6 +15,7 @@
 import { ExpertMapsService } from "../../wire/generated/expertmap.js";
 import { ExpertMaps } from "../expert-map/expert-maps.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
+import { reportLoads } from "./load-reports.js";
 import { RunnerClient } from "./runner-client.js";
 
 const LAST_FRAMES_MS = 50;
@@ -135,6 +136,21 @@
       signal,
       run: (s) => configuration.keepCheckpoints(s),
     });
+    if (settings.runner.kind === "model") {
+      void runTask({
+        name: "load-reports",
+        emit,
+        signal,
+        run: (s) =>
+          reportLoads(
+            this.runner,
+            (load) => {
+              this.sessions.report(load);
+            },
+            s,
+          ),
+      });
+    }
     const { expertMaps } = this;
     if (expertMaps !== undefined) {
       this.server.addService(ExpertMapsService, expertMaps.service);
--- a/src/daemon/entry/backend-directory.ts
+++ b/src/daemon/entry/backend-directory.ts
@@ -21,6 +21,7 @@
 
 export class BackendDirectory {
   private readonly vms = new Map<string, Vm>();
+  private entries = 1;
 
   private constructor(private readonly options: BackendDirectoryOptions) {}
 
@@ -28,14 +29,9 @@
     return new BackendDirectory(options);
   }
 
-  /** Backend servers of a group that take new work now. */
-  candidates(group: string): Backend[] {
-    return this.all().filter(
-      ({ vm, session }) =>
-        vm.group === group &&
-        vm.state === "live" &&
-        session?.takesWork === true,
-    );
+  /** Live entries, this one included, as the lagging list has them. */
+  get entryCount(): number {
+    return this.entries;
   }
 
   all(): Backend[] {
@@ -52,6 +48,10 @@
       const vms = await readVmList(this.options.vmList);
       const backends = vms.filter(({ role }) => role === "backend");
       for (const vm of backends) this.upsert(vm);
+      const entries = vms.filter(
+        ({ role, state }) => role === "entry" && state === "live",
+      );
+      this.entries = Math.max(1, entries.length);
       this.dropMissing(new Set(backends.map(({ name }) => name)));
       await pause(LIST_INTERVAL_MS, signal);
     }
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -13,6 +13,7 @@
 import { LogClient } from "../../platform/log-client.js";
 import { BackendDirectory } from "./backend-directory.js";
 import { createCallerServer } from "./caller-server.js";
+import { RequestDispatcher } from "./request-dispatcher.js";
 import { runRequest } from "./request-task.js";
 import { Sessions } from "./sessions.js";
 import type { AnswerWriter, Work } from "./work.js";
@@ -46,6 +47,7 @@
   private readonly sessions: Sessions;
   private readonly configuration: ConfigurationFollower;
   private readonly directory: BackendDirectory;
+  private readonly dispatcher: RequestDispatcher;
   private readonly server = new Server(channelOptions);
   private leaving = false;
   private peers = "";
@@ -62,7 +64,7 @@
     this.sessions = Sessions.create({
       context,
       transport,
-      mayRetry: () => true,
+      mayRetry: (call) => this.dispatcher.mayRetry(call),
     });
     this.configuration = ConfigurationFollower.create({
       context,
@@ -74,6 +76,13 @@
       sessions: this.sessions,
       vmList: platform.vmList,
     });
+    this.dispatcher = RequestDispatcher.create({
+      context,
+      settings: settings.placement,
+      sessions: this.sessions,
+      directory: this.directory,
+      configuration: () => this.configuration.configuration,
+    });
   }
 
   static async create(
@@ -116,6 +125,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
+    this.dispatcher[Symbol.dispose]();
     await this.sessions[Symbol.asyncDispose]();
     this.server.forceShutdown();
     await this.callers[Symbol.asyncDispose]();
@@ -184,8 +194,7 @@
     const finished = runRequest({
       work,
       writer,
-      configuration: this.configuration.configuration,
-      directory: this.directory,
+      dispatcher: this.dispatcher,
       sessions: this.sessions,
     });
     measurements.set("requestsInFlight", this.inFlight);
@@ -212,6 +221,7 @@
       configuration: configuration.summary,
       conservation: { ...counts, "not-run": notRun, "broken-off": brokenOff },
       dropped: sessions.dropped,
+      waiting: this.dispatcher.waitingCount,
       sessions: sessions.sessions,
       backends: directory.all().map(({ vm, session }) => ({
         name: vm.name,
--- a/src/daemon/entry/request-task.ts
+++ b/src/daemon/entry/request-task.ts
@@ -4,19 +4,17 @@
   failure,
   unreachable,
   type Call,
-  type Configuration,
   type ErrorNumber,
   type FinalOutcome,
 } from "../../internal.js";
-import type { Backend, BackendDirectory } from "./backend-directory.js";
+import type { RequestDispatcher } from "./request-dispatcher.js";
 import type { RequestEffect, Sessions } from "./sessions.js";
 import type { AnswerWriter, Work } from "./work.js";
 
 export interface RequestTaskOptions {
   readonly work: Work;
   readonly writer: AnswerWriter;
-  readonly configuration: Configuration;
-  readonly directory: BackendDirectory;
+  readonly dispatcher: RequestDispatcher;
   readonly sessions: Sessions;
 }
 
@@ -31,9 +29,8 @@
 export async function runRequest(
   options: RequestTaskOptions,
 ): Promise<RequestResult> {
-  const { work, writer, sessions } = options;
+  const { work, writer, sessions, dispatcher } = options;
   const { promise, resolve } = createDeferred<RequestResult>();
-  const tried = new Set<string>();
   const deadlineMs = work.deadlineAtMs - Date.now();
   writer.signal.addEventListener("abort", () => {
     sessions.cancel(work.id);
@@ -41,9 +38,10 @@
   sessions
     .accept(callOf(work), deadlineMs, {
       place: () => {
-        placeRequest(options, tried);
+        dispatcher.place(work);
       },
       onEffect: (effect) => {
+        dispatcher.onEffect(work.id, effect);
         if (effect.kind === "finish") resolve(effect);
         passOn(writer, effect);
       },
@@ -54,21 +52,6 @@
   return promise;
 }
 
-/** Runners that refused or broke off aren't tried twice. */
-function placeRequest(options: RequestTaskOptions, tried: Set<string>): void {
-  const { work, sessions } = options;
-  for (;;) {
-    const backend = place(options, tried);
-    if (backend === undefined) {
-      sessions.refuse(work.id, 1209, RETRY_AFTER_MS);
-      return;
-    }
-    const { name } = backend.vm;
-    tried.add(name);
-    if (sessions.dispatch(work.id, name).isRight()) return;
-  }
-}
-
 function passOn(writer: AnswerWriter, effect: RequestEffect): void {
   switch (effect.kind) {
     case "piece":
@@ -100,23 +83,6 @@
   return effect.retryAfterMs || RETRY_AFTER_MS;
 }
 
-function place(
-  { work, configuration, directory }: RequestTaskOptions,
-  tried: ReadonlySet<string>,
-): Backend | undefined {
-  const { target } = work.profile;
-  return configuration.groups
-    .filter((group) =>
-      target.kind === "model"
-        ? group.kind === "model" && group.model === target.model
-        : group.kind === "service" && group.service === target.service,
-    )
-    .flatMap((group) => directory.candidates(group.name))
-    .filter(({ vm }) => !tried.has(vm.name))
-    .sort((a, b) => (a.session?.inFlight ?? 0) - (b.session?.inFlight ?? 0))
-    .at(0);
-}
-
 function callOf(work: Work): Call {
   const { id: request, account, method, path, headers, body } = work;
   const { streamed, costTokens, idempotencyKey, model } = work;
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -93,12 +93,49 @@
   })
   .readonly();
 
+const placement = z
+  .strictObject({
+    slots: z
+      .int()
+      .min(1)
+      .default(170)
+      .describe("Requests that a backend server works on at once."),
+    queueShare: z
+      .number()
+      .min(0)
+      .default(0.5)
+      .describe("Requests beyond the slots that an agent takes, as a share."),
+    stepMs: z.number().positive().default(5).describe("One engine step, ms."),
+    prefillMsPerToken: z
+      .number()
+      .min(0)
+      .default(0.05)
+      .describe("Time to compute one token of a prompt, ms."),
+    blockTokens: z
+      .int()
+      .min(1)
+      .default(64)
+      .describe("Tokens of one block of the engines' prefix cache."),
+    adapterLoadMs: z
+      .number()
+      .min(0)
+      .default(500)
+      .describe("Time that an engine needs to load an adapter, ms."),
+    farMs: z
+      .number()
+      .min(0)
+      .default(1)
+      .describe("Round trip to another data centre, ms."),
+  })
+  .readonly();
+
 const entrySettings = z
   .strictObject({
     role: z.literal("entry"),
     ...common,
     callers: listen.prefault({}),
     limits: callerLimits.prefault({}),
+    placement: placement.prefault({}),
   })
   .readonly();
 
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -53,6 +53,27 @@
   // sessions
 
   // admission and placement
+  admissionWaiting: {
+    name: "apricotdeck_admission_waiting",
+    kind: "gauge",
+    unit: "requests",
+    labels: [],
+    meaning: "Requests that wait at the entry for room at a backend server.",
+  },
+  admissionRefused: {
+    name: "apricotdeck_admission_refused_total",
+    kind: "counter",
+    unit: "requests",
+    labels: ["error"],
+    meaning: "Requests refused or given up by the entry, by error number.",
+  },
+  runnersEjected: {
+    name: "apricotdeck_placement_ejected",
+    kind: "gauge",
+    unit: "backend servers",
+    labels: [],
+    meaning: "Failing backend servers that get no work but probes.",
+  },
 
   // expert map and orders
 
