--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -81,7 +81,7 @@
       settings: settings.placement,
       sessions: this.sessions,
       directory: this.directory,
-      configuration: () => this.configuration.configuration,
+      configuration: () => this.configuration.inForce?.configuration,
     });
   }
 
--- a/src/daemon/entry/request-dispatcher.ts
+++ b/src/daemon/entry/request-dispatcher.ts
@@ -11,17 +11,15 @@
   type AdmissionRequest,
   type Call,
   type Choice,
-  type ClientAccount,
   type Configuration,
-  type Placed,
   type PlacementRequest,
   type Refusal,
 } from "../../internal.js";
 import type { ProcessContext } from "../process-context.js";
 import type { EntrySettings } from "../settings.js";
 import type { BackendDirectory } from "./backend-directory.js";
-import { poolOfGroup, poolOfProfile } from "./pools.js";
-import { prefixHashes } from "./prefix-hashes.js";
+import { openRequest, type OpenRequest } from "./open-request.js";
+import { RunnerSync } from "./runner-sync.js";
 import type { RequestEffect, Sessions } from "./sessions.js";
 import type { Work } from "./work.js";
 
@@ -30,22 +28,8 @@
   readonly settings: EntrySettings["placement"];
   readonly sessions: Sessions;
   readonly directory: BackendDirectory;
-  readonly configuration: () => Configuration;
-}
-
-interface OpenRequest {
-  readonly work: Work;
-  readonly admission: AdmissionRequest;
-  readonly promptTokens: number;
-  readonly prefix: readonly number[];
-  excluded: readonly string[];
-  attempts: number;
-  retryDelayMs: number;
-  placed: Placed | undefined;
-  /** It left the queue and hasn't finished. */
-  running: boolean;
-  sentAtMs: number;
-  pieces: number;
+  /** Undefined before the first version is in force. */
+  readonly configuration: () => Configuration | undefined;
 }
 
 /**
@@ -55,7 +39,6 @@
 const TICK_MS = 10;
 /** Ticks between looks at all runners; a new session waits so long at most. */
 const SYNC_TICKS = 10;
-const BYTES_PER_TOKEN = 4;
 /** A replaced VM takes seconds to come; sooner repeats find nobody either. */
 const NOBODY_RETRY_MS = 1000;
 
@@ -67,8 +50,7 @@
   private readonly retries = new Map<string, RetryAllowance>();
   private readonly timer: NodeJS.Timeout;
   private ticks = 0;
-  private readonly known = new Map<string, string>();
-  private readonly loads = new Map<string, unknown>();
+  private readonly runners: RunnerSync;
 
   private constructor(private readonly options: RequestDispatcherOptions) {
     const { context, settings, directory } = options;
@@ -97,6 +79,12 @@
         this.refuse(id, refusal);
       },
     });
+    this.runners = RunnerSync.create({
+      placement: this.placement,
+      directory,
+      configuration: options.configuration,
+      slots: settings.slots,
+    });
     this.timer = setInterval(() => {
       this.tick();
     }, TICK_MS);
@@ -151,43 +139,10 @@
   }
 
   private openRequest(work: Work): OpenRequest {
-    const { account: name, profile, prompt, costTokens } = work;
-    const promptTokens =
-      prompt === "" ? costTokens : Math.ceil(prompt.length / BYTES_PER_TOKEN);
-    const outputLimit = costTokens - promptTokens;
-    const output = this.outputs.expect(name, profile.name, outputLimit);
-    const account = this.accountOf(name);
-    const { stepMs, prefillMsPerToken, blockTokens } = this.options.settings;
-    const arrivedAtMs = performance.now();
-    return {
-      work,
-      promptTokens,
-      prefix: prefixHashes(prompt, blockTokens * BYTES_PER_TOKEN),
-      excluded: [],
-      attempts: 0,
-      retryDelayMs: 0,
-      placed: undefined,
-      running: false,
-      sentAtMs: 0,
-      pieces: 0,
-      admission: {
-        id: work.id,
-        account: name,
-        weight: account?.weight ?? 1,
-        ...(account?.limit === undefined
-          ? {}
-          : { accountLimit: account.limit }),
-        pool: poolOfProfile(profile),
-        profile: profile.name,
-        priority: profile.priority,
-        costTokens: promptTokens + output,
-        serviceMs: promptTokens * prefillMsPerToken + output * stepMs,
-        arrivedAtMs,
-        deadlineAtMs: arrivedAtMs + (work.deadlineAtMs - Date.now()),
-        queue: profile.queue,
-        concurrency: profile.concurrency,
-      },
-    };
+    const { settings, configuration } = this.options;
+    const accounts = configuration()?.accounts;
+    const account = accounts?.find(({ name }) => name === work.account);
+    return openRequest(work, account, this.outputs, settings);
   }
 
   /** Called by admission; false leaves the request where it is. */
@@ -212,7 +167,7 @@
     const chosen = this.placement.choose(request);
     if (chosen.isRight()) return chosen.unsafeCoerce();
     // Sessions may have opened since the last look.
-    this.syncRunners();
+    this.runners.run();
     return this.placement.choose(request).toMaybe().extract();
   }
 
@@ -325,14 +280,9 @@
     return created;
   }
 
-  private accountOf(wanted: string): ClientAccount | undefined {
-    const { accounts } = this.options.configuration();
-    return accounts.find(({ name }) => name === wanted);
-  }
-
   private tick(): void {
     this.ticks += 1;
-    if (this.ticks % SYNC_TICKS === 0) this.syncRunners();
+    if (this.ticks % SYNC_TICKS === 0) this.lookAround();
     if (this.admission.waitingCount === 0) return;
     const pools = new Set<string>();
     for (const { running, admission } of this.open.values()) {
@@ -341,41 +291,10 @@
     for (const pool of pools) this.admission.drain(pool);
   }
 
-  /** Tells placement of runners that came, went or reported. */
-  private syncRunners(): void {
-    const { directory, settings, context } = this.options;
-    const { measurements } = context;
+  private lookAround(): void {
+    const { measurements } = this.options.context;
+    this.runners.run();
     measurements.set("admissionWaiting", this.admission.waitingCount);
     measurements.set("runnersEjected", this.placement.ejectedCount);
-    const live = new Set<string>();
-    const { groups } = this.options.configuration();
-    for (const { vm, session } of directory.all()) {
-      if (vm.state !== "live" || session?.takesWork !== true) continue;
-      live.add(vm.name);
-      const { group = "" } = vm;
-      const pool = poolOfGroup(groups.find(({ name }) => name === group));
-      const summary = `${group} ${pool} ${vm.dataCentre}`;
-      if (this.known.get(vm.name) !== summary) {
-        this.known.set(vm.name, summary);
-        this.placement.setRunner({
-          runner: vm.name,
-          group,
-          dataCentre: vm.dataCentre,
-          pools: [pool],
-          adapters: [],
-          slots: settings.slots,
-        });
-      }
-      if (session.load === undefined) continue;
-      if (this.loads.get(vm.name) === session.load) continue;
-      this.loads.set(vm.name, session.load);
-      this.placement.onReport(vm.name, session.load);
-    }
-    for (const name of this.known.keys()) {
-      if (live.has(name)) continue;
-      this.known.delete(name);
-      this.loads.delete(name);
-      this.placement.removeRunner(name);
-    }
   }
 }
