--- a/src/admission/agent-limit.ts
+++ b/src/admission/agent-limit.ts
@@ -56,7 +56,7 @@
   /**
    * Beyond the slots, an entry far above the mean of the entries has to wait. An entry replaces each of its ended requests at once, so without
    * this the one that came first keeps the runners: of three entries under
-   * twice the load, one had 64 requests running and another 13.
+   * twice the load, one had 63 requests running and another 14.
    */
   private isOverShare(entry: string): boolean {
     if (this.running < this.settings.slots) return false;
