--- a/src/index.ts
+++ b/src/index.ts
@@ -6,13 +6,25 @@
   Placement,
   RetryAllowance,
   defaultPlacementSettings,
+  applyRecords,
+  checkConfiguration,
+  contentHash,
+  createCheckpoint,
   errorTable,
   eventTable,
+  initialConfigurationState,
+  verdictFailure,
   HybridClock,
   compareReadings,
   createRandom,
 } from "./internal.js";
 export type {
+  Checkpoint,
+  Configuration,
+  ConfigurationState,
+  LogRecord,
+  Publication,
+  Verdict,
   AdmissionInputs,
   AdmissionRequest,
   CacheEvent,
@@ -35,3 +47,32 @@
   RunnerDescription,
   RunnerLoad,
 } from "./internal.js";
+
+// balance
+export {
+  Balancer,
+  checkMap,
+  checkShape,
+  createEvenMap,
+  levelRequests,
+  Planner,
+  PlannerThread,
+  runPlannerTask,
+  WindowAssembly,
+  WindowCollector,
+} from "./internal.js";
+export type {
+  Decision,
+  ExpertMap,
+  ExpertMove,
+  GroupShape,
+  MoveCosts,
+  MovePlan,
+  Plan,
+  PlanForecast,
+  PlannerTaskOptions,
+  PlannerWindow,
+  RankReport,
+  RankStep,
+  StayReason,
+} from "./internal.js";
