--- a/tests/admission/daemon.test.ts
+++ b/tests/admission/daemon.test.ts
@@ -26,7 +26,7 @@
 }
 
 function ask(site: Site): Promise<Response> {
-  const address = site.entries[0].process.callers;
+  const address = site.entries[0].daemon.process.callers;
   return fetch(`http://${address}/v1/completions`, {
     method: "POST",
     headers: { authorization: `Bearer ${credentialOf("dyfrwr", 0)}` },
