--- a/src/placement/runner.ts
+++ b/src/placement/runner.ts
@@ -95,9 +95,17 @@
     this.historyNext += 1;
   }
 
-  /** Own requests at an earlier time: the count before the next change. */
+  /**
+   * Own requests at an earlier time: the count before the next change. Where
+   * the history doesn't reach back so far, the most that it knows: own work
+   * taken for that of others would close the runner to its own entry.
+   */
   private ownCountAt(atMs: number): number {
     const oldest = Math.max(0, this.historyNext - HISTORY);
+    const isCovered =
+      this.historyNext <= HISTORY ||
+      (this.historyAtMs[oldest % HISTORY] ?? 0) <= atMs;
+    if (!isCovered) return Math.max(this.ownCount, ...this.historyCount);
     let count = this.ownCount;
     for (let index = this.historyNext - 1; index >= oldest; index -= 1) {
       const slot = index % HISTORY;
