Merge branch 'placement-wire': admit and place the entries' requests

Calls that may not be repeated keep their claimed placing, which picks the runner with the least in flight; all others are queued, refused and placed by the measured rules.

--- a/src/daemon/agent/agent-sessions.ts
+++ b/src/daemon/agent/agent-sessions.ts
@@ -11,6 +11,7 @@
   AgentGate,
   answerAboutAttempt,
   createDeferred,
+  priorityLimit,
   unreachable,
   type AgentEffect,
   type AgentStatus,
@@ -73,8 +74,8 @@
       group,
       incarnation: context.incarnation,
       engineResumes,
-      mayStart: () =>
-        this.gate.running < attemptLimit
+      mayStart: ({ priority }) =>
+        this.gate.running < priorityLimit(attemptLimit, priority)
           ? undefined
           : { error: 1404, retryAfterMs: FULL_RETRY_AFTER_MS },
       perform: (effect) => {
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -19,6 +19,7 @@
 import { ExpertMaps } from "../expert-map/expert-maps.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
 import { createClaimService } from "./claim-service.js";
+import { reportLoads } from "./load-reports.js";
 import { EngineClient } from "../expert-map/engine-client.js";
 import { OrderTask } from "../orders/order-task.js";
 import { RunnerClient } from "./runner-client.js";
@@ -164,6 +165,21 @@
       signal,
       run: (s) => configuration.keepCheckpoints(s),
     });
+    if (settings.runner.kind === "model") {
+      void runTask({
+        name: "load-reports",
+        emit,
+        signal,
+        run: (s) =>
+          reportLoads(
+            this.runner,
+            (load) => {
+              this.sessions.report(load);
+            },
+            s,
+          ),
+      });
+    }
     const { expertMaps, orders } = this;
     if (settings.runner.kind === "model") {
       void runTask({
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -15,6 +15,7 @@
 import { askAgent } from "./claim-asker.js";
 import { ClaimTasks, claimTaskList } from "./claim-tasks.js";
 import { createCallerServer } from "./caller-server.js";
+import { RequestDispatcher } from "./request-dispatcher.js";
 import { runRequest } from "./request-task.js";
 import { Sessions } from "./sessions.js";
 import type { AnswerWriter, Work } from "./work.js";
@@ -49,6 +50,7 @@
   private readonly configuration: ConfigurationFollower;
   private readonly directory: BackendDirectory;
   private readonly claims: ClaimTasks;
+  private readonly dispatcher: RequestDispatcher;
   private readonly server = new Server(channelOptions);
   private leaving = false;
   private peers = "";
@@ -65,7 +67,7 @@
     this.sessions = Sessions.create({
       context,
       transport,
-      mayRetry: () => true,
+      mayRetry: (call) => this.dispatcher.mayRetry(call),
     });
     this.configuration = ConfigurationFollower.create({
       context,
@@ -88,6 +90,13 @@
       appendsPerSecond: settings.claims.appendsPerSecond,
       ask: (claim, tombstone) => askAgent(asker, claim, tombstone),
     });
+    this.dispatcher = RequestDispatcher.create({
+      context,
+      settings: settings.placement,
+      sessions: this.sessions,
+      directory: this.directory,
+      configuration: () => this.configuration.inForce?.configuration,
+    });
   }
 
   static async create(
@@ -130,6 +139,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
+    this.dispatcher[Symbol.dispose]();
     await this.sessions[Symbol.asyncDispose]();
     this.server.forceShutdown();
     await this.callers[Symbol.asyncDispose]();
@@ -203,6 +213,7 @@
       writer,
       configuration: this.configuration.configuration,
       directory: this.directory,
+      dispatcher: this.dispatcher,
       sessions: this.sessions,
       claims: this.claims,
     });
@@ -230,6 +241,7 @@
       configuration: configuration.summary,
       conservation: { ...counts, "not-run": notRun, "broken-off": brokenOff },
       dropped: sessions.dropped,
+      waiting: this.dispatcher.waitingCount,
       sessions: sessions.sessions,
       backends: directory.all().map(({ vm, session }) => ({
         name: vm.name,
--- a/src/daemon/entry/request-task.ts
+++ b/src/daemon/entry/request-task.ts
@@ -11,6 +11,8 @@
 import type { Backend, BackendDirectory } from "./backend-directory.js";
 import type { ClaimTasks } from "./claim-tasks.js";
 import { createClaimedPlacing } from "./claimed-placing.js";
+import { poolOfGroup, poolOfProfile } from "./pools.js";
+import type { RequestDispatcher } from "./request-dispatcher.js";
 import type { RequestEffect, Sessions } from "./sessions.js";
 import type { AnswerWriter, Work } from "./work.js";
 
@@ -19,6 +21,7 @@
   readonly writer: AnswerWriter;
   readonly configuration: Configuration;
   readonly directory: BackendDirectory;
+  readonly dispatcher: RequestDispatcher;
   readonly sessions: Sessions;
   readonly claims: ClaimTasks;
 }
@@ -34,7 +37,7 @@
 export async function runRequest(
   options: RequestTaskOptions,
 ): Promise<RequestResult> {
-  const { work, writer, sessions } = options;
+  const { work, writer, sessions, dispatcher } = options;
   const { promise, resolve } = createDeferred<RequestResult>();
   const tried = new Set<string>();
   const claimed = work.profile.repeatable
@@ -54,10 +57,11 @@
   sessions
     .accept(callOf(work), deadlineMs, {
       place: (previous) => {
-        if (claimed === undefined) placeRequest(options, tried);
+        if (claimed === undefined) dispatcher.place(work);
         else claimed.place(previous);
       },
       onEffect: (effect) => {
+        dispatcher.onEffect(work.id, effect);
         if (effect.kind === "finish") {
           claimed?.end();
           resolve(effect);
@@ -71,21 +75,6 @@
   return promise;
 }
 
-/** Runners that refused or broke off aren't tried twice. */
-function placeRequest(options: RequestTaskOptions, tried: Set<string>): void {
-  const { work, sessions } = options;
-  for (;;) {
-    const backend = place(options, tried);
-    if (backend === undefined) {
-      sessions.refuse(work.id, 1209, RETRY_AFTER_MS);
-      return;
-    }
-    const { name } = backend.vm;
-    tried.add(name);
-    if (sessions.dispatch(work.id, name).isRight()) return;
-  }
-}
-
 function passOn(writer: AnswerWriter, effect: RequestEffect): void {
   switch (effect.kind) {
     case "piece":
@@ -120,18 +109,18 @@
   return effect.retryAfterMs || RETRY_AFTER_MS;
 }
 
+/** Where a call goes that may not be repeated: its claim names the agent. */
 function place(
   { work, configuration, directory }: RequestTaskOptions,
   tried: ReadonlySet<string>,
 ): Backend | undefined {
-  const { target } = work.profile;
+  const pool = poolOfProfile(work.profile);
   return configuration.groups
-    .filter((group) =>
-      target.kind === "model"
-        ? group.kind === "model" && group.model === target.model
-        : group.kind === "service" && group.service === target.service,
+    .filter((group) => poolOfGroup(group) === pool)
+    .flatMap(({ name }) =>
+      directory.all().filter(({ vm }) => vm.group === name),
     )
-    .flatMap((group) => directory.candidates(group.name))
+    .filter(({ vm, session }) => vm.state === "live" && session?.takesWork)
     .filter(({ vm }) => !tried.has(vm.name))
     .sort((a, b) => (a.session?.inFlight ?? 0) - (b.session?.inFlight ?? 0))
     .at(0);
