--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -1,27 +1,23 @@
 /** The daemon beside one backend server. */
-import { Server } from "@grpc/grpc-js";
-import { LogClient } from "../../platform/log-client.js";
-import { pause, runTask } from "../background-task.js";
-import { ConfigurationFollower } from "../configuration/follower.js";
-import type { Daemon, DaemonAddresses } from "../entry/entry.js";
-import type { Listening } from "../listening.js";
-import { startOperatorsServer } from "../operators-server.js";
-import { RELEASE } from "../../release.js";
+import { pause } from "../background-task.js";
+import { ExpertBalance } from "../balance/expert-balance.js";
+import {
+  DaemonCore,
+  type Daemon,
+  type DaemonAddresses,
+  type DaemonTask,
+} from "../daemon.js";
+import { EngineClient } from "../expert-map/engine-client.js";
+import { ExpertMaps } from "../expert-map/expert-maps.js";
+import { OrderTask } from "../orders/order-task.js";
 import { createContext, type ProcessContext } from "../process-context.js";
 import type { AgentSettings } from "../settings.js";
-import { bindServer } from "../peer-server.js";
-import { channelOptions } from "../transport.js";
-import { ConfigurationFeedService } from "../../wire/generated/configuration.js";
 import { ExpertBalanceService } from "../../wire/generated/balance.js";
 import { ClaimsService } from "../../wire/generated/claims.js";
 import { ExpertMapsService } from "../../wire/generated/expertmap.js";
-import { ExpertBalance } from "../balance/expert-balance.js";
-import { ExpertMaps } from "../expert-map/expert-maps.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
 import { createClaimService } from "./claim-service.js";
 import { reportLoads } from "./load-reports.js";
-import { EngineClient } from "../expert-map/engine-client.js";
-import { OrderTask } from "../orders/order-task.js";
 import { RunnerClient } from "./runner-client.js";
 
 const LAST_FRAMES_MS = 50;
@@ -34,26 +30,30 @@
 }
 
 class Agent implements Daemon {
-  private readonly stop = new AbortController();
+  private readonly core: DaemonCore;
   private readonly runner: RunnerClient;
   private readonly sessions: AgentSessions;
-  private readonly configuration: ConfigurationFollower;
   /** Only where the engine's ranks run on an expert map. */
   private readonly expertMaps: ExpertMaps | undefined;
   private readonly balance: ExpertBalance;
   private readonly engine: EngineClient;
   private readonly orders: OrderTask;
-  private readonly server = new Server(channelOptions);
-  private leaving = false;
-  private peers = "";
-  private operators!: Listening;
 
   private constructor(
     private readonly settings: AgentSettings,
     readonly context: ProcessContext,
-    private readonly onLeave: () => void,
+    onLeave: () => void,
   ) {
     const { group, limits, runner, platform } = settings;
+    this.core = DaemonCore.create({
+      settings,
+      context,
+      isReady: () => true,
+      status: () => this.status(),
+      onLeave,
+    });
+    const { log } = this.core;
+    const configuration = () => this.core.configuration.inForce?.configuration;
     this.runner = RunnerClient.create(runner.address, runner.kind);
     this.sessions = AgentSessions.create({
       context,
@@ -62,13 +62,6 @@
       attemptLimit: limits.attempts,
       engineResumes: runner.kind === "model",
     });
-    const log = LogClient.create(platform.log);
-    this.configuration = ConfigurationFollower.create({
-      context,
-      log,
-      vmList: platform.vmList,
-      transport: settings.transport,
-    });
     const { checksFencing, orderEffectMs: effectMs } = runner;
     this.engine = EngineClient.create(runner.address);
     this.orders = OrderTask.create({
@@ -85,7 +78,7 @@
         context,
         settings,
         weightStore,
-        configuration: () => this.configuration.inForce?.configuration,
+        configuration,
         onSteps: (reports) => {
           this.balance.onSteps(reports);
         },
@@ -95,7 +88,7 @@
       context,
       settings,
       maps: () => this.expertMaps,
-      configuration: () => this.configuration.inForce?.configuration,
+      configuration,
     });
   }
 
@@ -110,26 +103,22 @@
   }
 
   get addresses(): DaemonAddresses {
-    return { peers: this.peers, operators: this.operators.address };
+    return this.core.addresses;
   }
 
   async leave(): Promise<void> {
-    if (this.leaving) return;
-    this.leaving = true;
-    const { graceMs } = this.settings;
-    this.context.emit(102, { graceMs });
-    const cutRequests = await this.sessions.leave(graceMs);
+    if (!this.core.beginLeaving()) return;
+    const cutRequests = await this.sessions.leave(this.settings.graceMs);
     await this.sessions[Symbol.asyncDispose]();
     // The last frames of the last answers are still on their way out.
-    await pause(LAST_FRAMES_MS, this.stop.signal);
+    await pause(LAST_FRAMES_MS, this.core.signal);
     this.context.emit(103, { cutRequests });
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.stop.abort();
+    this.core.endTasks();
     await this.sessions[Symbol.asyncDispose]();
-    this.server.forceShutdown();
-    await this.operators[Symbol.asyncDispose]();
+    await this.core[Symbol.asyncDispose]();
     await this.runner[Symbol.asyncDispose]();
     await this.balance[Symbol.asyncDispose]();
     await this.expertMaps?.[Symbol.asyncDispose]();
@@ -137,102 +126,53 @@
   }
 
   private async start(): Promise<void> {
-    const { settings, context, configuration } = this;
-    const { signal } = this.stop;
-    const { emit, incarnation } = context;
-    this.operators = await startOperatorsServer(settings.operators, {
-      events: context.events,
-      metrics: context.metrics,
-      isReady: () => !this.leaving,
-      status: () => this.status(),
-      leave: this.onLeave,
-    });
-    void runTask({
-      name: "configuration",
-      emit,
-      signal,
-      run: (s) => configuration.run(s),
-    });
-    void runTask({
-      name: "configuration-feed",
-      emit,
-      signal,
-      run: (s) => configuration.beat(s),
-    });
-    void runTask({
-      name: "checkpoints",
-      emit,
-      signal,
-      run: (s) => configuration.keepCheckpoints(s),
-    });
-    if (settings.runner.kind === "model") {
-      void runTask({
+    this.addServices();
+    await this.core.start([...this.engineTasks(), ...this.mapTasks()]);
+    this.core.announce();
+  }
+
+  private addServices(): void {
+    const { server } = this.core;
+    const { context, sessions, expertMaps, balance } = this;
+    server.addService(AgentService, sessions.service);
+    const claims = createClaimService(context, (question) =>
+      sessions.askAttempt(question),
+    );
+    server.addService(ClaimsService, claims);
+    if (expertMaps === undefined) return;
+    server.addService(ExpertMapsService, expertMaps.service);
+    server.addService(ExpertBalanceService, balance.service);
+  }
+
+  private engineTasks(): readonly DaemonTask[] {
+    if (this.settings.runner.kind !== "model") return [];
+    const { orders, runner, sessions } = this;
+    return [
+      {
         name: "load-reports",
-        emit,
-        signal,
-        run: (s) =>
+        run: (signal) =>
           reportLoads(
-            this.runner,
+            runner,
             (load) => {
-              this.sessions.report(load);
+              sessions.report(load);
             },
-            s,
+            signal,
           ),
-      });
-    }
-    const { expertMaps, orders } = this;
-    if (settings.runner.kind === "model") {
-      void runTask({
-        name: "orders-log",
-        emit,
-        signal,
-        run: (s) => orders.follow(s),
-      });
-      void runTask({
-        name: "orders",
-        emit,
-        signal,
-        run: (s) => orders.give(s),
-      });
-    }
-    if (expertMaps !== undefined) {
-      this.server.addService(ExpertMapsService, expertMaps.service);
-      this.server.addService(ExpertBalanceService, this.balance.service);
-      void runTask({
-        name: "expert-maps",
-        emit,
-        signal,
-        run: (s) => expertMaps.run(s),
-      });
-    }
-    this.server.addService(AgentService, this.sessions.service);
-    this.server.addService(
-      ClaimsService,
-      createClaimService(context, (question) =>
-        this.sessions.askAttempt(question),
-      ),
-    );
-    this.server.addService(
-      ConfigurationFeedService,
-      configuration.feed.service,
-    );
-    this.peers = await bindServer(this.server, settings);
-    emit(101, { role: "agent", incarnation, release: RELEASE });
+      },
+      { name: "orders-log", run: (signal) => orders.follow(signal) },
+      { name: "orders", run: (signal) => orders.give(signal) },
+    ];
+  }
+
+  private mapTasks(): readonly DaemonTask[] {
+    const { expertMaps } = this;
+    if (expertMaps === undefined) return [];
+    return [{ name: "expert-maps", run: (signal) => expertMaps.run(signal) }];
   }
 
-  private status(): unknown {
-    const { context, configuration, settings, sessions } = this;
-    const { inForce } = configuration;
+  private status(): Readonly<Record<string, unknown>> {
+    const { settings, sessions } = this;
     return {
-      name: context.name,
-      role: "agent",
-      dataCentre: context.dataCentre,
-      incarnation: context.incarnation,
-      release: RELEASE,
-      leaving: this.leaving,
-      version: inForce?.version ?? null,
-      hash: inForce?.hash ?? null,
-      configuration: configuration.summary,
       group: settings.group,
       running: sessions.runningCount,
       orders: this.orders.status,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -2,7 +2,8 @@
 /** `apricotdeckd SETTINGS`: runs the role that the settings name. */
 import { createDeferred, toFailure } from "../internal.js";
 import { startAgent } from "./agent/agent.js";
-import { startEntry, type Daemon } from "./entry/entry.js";
+import type { Daemon } from "./daemon.js";
+import { startEntry } from "./entry/entry.js";
 import { loadSettings, type Settings } from "./settings.js";
 
 const EXIT_USAGE = 2;
