Order the public index and test the rest of the tool

Cause: claims, expert maps and orders were missing from the public interface; drain, show and an unreachable platform were in no test of the tool.

--- a/src/index.ts
+++ b/src/index.ts
@@ -1,22 +1,40 @@
-/** Public interface of the library: the coordination parts. */
+/** Public interface of the library: the coordination parts, free of sockets. */
+
+// shared
 export {
-  Admission,
-  AgentLimit,
   ApricotdeckError,
-  Placement,
-  RetryAllowance,
-  defaultPlacementSettings,
+  compareReadings,
+  createRandom,
+  errorTable,
+  eventTable,
+  HybridClock,
+  metricTable,
+} from "./internal.js";
+export type {
+  ClockReading,
+  Emit,
+  ErrorEntry,
+  ErrorNumber,
+  EventEntry,
+  EventFields,
+  EventNumber,
+  Measurements,
+  MetricEntry,
+  MetricKey,
+  Outcome,
+  Random,
+} from "./internal.js";
+
+// configuration
+export {
+  applyRecord,
   applyRecords,
   checkConfiguration,
   contentHash,
   createCheckpoint,
-  errorTable,
-  eventTable,
   initialConfigurationState,
+  skipTrimmed,
   verdictFailure,
-  HybridClock,
-  compareReadings,
-  createRandom,
 } from "./internal.js";
 export type {
   Checkpoint,
@@ -25,25 +43,65 @@
   LogRecord,
   Publication,
   Verdict,
+} from "./internal.js";
+
+// claims
+export {
+  checkKeyAge,
+  claimStream,
+  ClaimCoordinator,
+  ClaimTable,
+  decodeClaimBatch,
+  encodeClaimBatch,
+  parseIdempotencyKey,
+} from "./internal.js";
+
+// session
+export {
+  addConservation,
+  AgentGate,
+  EntrySessions,
+  SESSION_LIMITS,
+} from "./internal.js";
+export type {
+  AgentEffect,
+  AgentFrame,
+  AgentGateOptions,
+  AgentStatus,
+  Call,
+  CloseReply,
+  Conservation,
+  EntryEffect,
+  EntryFrame,
+  EntrySessionsOptions,
+  EntryStatus,
+  SessionId,
+  SessionLimits,
+} from "./internal.js";
+
+// admission
+export {
+  Admission,
+  AgentLimit,
+  OutputEstimate,
+  RetryAllowance,
+} from "./internal.js";
+export type {
   AdmissionInputs,
   AdmissionRequest,
+  Offer,
+  Refusal,
+} from "./internal.js";
+
+// placement
+export { defaultPlacementSettings, Placement } from "./internal.js";
+export type {
   CacheEvent,
   Choice,
-  ClockReading,
-  Emit,
-  ErrorEntry,
-  ErrorNumber,
-  EventEntry,
-  EventFields,
-  EventNumber,
-  Offer,
-  Outcome,
   Placed,
   PlacementInputs,
   PlacementRequest,
   PlacementSettings,
-  Random,
-  Refusal,
   RunnerDescription,
   RunnerLoad,
 } from "./internal.js";
@@ -77,25 +135,19 @@
   StayReason,
 } from "./internal.js";
 
-// session
-export {
-  addConservation,
-  AgentGate,
-  EntrySessions,
-  SESSION_LIMITS,
-} from "./internal.js";
+// expert map switch
+export { GroupAgent, hashMap, MapProposer, MapSwitch } from "./internal.js";
 export type {
-  AgentEffect,
-  AgentFrame,
-  AgentGateOptions,
-  AgentStatus,
-  Call,
-  CloseReply,
-  Conservation,
-  EntryEffect,
-  EntryFrame,
-  EntrySessionsOptions,
-  EntryStatus,
-  SessionId,
-  SessionLimits,
+  Ballot,
+  EngineCall,
+  EngineMapState,
+  MapEffect,
+  MapMessage,
+  ProposalOutcome,
+  StepReport,
+  VersionedMap,
 } from "./internal.js";
+
+// orders
+export { applyLeaseRecord, LeaseHolder, OrderDesk } from "./internal.js";
+export type { Order, OrderKind } from "./internal.js";
--- a/tests/cli/tool.test.ts
+++ b/tests/cli/tool.test.ts
@@ -130,6 +130,50 @@
     );
   });
 
+  it("shows what is in force and drains a process", async () => {
+    await using site = await startSmallSite();
+    const configuration = siteConfiguration("ben-ammar", 1);
+    await site.publish(configuration);
+    await site.settled();
+
+    const shown = (await runToolJson(site, "show")) as {
+      version: number;
+      configuration: { profiles: { name: string }[] };
+    };
+    assert.is(shown.version, 0);
+    assert.equal(
+      shown.configuration.profiles.map(({ name }) => name),
+      configuration.profiles.map(({ name }) => name),
+    );
+
+    const drained = await runTool(site, "drain", "runner-0");
+    assert.is(drained.code, 0, drained.stderr);
+    assert.match(drained.stdout, /runner-0 has ended/);
+    assert.is((await runTool(site, "drain", "nobody")).code, 4);
+
+    const status = await runTool(site, "status");
+    assert.is(status.code, 3);
+    assert.match(status.stdout, /not reached: runner-0/);
+  });
+
+  /*
+   * The platform's list of VMs is down. The operator has to hear that at once,
+   * with what to do, in place of an empty table that looks like an empty site.
+   */
+  it("says so when the platform can't be reached", async () => {
+    const nowhere = "http://127.0.0.1:9";
+    const { code, stderr } = await runTool(
+      undefined,
+      "status",
+      "--vm-list",
+      nowhere,
+    );
+    assert.is(code, 4);
+    assert.match(stderr, /1903 platform-answer-invalid/);
+    const missing = await runTool(undefined, "status");
+    assert.is(missing.code, 2);
+  });
+
   it("explains error and event numbers", async () => {
     const error = await runTool(undefined, "explain", "1203");
     assert.match(error.stdout, /profile-unknown/);
