Guard a stalled caller once

Cause: found on reading: every write to a caller that reads nothing added a timer and a listener, some hundred a second for each stream. Change: one guard at a time, which ends when all that was written has left. Conclusion: the limit itself held before, too; its cost did not.

--- a/src/daemon/entry/answer-writer.ts
+++ b/src/daemon/entry/answer-writer.ts
@@ -3,7 +3,6 @@
  * answer is held back until it is complete, so that a failure can still be
  * told by its status code.
  */
-import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { ApricotdeckError } from "../../internal.js";
 import type { Header } from "../../wire/generated/session.js";
@@ -45,12 +44,13 @@
   let head: { status: number; headers: readonly Header[] } | undefined;
   let waiting: string[] = [];
   let lastWriteMs = Date.now();
+  const onStall = createStallGuard(response, limits);
   const flush = (): void => {
     if (waiting.length === 0 || response.destroyed) return;
     const text = waiting.join("");
     waiting = [];
     lastWriteMs = Date.now();
-    if (!response.write(text)) guardAgainstStall(response, limits);
+    if (!response.write(text)) onStall();
   };
   const keepAlive = setInterval(() => {
     if (!response.headersSent || response.destroyed) return;
@@ -97,6 +97,7 @@
   let status = 200;
   let parts: Buffer[] = [];
   let size = 0;
+  const onStall = createStallGuard(response, limits);
   const passHead = (code: number, headers: readonly Header[]): void => {
     status = code;
     for (const { name, value } of headers) response.setHeader(name, value);
@@ -113,7 +114,7 @@
       if (!response.headersSent) response.writeHead(status);
       for (const part of parts) response.write(part);
       parts = [];
-      if (!response.write(data)) guardAgainstStall(response, limits);
+      if (!response.write(data)) onStall();
     },
     discard: () => {
       // A part too large to hold back is with the caller already: the answer
@@ -203,21 +204,23 @@
 /**
  * A caller that stops reading would hold its answer in memory for ever; after
  * the stall limit the connection is cut, which the request sees as a caller
- * that is gone.
+ * that is gone. One guard at a time is enough: it ends when all that was
+ * written has left, whatever was added meanwhile.
  */
-function guardAgainstStall(
+function createStallGuard(
   response: ServerResponse,
-  limits: CallerLimits,
-): void {
-  const drained = new AbortController();
-  const timer = setTimeout(() => {
-    response.destroy();
-    drained.abort();
-  }, limits.writeStallMs);
-  const { signal } = drained;
-  once(response, "drain", { signal })
-    .catch(() => undefined)
-    .finally(() => {
-      clearTimeout(timer);
-    });
+  { writeStallMs }: CallerLimits,
+): () => void {
+  let timer: NodeJS.Timeout | undefined;
+  const release = (): void => {
+    clearTimeout(timer);
+    timer = undefined;
+  };
+  response.on("drain", release);
+  response.once("close", release);
+  return () => {
+    timer ??= setTimeout(() => {
+      response.destroy();
+    }, writeStallMs);
+  };
 }
