--- a/fuzz/main.ts
+++ b/fuzz/main.ts
@@ -17,9 +17,18 @@
     runs: { type: "string" },
     seconds: { type: "string" },
     mutation: { type: "string" },
+    help: { type: "boolean", default: false },
   },
 });
 
+const USAGE = `fuzz [--target T] [--seed N] [--runs N | --seconds N] [--mutation M]
+targets: ${Object.keys(targets).join(", ")}`;
+
+if (values.help) {
+  console.log(USAGE);
+  process.exit();
+}
+
 const seed = Number(values.seed);
 const stopAfterMs =
   values.seconds === undefined ? undefined : Number(values.seconds) * 1000;
@@ -54,6 +63,14 @@
     break;
   }
   const target = await load();
+  const { mutation } = values;
+  // A mistyped safeguard would run clean and seem to be caught by nothing.
+  if (mutation !== undefined && !Object.hasOwn(target.mutations, mutation)) {
+    const known = Object.keys(target.mutations).join(", ");
+    console.error(`no mutation ${mutation} of ${name}; mutations: ${known}`);
+    process.exitCode = EXIT_USAGE;
+    break;
+  }
   const result = await target.run({
     seed,
     runs,
