Tell engines the adapter and version of the profile

The stand-in's cache events ignored their lag, too. Change: both go to the runner as headers, never from the caller.

--- a/src/daemon/entry/request-reader.ts
+++ b/src/daemon/entry/request-reader.ts
@@ -17,6 +17,8 @@
 
 export const PROFILE_HEADER = "apricotdeck-profile";
 export const IDEMPOTENCY_HEADER = "idempotency-key";
+const ADAPTER_HEADER = "x-model-adapter";
+const VERSION_HEADER = "x-model-version";
 const SERVICE_PREFIX = "/services/";
 const BYTES_PER_TOKEN = 4;
 const DEFAULT_OUTPUT_TOKENS = 256;
@@ -85,6 +87,8 @@
   return url?.split("?", 1).at(0) ?? "/";
 }
 
+type ModelTarget = Extract<Profile["target"], { kind: "model" }>;
+
 type Common = Omit<
   Work,
   "path" | "streamed" | "model" | "prompt" | "costTokens"
@@ -123,6 +127,7 @@
   const prompt = promptOf(completion);
   return {
     ...common,
+    headers: [...common.headers, ...variantHeaders(target)],
     path,
     model: completion.model,
     streamed: completion.stream === true,
@@ -131,6 +136,16 @@
   };
 }
 
+/** Adapter and version are the profile's, whatever the caller's body says. */
+function variantHeaders({ adapter, version }: ModelTarget): Header[] {
+  const header = (name: string, value: string | undefined): Header[] =>
+    value === undefined ? [] : [{ name, value }];
+  return [
+    ...header(ADAPTER_HEADER, adapter),
+    ...header(VERSION_HEADER, version),
+  ];
+}
+
 function serviceWork(common: Common, url: string): Work {
   const { target } = common.profile;
   const [service = "", ...rest] = url.slice(SERVICE_PREFIX.length).split("/");
--- a/standins/engine-runs.ts
+++ b/standins/engine-runs.ts
@@ -32,6 +32,7 @@
 
 export interface CacheEvent {
   readonly sequence: number;
+  readonly atMs: number;
   readonly kind: "stored" | "removed";
   readonly blocks: readonly string[];
 }
@@ -167,7 +168,8 @@
 
   private record(kind: CacheEvent["kind"], blocks: readonly string[]): void {
     const sequence = this.cacheEvents.length;
-    this.cacheEvents.push({ sequence, kind, blocks });
+    const atMs = Date.now();
+    this.cacheEvents.push({ sequence, atMs, kind, blocks });
   }
 }
 
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -267,9 +267,11 @@
 
 function lateCacheEvents({ runs, faults }: Engine, url: URL): object {
   const from = Number(url.searchParams.get("from") ?? 0);
-  const { cacheGapEvery } = faults;
+  const { cacheGapEvery, cacheLagMs } = faults;
+  const shownUntilMs = Date.now() - cacheLagMs;
   return runs.cacheEvents
     .slice(from)
+    .filter(({ atMs }) => atMs <= shownUntilMs)
     .filter(
       ({ sequence }) =>
         cacheGapEvery === 0 || (sequence + 1) % cacheGapEvery !== 0,
--- a/tests/callers/bad-input.test.ts
+++ b/tests/callers/bad-input.test.ts
@@ -41,7 +41,11 @@
 
 async function startServer(changes: Partial<Limits> = {}): Promise<TestServer> {
   const served: Work[] = [];
-  const configuration = siteConfiguration("dyfrwr", 4);
+  const site = siteConfiguration("dyfrwr", 4);
+  const variant = { adapter: "welsh", version: "v2" };
+  const target = { kind: "model", model: MODEL, ...variant } as const;
+  const welsh = { ...site.profiles[0], name: "welsh", target };
+  const configuration = { ...site, profiles: [...site.profiles, welsh] };
   const server = createCallerServer({
     limits: limitsOf(changes),
     configuration: () => configuration,
@@ -221,6 +225,17 @@
     assert.equal(server.served[0].headers, []);
   });
 
+  it("tells the runner the adapter and version of the profile", async () => {
+    await using server = await startServer();
+    const extra = ["apricotdeck-profile: welsh", "x-model-adapter: other"];
+    const answer = await sendRaw(server.address, [completion(goodBody, extra)]);
+    assert.is(answer.status, 200, answer.text);
+    assert.equal(server.served[0].headers, [
+      { name: "x-model-adapter", value: "welsh" },
+      { name: "x-model-version", value: "v2" },
+    ]);
+  });
+
   it("takes bytes behind a short content length for another request", async () => {
     await using server = await startServer();
     const smuggled = completion(goodBody);
