--- a/fuzz/expertmap.ts
+++ b/fuzz/expertmap.ts
@@ -8,12 +8,8 @@
 import fc from "fast-check";
 import { allSwitchSafeguards, ballotKey } from "../src/internal.js";
 import { candidateMap, TICK_MS, World, type Trap } from "./expertmap-world.js";
-import {
-  checkParameters,
-  type FuzzResult,
-  type FuzzSettings,
-  type FuzzTarget,
-} from "./target.js";
+import { runJudged } from "./run-judged.js";
+import type { FuzzResult, FuzzSettings, FuzzTarget } from "./target.js";
 
 type Fault =
   | { readonly kind: "propose"; readonly member: number; readonly map: number }
@@ -60,7 +56,6 @@
 const RECOVERY_TICKS = 800;
 const SETTLE_TICKS = 50;
 const MUST_STEP = 10;
-const PROGRESS_EVERY = 5_000;
 
 const member = fc.nat({ max: 2 });
 const ticks = fc.integer({ min: 1, max: 120 });
@@ -236,29 +231,14 @@
 }
 
 function run(settings: FuzzSettings): Promise<FuzzResult> {
-  const { mutation, onProgress } = settings;
-  let histories = 0;
-  let commands = 0;
-  const property = fc.property(history, (input) => {
-    histories += 1;
-    commands += input.steps.length;
-    if (histories % PROGRESS_EVERY === 0) onProgress?.(histories);
-    const found = judge(input, mutation);
-    if (found.length > 0) throw new TypeError(found.join("\n"));
-  });
-  const details = fc.check(property, checkParameters<[History]>(settings));
-  const lines = details.counterexample?.flatMap(({ seed, steps }) => [
-    `seed ${seed}`,
-    ...steps.map((step) => JSON.stringify(step)),
-    ...judge({ seed, steps }, mutation),
-  ]);
-  return Promise.resolve({
-    histories: details.numRuns,
-    commands,
-    violations: details.failed ? 1 : 0,
-    counterexample: lines ?? [],
-    path: details.counterexamplePath ?? "",
-  });
+  const { mutation } = settings;
+  return Promise.resolve(
+    runJudged(settings, {
+      history,
+      judge: (input) => judge(input, mutation),
+      title: ({ seed }) => `seed ${seed}`,
+    }),
+  );
 }
 
 export const expertmap: FuzzTarget = {
--- a/fuzz/orders.ts
+++ b/fuzz/orders.ts
@@ -8,12 +8,8 @@
 import fc from "fast-check";
 import { allOrderSafeguards } from "../src/internal.js";
 import { OrdersWorld, TICK_MS } from "./orders-world.js";
-import {
-  checkParameters,
-  type FuzzResult,
-  type FuzzSettings,
-  type FuzzTarget,
-} from "./target.js";
+import { runJudged } from "./run-judged.js";
+import type { FuzzResult, FuzzSettings, FuzzTarget } from "./target.js";
 
 type Command =
   | { readonly kind: "order"; readonly value: string; readonly late: number }
@@ -36,7 +32,6 @@
 
 const START_TICKS = 20;
 const RECOVERY_TICKS = 250;
-const PROGRESS_EVERY = 5_000;
 
 const ticks = fc.integer({ min: 1, max: 150 });
 const late = fc.oneof(fc.constant(1), fc.integer({ min: 1, max: 200 }));
@@ -135,30 +130,15 @@
 }
 
 function run(settings: FuzzSettings): Promise<FuzzResult> {
-  const { mutation, onProgress } = settings;
-  let histories = 0;
-  let commands = 0;
-  const property = fc.property(history, (input) => {
-    histories += 1;
-    commands += input.steps.length;
-    if (histories % PROGRESS_EVERY === 0) onProgress?.(histories);
-    const found = judgeOrders(input, mutation);
-    if (found.length > 0) throw new TypeError(found.join("\n"));
-  });
-  const parameters = checkParameters<[OrdersHistory]>(settings);
-  const details = fc.check(property, parameters);
-  const lines = details.counterexample?.flatMap((input) => [
-    `seed ${input.seed}, checksFencing ${String(input.checksFencing)}`,
-    ...input.steps.map((step) => JSON.stringify(step)),
-    ...judgeOrders(input, mutation),
-  ]);
-  return Promise.resolve({
-    histories: details.numRuns,
-    commands,
-    violations: details.failed ? 1 : 0,
-    counterexample: lines ?? [],
-    path: details.counterexamplePath ?? "",
-  });
+  const { mutation } = settings;
+  return Promise.resolve(
+    runJudged(settings, {
+      history,
+      judge: (input) => judgeOrders(input, mutation),
+      title: ({ seed, checksFencing }) =>
+        `seed ${seed}, checksFencing ${String(checksFencing)}`,
+    }),
+  );
 }
 
 export const orders: FuzzTarget = {
