--- a/tests/balance/reports.test.ts
+++ b/tests/balance/reports.test.ts
@@ -44,6 +44,22 @@
 });
 
 describe("speeds of ranks", () => {
+  /*
+   * Skew grows with every plan. Half of a step doesn't depend on tokens, so
+   * the rank with most to do has the highest rate; taken for the fastest, it
+   * is given more work, and its rate rises further.
+   */
+  it("are even where ranks differ by their work alone", () => {
+    const speeds = RankSpeeds.create(SHAPE);
+    const secondsOf = (tokens: number): number => 1 + tokens / 100;
+    const reports = [60, 100, 140].map((tokens, rank) =>
+      report(rank, [tokens, 0], { busySeconds: secondsOf(tokens) }),
+    );
+    for (let window = 0; window < 40; window++) speeds.observe(reports);
+    assert.equal([...speeds.current()], [1, 1, 1]);
+    assert.ok(Math.abs(speeds.fixedTokens - 100) < 5);
+  });
+
   it("show a rank that takes longer for the same work", () => {
     const speeds = RankSpeeds.create(SHAPE);
     for (let window = 0; window < 20; window++) {
