Name the configuration stream once

Cause: found on reading the whole change: the tool and the daemons each had a constant of their own for the same stream of the log. Change: it stands beside the state of a reader; both take it from there. Figures: 40 tests of the tool and of configuration, types, formatter and the linter on the touched folders pass; the whole run was not repeated.

--- a/src/cli/commands/publish.ts
+++ b/src/cli/commands/publish.ts
@@ -8,6 +8,7 @@
   BASELINE_FORMAT,
   canonicalJson,
   checkConfiguration,
+  CONFIGURATION_STREAM,
   raise,
   toFailure,
   verdictFailure,
@@ -17,7 +18,6 @@
 } from "../../internal.js";
 import { LogClient } from "../../platform/log-client.js";
 import {
-  CONFIGURATION_STREAM,
   readHistory,
   type ConfigurationHistory,
 } from "../configuration-log.js";
--- a/src/cli/configuration-log.ts
+++ b/src/cli/configuration-log.ts
@@ -1,6 +1,7 @@
 /** Reads the configuration stream as every process does. */
 import {
   applyRecords,
+  CONFIGURATION_STREAM,
   initialConfigurationState,
   skipTrimmed,
   type ConfigurationState,
@@ -9,8 +10,6 @@
 import { toFailure } from "../internal.js";
 import type { LogClient, LogPage } from "../platform/log-client.js";
 
-export const CONFIGURATION_STREAM = "configuration";
-
 export interface ConfigurationHistory {
   readonly state: ConfigurationState;
   readonly verdicts: readonly Verdict[];
--- a/src/configuration/state.ts
+++ b/src/configuration/state.ts
@@ -8,6 +8,9 @@
   ConfigurationState,
 } from "./types.js";
 
+/** Stream of the log that holds publications and checkpoints. */
+export const CONFIGURATION_STREAM = "configuration";
+
 export const EMPTY_CHAIN: KnownChain = {
   kind: "known",
   head: null,
--- a/src/daemon/configuration/follower.ts
+++ b/src/daemon/configuration/follower.ts
@@ -8,6 +8,7 @@
   adoptSnapshot,
   applyRecords,
   chooseRelays,
+  CONFIGURATION_STREAM,
   createCheckpoint,
   encodeEnvelope,
   initialConfigurationState,
@@ -33,7 +34,6 @@
 import { followPeer } from "./feed-client.js";
 import { FEED_HEARTBEAT_MS, FeedServer } from "./feed-server.js";
 
-export const CONFIGURATION_STREAM = "configuration";
 const LONG_POLL_MS = 2000;
 const RETRY_PAUSE_MS = 300;
 const CHECKPOINT_CHECK_MS = 5000;
