--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,14 +2,20 @@
 
 export default tseslint.config(
   {
-    ignores: ["dist", "node_modules", "src/wire/generated", "eslint.config.js"],
+    ignores: [
+      "dist",
+      "target",
+      "node_modules",
+      "src/wire/generated",
+      "eslint.config.js",
+    ],
   },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
     languageOptions: {
       parserOptions: {
-        projectService: true,
+        projectService: { allowDefaultProject: ["scripts/bundle.mjs"] },
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,26 @@
+/**
+ * Bundles the daemon of the users' platform into one file: a start then reads
+ * and compiles what it uses, in place of some hundred modules.
+ */
+import { build } from "esbuild";
+
+const target = process.argv[2] ?? "target";
+
+await build({
+  entryPoints: ["platform/main.ts"],
+  outfile: `${target}/apricotdeckd.mjs`,
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "esm",
+  // jsonc-parser and others ship a UMD build as "main" that can not be bundled.
+  mainFields: ["module", "main"],
+  minify: true,
+  keepNames: true,
+  // bunyan asks for these and goes on without them.
+  external: ["dtrace-provider", "mv", "source-map-support", "moment"],
+  // CommonJS packages inside the bundle ask for `require`.
+  banner: {
+    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+});
--- /dev/null
+++ b/src/direct/attempt.ts
@@ -0,0 +1,185 @@
+/**
+ * One attempt at one runner, over a connection that carries nothing else
+ * meanwhile. It ends exactly once, and never with another request's bytes: an
+ * answer without this attempt's id closes the connection.
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Dispatcher } from "undici";
+import { createDeferred } from "../internal.js";
+import type { AttemptEnd, GiveUpReason, HeaderCodec } from "./types.js";
+
+/** Takes a stream's bytes; `pass` is false when they are not as expected. */
+export interface StreamSink {
+  /** A success has begun. */
+  readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
+  /** Undefined when all is well, else why the attempt has to end. */
+  readonly onData: (
+    chunk: Buffer,
+    flow: Dispatcher.DispatchController,
+  ) => string | undefined;
+  /** Undefined when the stream is whole. */
+  readonly onEnd: () => string | undefined;
+}
+
+export interface AttemptOptions {
+  readonly connections: Dispatcher;
+  readonly request: Dispatcher.DispatchOptions;
+  readonly attemptId: string | undefined;
+  readonly codec: HeaderCodec;
+  /** Present for streams, which pass on event by event. */
+  readonly sink: StreamSink | undefined;
+  /** Largest answer that is held until it is whole, bytes. */
+  readonly maximumBytes: number;
+}
+
+const FIRST_FAILURE = 300;
+const MISDIRECTED = 421;
+/** Statuses that promise that a request has not run. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+export class Attempt {
+  private readonly ended = createDeferred<AttemptEnd>();
+  private isEnded = false;
+  private wasSent = false;
+  private controller: Dispatcher.DispatchController | undefined;
+  private status = 0;
+  private headers: IncomingHttpHeaders = {};
+  private isStream = false;
+  private readonly parts: Buffer[] = [];
+  private size = 0;
+
+  private constructor(private readonly options: AttemptOptions) {}
+
+  static create(options: AttemptOptions): Attempt {
+    return new Attempt(options);
+  }
+
+  /** Sends the request and waits for the end; never throws. */
+  async run(): Promise<AttemptEnd> {
+    const { connections, request } = this.options;
+    try {
+      connections.dispatch(request, this.handler());
+    } catch (error) {
+      this.onError(error instanceof Error ? error.message : "not an error");
+    }
+    return this.ended.promise;
+  }
+
+  /** Closes the connection, by which the runner learns of it. */
+  giveUp(reason: GiveUpReason): void {
+    this.end({ kind: "given-up", wasSent: this.wasSent, reason });
+    this.controller?.abort(new Error(reason));
+  }
+
+  private handler(): Dispatcher.DispatchHandler {
+    return {
+      onRequestStart: (controller) => {
+        this.controller = controller;
+        if (this.isEnded) controller.abort(new Error("given up"));
+        else this.wasSent = true;
+      },
+      onResponseStart: (controller, status, headers) => {
+        if (status >= 200) this.onHead(controller, status, headers);
+      },
+      onResponseData: (controller, chunk) => {
+        this.onData(controller, chunk);
+      },
+      onResponseEnd: () => {
+        this.onEnd();
+      },
+      onResponseError: (_controller, error) => {
+        this.onError(error.message);
+      },
+    };
+  }
+
+  private onHead(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    const { attemptId, codec, sink } = this.options;
+    const fields = codec.readAnswer(status, headers);
+    const fault = this.faultOf(status, fields, headers, attemptId);
+    if (fault !== undefined) {
+      this.break(controller, fault);
+      return;
+    }
+    this.status = status;
+    this.headers = headers;
+    this.isStream = sink !== undefined && status < FIRST_FAILURE;
+    if (this.isStream) sink?.onHead(status, headers);
+  }
+
+  /** What makes the answer unfit to pass on. */
+  private faultOf(
+    status: number,
+    fields: ReturnType<HeaderCodec["readAnswer"]>,
+    headers: IncomingHttpHeaders,
+    attemptId: string | undefined,
+  ): string | undefined {
+    if (fields.isNotRun || status === MISDIRECTED) return undefined;
+    if (attemptId !== undefined && fields.attemptId !== attemptId) {
+      return "answer to another attempt";
+    }
+    if (headers["content-encoding"] !== undefined) return "encoded body";
+    const isSuccess = status < FIRST_FAILURE;
+    if (isSuccess && fields.signature === undefined) return "unsigned success";
+    // Passed on, the status would promise what the runner didn't say.
+    if (PROMISES.has(status)) return "promise without proof";
+    return undefined;
+  }
+
+  private onData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.isEnded) return;
+    const { sink, maximumBytes } = this.options;
+    if (this.isStream) {
+      const fault = sink?.onData(chunk, controller);
+      if (fault !== undefined) this.break(controller, fault);
+      return;
+    }
+    this.parts.push(chunk);
+    this.size += chunk.length;
+    if (this.size > maximumBytes) this.break(controller, "answer too large");
+  }
+
+  private onEnd(): void {
+    if (this.isEnded) return;
+    const { status, headers } = this;
+    if (this.isStream) {
+      const fault = this.options.sink?.onEnd();
+      if (fault === undefined) this.end({ kind: "streamed" });
+      else this.end({ kind: "broken", reason: fault });
+      return;
+    }
+    const { isNotRun } = this.options.codec.readAnswer(status, headers);
+    if (isNotRun) {
+      this.end({ kind: "not-run", status });
+      return;
+    }
+    const body = Buffer.concat(this.parts);
+    this.end({ kind: "answered", answer: { status, headers, body } });
+  }
+
+  private onError(reason: string): void {
+    if (this.wasSent) this.end({ kind: "broken", reason });
+    else this.end({ kind: "unsent", reason });
+  }
+
+  private break(
+    controller: Dispatcher.DispatchController,
+    reason: string,
+  ): void {
+    this.end({ kind: "broken", reason });
+    controller.abort(new Error(reason));
+  }
+
+  private end(end: AttemptEnd): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.ended.resolve(end);
+  }
+}
--- /dev/null
+++ b/src/direct/caller-listener.ts
@@ -0,0 +1,206 @@
+/**
+ * The callers' address: reads a request whole, checks it against the
+ * configuration in force, and hands it on. Whatever can't be served is
+ * answered at once.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import {
+  failure,
+  raise,
+  toFailure,
+  type ApricotdeckError,
+  type Random,
+} from "../internal.js";
+import { chooseService, type RouteTable } from "../routing/route-table.js";
+import type { CallerBounds, Route } from "../routing/types.js";
+import { endToEndHeaders } from "./end-to-end-headers.js";
+import type { Call, CallFields, HeaderCodec } from "./types.js";
+
+export interface CallerListenerOptions {
+  readonly codec: HeaderCodec;
+  readonly random: Random;
+  /** Undefined before a configuration is in force. */
+  readonly routes: () => RouteTable | undefined;
+  /** Connections are closed after their answer. */
+  readonly isLeaving: () => boolean;
+  /** New requests are refused. */
+  readonly isClosed: () => boolean;
+  readonly serve: (call: Call, response: ServerResponse) => Promise<void>;
+  readonly fail: (
+    response: ServerResponse,
+    error: ApricotdeckError,
+    retryAfterMs: number,
+  ) => void;
+}
+
+/**
+ * What the parser takes before a configuration tells the operator's limit,
+ * bytes; the limit itself is checked on each request.
+ */
+const PARSER_HEAD_BYTES = 64 * 1024;
+/** Time for a head, and between two requests, until a configuration tells, ms. */
+const FIRST_HEAD_MS = 3000;
+const FIRST_IDLE_MS = 15_000;
+/** An entry that has no configuration yet gets one within about this time, ms. */
+const UNREADY_RETRY_MS = 500;
+
+export function createCallerListener(options: CallerListenerOptions): Server {
+  const server = createServer(
+    {
+      maxHeaderSize: PARSER_HEAD_BYTES,
+      headersTimeout: FIRST_HEAD_MS,
+      requestTimeout: 0,
+      keepAliveTimeout: FIRST_IDLE_MS,
+      connectionsCheckingInterval: 1000,
+      noDelay: true,
+    },
+    (request, response) => {
+      void handle(request, response, options);
+    },
+  );
+  server.on("clientError", answerUnreadable);
+  return server;
+}
+
+/** Takes over the operator's limits on connections. */
+export function applyBounds(server: Server, bounds: CallerBounds): void {
+  server.headersTimeout = bounds.headMs;
+  server.keepAliveTimeout = bounds.idleMs;
+}
+
+async function handle(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: CallerListenerOptions,
+): Promise<void> {
+  const arrivedAtMs = performance.now();
+  request.on("error", () => undefined);
+  response.on("error", () => undefined);
+  if (options.isLeaving()) response.setHeader("connection", "close");
+  try {
+    const call = await readCall(request, options, arrivedAtMs);
+    await options.serve(call, response);
+  } catch (error) {
+    const refusal = toFailure(error, 1215);
+    if (!request.complete) response.setHeader("connection", "close");
+    const retryMs = refusal.entry.status === 503 ? UNREADY_RETRY_MS : 0;
+    options.fail(response, refusal, retryMs);
+  }
+}
+
+/** Throws 1103, 1201, 1202, 1205, 1207, 1209 or 1213. */
+async function readCall(
+  request: IncomingMessage,
+  options: CallerListenerOptions,
+  arrivedAtMs: number,
+): Promise<Call> {
+  const routes = options.routes();
+  if (routes === undefined) return raise(1103);
+  const { bounds } = routes.configuration;
+  checkHead(request, bounds);
+  const body = await readBody(request, bounds);
+  if (options.isClosed()) raise(1213);
+  // The body may have taken long: what is in force now decides.
+  return resolve(request, body, options, arrivedAtMs);
+}
+
+function resolve(
+  request: IncomingMessage,
+  body: Buffer,
+  options: CallerListenerOptions,
+  arrivedAtMs: number,
+): Call {
+  const routes = options.routes() ?? raise(1103);
+  const target = request.url ?? "/";
+  const path = target.split("?", 1).at(0) ?? "/";
+  const route = routes.findRoute(request.headers.host ?? "", path);
+  if (route === undefined) return raise(1207, { path: path.slice(0, 100) });
+  const fields = options.codec.readCall(request.headers);
+  const account = accountOf(routes, route, fields);
+  const service = chooseService(route.shares, options.random);
+  if (service === undefined) return raise(1209, { pool: route.name });
+  return {
+    id: fields.attemptId ?? `unnamed-${arrivedAtMs}`,
+    method: request.method ?? "GET",
+    target,
+    headers: endToEndHeaders(request.rawHeaders),
+    body,
+    fields,
+    route,
+    service,
+    account: account?.name,
+    priority: account?.priority ?? route.priority,
+    arrivedAtMs,
+    dueAtMs: arrivedAtMs + timeOf(route, fields),
+  };
+}
+
+function accountOf(
+  routes: RouteTable,
+  route: Route,
+  { credential }: CallFields,
+): { readonly name: string; readonly priority: number } | undefined {
+  if (!routes.needsCredentials) return undefined;
+  const account =
+    credential === undefined ? undefined : routes.findAccount(credential);
+  if (account === undefined) {
+    return route.isPublic ? undefined : raise(1202);
+  }
+  return { name: account.name, priority: account.priority ?? route.priority };
+}
+
+function timeOf({ timeoutMs }: Route, { deadlineMs }: CallFields): number {
+  return Math.min(timeoutMs, deadlineMs ?? Number.POSITIVE_INFINITY);
+}
+
+function checkHead(request: IncomingMessage, bounds: CallerBounds): void {
+  const size = request.rawHeaders.reduce(
+    (total, text) => total + text.length + 2,
+    request.url?.length ?? 0,
+  );
+  if (size > bounds.headBytes) raise(1205, { limit: bounds.headBytes });
+}
+
+async function readBody(
+  request: IncomingMessage,
+  { bodyBytes: limit }: CallerBounds,
+): Promise<Buffer> {
+  const announced = Number(request.headers["content-length"] ?? 0);
+  if (announced > limit) raise(1205, { limit });
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of request) {
+    parts.push(part as Buffer);
+    size += (part as Buffer).length;
+    if (size > limit) raise(1205, { limit });
+  }
+  return Buffer.concat(parts);
+}
+
+interface ParserError extends Error {
+  readonly code?: string;
+}
+
+/** Node's parser refused the bytes before there was a request. */
+function answerUnreadable(error: ParserError, socket: Socket): void {
+  if (!socket.writable || error.code === "ECONNRESET") {
+    socket.destroy();
+    return;
+  }
+  const status = statusOf(error);
+  socket.end(
+    `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
+  );
+}
+
+function statusOf({ code }: ParserError): number {
+  if (code === "HPE_HEADER_OVERFLOW") return failure(1205).entry.status;
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") return failure(1206).entry.status;
+  return failure(1201).entry.status;
+}
--- /dev/null
+++ b/src/direct/entry.ts
@@ -0,0 +1,280 @@
+/**
+ * An entry of the direct path: callers on one side, runners on the other, and
+ * the platform's store for what the operator wants and who serves.
+ */
+import { createServer, type ServerResponse } from "node:http";
+import { Pool, type Dispatcher } from "undici";
+import { sendError } from "../daemon/entry/answer-writer.js";
+import { EventLog } from "../daemon/event-log.js";
+import { listen, type Listening } from "../daemon/listening.js";
+import { HybridClock, toFailure, type Emit } from "../internal.js";
+import { BackendServerDirectory } from "../membership/directory.js";
+import type { RegisterChange } from "../membership/types.js";
+import type { KeyedRecord, KeyedTopic } from "../platform/keyed-topic.js";
+import { followTopic } from "../platform/topic-follower.js";
+import { RouteTable } from "../routing/route-table.js";
+import type { SiteConfiguration } from "../routing/types.js";
+import { applyBounds, createCallerListener } from "./caller-listener.js";
+import { Forwarder } from "./forwarder.js";
+import { ServiceGate } from "./service-gate.js";
+import { hostPortOf, type DirectEntrySettings } from "./settings.js";
+import type { HeaderCodec } from "./types.js";
+
+export interface DirectEntryOptions {
+  readonly settings: DirectEntrySettings;
+  readonly codec: HeaderCodec;
+  readonly configuration: KeyedTopic;
+  /** The key of the configuration's record. */
+  readonly configurationKey: string;
+  /** Throws 1903 for a record that can't be decoded. */
+  readonly decodeConfiguration: (value: Buffer) => SiteConfiguration;
+  readonly register: KeyedTopic;
+  readonly decodeServer: (record: KeyedRecord) => RegisterChange;
+  /** Path that the platform's balancer asks. */
+  readonly readinessPath: string;
+}
+
+/**
+ * Longest read of the configuration, ms. The store answers as soon as there is
+ * a change; a connection that fell silent is noticed after this time.
+ */
+const CONFIGURATION_WAIT_MS = 2000;
+/**
+ * Time between two reads of the register, ms. Runners write there all the
+ * time, so that waiting for a record would read without pause; a leaving one
+ * may get work for two seconds.
+ */
+const REGISTER_INTERVAL_MS = 700;
+
+/** Established within this time or not at all, ms. */
+const CONNECT_TIMEOUT_MS = 800;
+/** Idle connections are closed after this time, ms; runners may be sooner. */
+const IDLE_CONNECTION_MS = 4000;
+/** Connections of one entry to one runner. */
+const CONNECTIONS_EACH_RUNNER = 24;
+
+/**
+ * New connections come until the balancer has noticed, which asks once a
+ * second and believes the second miss, ms.
+ */
+const NOTICE_MS = 2600;
+/** Part of the grace period in which running requests may end. */
+const GRACE_SHARE = 0.92;
+const DRAIN_POLL_MS = 50;
+
+export class DirectEntry implements AsyncDisposable {
+  private readonly events: EventLog;
+  private readonly emit: Emit;
+  private readonly gate: ServiceGate;
+  private readonly directory: BackendServerDirectory;
+  private readonly forwarder: Forwarder;
+  private readonly stop = new AbortController();
+  private readonly server;
+  private routes: RouteTable | undefined;
+  private hasRegister = false;
+  private isLeaving = false;
+  private isClosed = false;
+  private open = 0;
+  private listening: Listening[] = [];
+
+  private constructor(private readonly options: DirectEntryOptions) {
+    const { settings, codec } = options;
+    const { name, logLevel, dataCentre } = settings;
+    this.events = EventLog.create(name, HybridClock.create(), logLevel);
+    const { emit } = this.events;
+    this.emit = emit;
+    const now = (): number => performance.now();
+    const random = Math.random;
+    const gate = ServiceGate.create({ now, random, emit, dataCentre, connect });
+    this.gate = gate;
+    this.directory = BackendServerDirectory.create({
+      now,
+      emit,
+      onServer: (server) => {
+        gate.setServer(server);
+      },
+      onGone: (id) => {
+        gate.removeServer(id);
+      },
+    });
+    this.forwarder = Forwarder.create({ gate, codec, emit, fail });
+    this.server = createCallerListener({
+      codec,
+      random,
+      routes: () => this.routes,
+      isLeaving: () => this.isLeaving,
+      isClosed: () => this.isClosed,
+      serve: async (call, response) => {
+        this.open += 1;
+        try {
+          await this.forwarder.serve(call, response);
+        } finally {
+          this.open -= 1;
+        }
+      },
+      fail,
+    });
+  }
+
+  static async create(options: DirectEntryOptions): Promise<DirectEntry> {
+    const entry = new DirectEntry(options);
+    await entry.start();
+    return entry;
+  }
+
+  get isReady(): boolean {
+    return this.routes !== undefined && this.hasRegister && !this.isLeaving;
+  }
+
+  /** Ends what runs, as far as the grace period allows. */
+  async leave(): Promise<void> {
+    if (this.isLeaving) return;
+    this.isLeaving = true;
+    const graceMs = this.options.settings.graceSeconds * 1000;
+    this.emit(102, { graceMs });
+    const startedAtMs = performance.now();
+    const elapsed = (): number => performance.now() - startedAtMs;
+    while (elapsed() < NOTICE_MS) await sleepMs(DRAIN_POLL_MS);
+    this.isClosed = true;
+    this.server.close();
+    this.server.closeIdleConnections();
+    while (this.open > 0 && elapsed() < graceMs * GRACE_SHARE) {
+      await sleepMs(DRAIN_POLL_MS);
+    }
+    this.emit(103, { cutRequests: this.open });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stop.abort();
+    await Promise.all(
+      this.listening.map((listening) => listening[Symbol.asyncDispose]()),
+    );
+    await this.gate.close();
+  }
+
+  private async start(): Promise<void> {
+    const { settings } = this.options;
+    this.listening = await Promise.all([
+      listen(this.server, hostPortOf(settings.callers)),
+      listen(this.readinessServer(), hostPortOf(settings.readiness)),
+    ]);
+    this.follow();
+    this.emit(101, { role: "entry", incarnation: "", release: "" });
+  }
+
+  private follow(): void {
+    const { configuration, register } = this.options;
+    const { signal } = this.stop;
+    const { emit } = this;
+    const random = Math.random;
+    const nothing = (): void => undefined;
+    const onConfiguration = (records: readonly KeyedRecord[]): void => {
+      this.onConfiguration(records);
+    };
+    void followTopic(
+      {
+        name: "configuration",
+        topic: configuration,
+        waitMs: CONFIGURATION_WAIT_MS,
+        intervalMs: 0,
+        random,
+        emit,
+        onSnapshot: onConfiguration,
+        onChanges: onConfiguration,
+        onLost: nothing,
+        onRestored: nothing,
+      },
+      signal,
+    );
+    void followTopic(
+      {
+        name: "register",
+        topic: register,
+        waitMs: 0,
+        intervalMs: REGISTER_INTERVAL_MS,
+        random,
+        emit,
+        onSnapshot: (records) => {
+          this.onRegister(records);
+        },
+        onChanges: (records) => {
+          this.directory.apply(records.map(this.options.decodeServer));
+          this.directory.sweep();
+        },
+        onLost: () => {
+          this.directory.onStoreLost();
+        },
+        onRestored: () => {
+          this.directory.onStoreRestored();
+        },
+      },
+      signal,
+    );
+  }
+
+  private onConfiguration(records: readonly KeyedRecord[]): void {
+    const { configurationKey, decodeConfiguration } = this.options;
+    const newest = records.findLast(({ key }) => key === configurationKey);
+    if (newest?.value === undefined) return;
+    try {
+      this.take(decodeConfiguration(newest.value));
+    } catch (error) {
+      this.emit(202, { reason: toFailure(error, 1903).message });
+    }
+  }
+
+  /** In one life a process never goes back to an older configuration. */
+  private take(configuration: SiteConfiguration): void {
+    const known = this.routes?.version ?? Number.NEGATIVE_INFINITY;
+    if (configuration.version <= known) return;
+    this.routes = RouteTable.create(configuration);
+    applyBounds(this.server, configuration.bounds);
+    const { version, routes, accounts } = configuration;
+    this.emit(201, {
+      version,
+      routes: routes.length,
+      accounts: accounts.length,
+    });
+  }
+
+  private onRegister(records: readonly KeyedRecord[]): void {
+    const changes = records.map(this.options.decodeServer);
+    const servers = changes.flatMap(({ server }) => server ?? []);
+    this.directory.replace(servers);
+    this.hasRegister = true;
+  }
+
+  private readinessServer(): ReturnType<typeof createServer> {
+    return createServer((request, response) => {
+      const isKnown = request.url === this.options.readinessPath;
+      const ready = isKnown && this.isReady;
+      response.writeHead(isKnown ? (ready ? 200 : 503) : 404);
+      response.end();
+    });
+  }
+}
+
+function fail(
+  response: ServerResponse,
+  error: Parameters<typeof sendError>[1],
+  retryAfterMs: number,
+): void {
+  sendError(response, error, retryAfterMs);
+}
+
+function connect(address: string): Dispatcher {
+  return new Pool(`http://${address}`, {
+    connections: CONNECTIONS_EACH_RUNNER,
+    pipelining: 1,
+    connectTimeout: CONNECT_TIMEOUT_MS,
+    keepAliveTimeout: IDLE_CONNECTION_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
+function sleepMs(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/src/direct/forwarder.ts
@@ -0,0 +1,318 @@
+/**
+ * Carries one request to its end: waits for a place, sends it to a runner,
+ * and on failure to another one as far as that is allowed. One task for each
+ * request.
+ */
+import type { ServerResponse } from "node:http";
+import {
+  failure,
+  type ApricotdeckError,
+  type Emit,
+  type ErrorNumber,
+} from "../internal.js";
+import { Attempt } from "./attempt.js";
+import { answerHeaders } from "./end-to-end-headers.js";
+import { EventRelay } from "./event-relay.js";
+import { nextStep, type NextStep } from "./next-step.js";
+import type { Verdict } from "./runner-pool.js";
+import type { Admitted, ServiceGate } from "./service-gate.js";
+import type { AttemptEnd, Call, GiveUpReason, HeaderCodec } from "./types.js";
+
+export interface ForwarderOptions {
+  readonly gate: ServiceGate;
+  readonly codec: HeaderCodec;
+  readonly emit: Emit;
+  /** Answers a request that got none from a runner. */
+  readonly fail: (
+    response: ServerResponse,
+    error: ApricotdeckError,
+    retryAfterMs: number,
+  ) => void;
+}
+
+/** Largest answer that is held back until it is whole, bytes. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/**
+ * A refused request may come back after this time, ms: runners that were full
+ * have had a few answers end, and ranks that stalled are given up by then.
+ */
+const REFUSED_RETRY_MS = 300;
+
+export class Forwarder {
+  private constructor(private readonly options: ForwarderOptions) {}
+
+  static create(options: ForwarderOptions): Forwarder {
+    return new Forwarder(options);
+  }
+
+  async serve(call: Call, response: ServerResponse): Promise<void> {
+    await Forwarding.create(this.options, call, response).run();
+  }
+}
+
+class Forwarding {
+  private readonly tried = new Set<string>();
+  private sent = 0;
+  private unsent = 0;
+  private mayHaveRun = false;
+  private attempt: Attempt | undefined;
+  private givenUp: GiveUpReason | undefined;
+  private readonly relay: EventRelay | undefined;
+
+  private constructor(
+    private readonly options: ForwarderOptions,
+    private readonly call: Call,
+    private readonly response: ServerResponse,
+  ) {
+    const { route, fields, service } = call;
+    if (route.kind !== "stream") return;
+    const pace = options.gate.paceOf(service);
+    let isFirst = true;
+    this.relay = EventRelay.create({
+      response,
+      lastEventId: fields.lastEventId,
+      onEvent: (pauseMs) => {
+        // The time to the first event is no pause between two.
+        const isPause = !isFirst;
+        isFirst = false;
+        if (isPause) {
+          const running = options.gate.runningOf(service);
+          pace.onPause(pauseMs, route.pauseObjectiveMs, running);
+        }
+      },
+    });
+  }
+
+  static create(
+    options: ForwarderOptions,
+    call: Call,
+    response: ServerResponse,
+  ): Forwarding {
+    return new Forwarding(options, call, response);
+  }
+
+  async run(): Promise<void> {
+    const { call, response } = this;
+    const onClose = (): void => {
+      if (!response.writableFinished) this.giveUp("caller-gone");
+    };
+    response.once("close", onClose);
+    const timer = setTimeout(
+      () => {
+        this.giveUp("overdue");
+      },
+      Math.max(1, call.dueAtMs - performance.now()),
+    );
+    try {
+      await this.forward();
+    } finally {
+      clearTimeout(timer);
+      response.off("close", onClose);
+    }
+  }
+
+  private async forward(): Promise<void> {
+    const { call, options } = this;
+    const entered = await options.gate.enter(call);
+    await entered.caseOf({
+      Left: ({ error, retryAfterMs }) => {
+        this.refuse(error, retryAfterMs);
+        return Promise.resolve();
+      },
+      Right: (admitted) => this.carry(admitted),
+    });
+  }
+
+  private async carry(admitted: Admitted): Promise<void> {
+    const startedAtMs = performance.now();
+    const isServed = await this.attempts(admitted);
+    const durationMs = performance.now() - startedAtMs;
+    this.options.gate.leave(admitted, isServed ? durationMs : undefined);
+  }
+
+  /** True when a runner's whole answer was passed on. */
+  private async attempts(first: Admitted): Promise<boolean> {
+    let admitted = first;
+    for (;;) {
+      const end = await this.attemptAt(admitted);
+      this.options.gate.release(admitted, verdictOf(end));
+      const step = this.stepAfter(end);
+      this.note(admitted, end, step);
+      if (step.kind !== "repeat") return this.conclude(end, step);
+      const next = this.options.gate.moveOn(admitted, this.tried);
+      if (next === undefined) {
+        this.concludeUnplaced(end);
+        return false;
+      }
+      admitted = next;
+    }
+  }
+
+  private async attemptAt({ runner }: Admitted): Promise<AttemptEnd> {
+    const { call, options, relay } = this;
+    this.tried.add(runner.server.id);
+    if (this.givenUp !== undefined) {
+      return { kind: "given-up", wasSent: false, reason: this.givenUp };
+    }
+    const resumeAfter = relay === undefined ? undefined : relay.lastEventId;
+    const headers = options.codec.forward(call.headers, {
+      runner: runner.server.id,
+      account: call.account,
+      leftMs: Math.max(1, Math.floor(call.dueAtMs - performance.now())),
+      resumeAfter: resumeAfter === 0 ? undefined : resumeAfter,
+    });
+    const attempt = Attempt.create({
+      connections: runner.connections,
+      request: {
+        method: call.method,
+        path: call.target,
+        headers: headers.flat(),
+        body: call.body.length > 0 ? call.body : null,
+      },
+      attemptId: call.fields.attemptId,
+      codec: options.codec,
+      sink: relay?.sink(),
+      maximumBytes: MAXIMUM_ANSWER_BYTES,
+    });
+    this.attempt = attempt;
+    const end = await attempt.run();
+    this.attempt = undefined;
+    if (wasSent(end)) this.sent += 1;
+    else this.unsent += 1;
+    this.mayHaveRun ||= wasSent(end) && end.kind !== "not-run";
+    return end;
+  }
+
+  private stepAfter(end: AttemptEnd): NextStep {
+    const { route, dueAtMs, service } = this.call;
+    return nextStep(end, {
+      route,
+      sent: this.sent,
+      unsent: this.unsent,
+      leftMs: dueAtMs - performance.now(),
+      hasStarted: this.relay?.hasStarted ?? false,
+      mayHaveRun: this.mayHaveRun,
+      mayRepeat: () =>
+        this.options.gate.retriesOf(service).spend(1) !== undefined,
+    });
+  }
+
+  private conclude(end: AttemptEnd, step: NextStep): boolean {
+    switch (step.kind) {
+      case "deliver":
+        this.deliver(end);
+        return true;
+      case "fail":
+        this.refuse(failure(step.error), retryAfterOf(step.error));
+        return false;
+      case "break-off":
+        this.response.destroy();
+        return false;
+      case "repeat":
+        return false;
+    }
+  }
+
+  /** No runner is left to repeat at: what the last one said is the answer. */
+  private concludeUnplaced(end: AttemptEnd): void {
+    if (this.relay?.hasStarted === true) {
+      this.response.destroy();
+      return;
+    }
+    if (end.kind === "answered") {
+      this.deliver(end);
+      return;
+    }
+    const error = this.mayHaveRun ? 1211 : 1214;
+    this.refuse(failure(error), retryAfterOf(error));
+  }
+
+  private deliver(end: AttemptEnd): void {
+    this.options.gate.retriesOf(this.call.service).onSuccess();
+    if (end.kind !== "answered" || this.response.destroyed) return;
+    const { status, headers, body } = end.answer;
+    this.response.writeHead(status, {
+      ...answerHeaders(headers),
+      "content-length": body.length,
+    });
+    this.response.end(body);
+  }
+
+  private refuse(error: ApricotdeckError, retryAfterMs: number): void {
+    const { emit, fail } = this.options;
+    emit(214, {
+      request: this.call.id,
+      error: error.number,
+      route: this.call.route.name,
+      retryAfterMs: Math.round(retryAfterMs),
+      ageMs: Math.round(performance.now() - this.call.arrivedAtMs),
+    });
+    fail(this.response, error, retryAfterMs);
+  }
+
+  private note(admitted: Admitted, end: AttemptEnd, step: NextStep): void {
+    if (step.kind === "deliver") return;
+    this.options.emit(215, {
+      request: this.call.id,
+      runner: admitted.runner.server.id,
+      end: end.kind,
+      reason: reasonOf(end),
+      next: step.kind,
+      attempt: this.sent + this.unsent,
+    });
+  }
+
+  private giveUp(reason: GiveUpReason): void {
+    if (this.givenUp !== undefined) return;
+    this.givenUp = reason;
+    if (this.attempt !== undefined) {
+      this.attempt.giveUp(reason);
+      return;
+    }
+    this.options.gate.cancel(this.call.id, {
+      error: failure(reason === "overdue" ? 1503 : 1218),
+      retryAfterMs: REFUSED_RETRY_MS,
+    });
+  }
+}
+
+function wasSent(end: AttemptEnd): boolean {
+  if (end.kind === "given-up") return end.wasSent;
+  return end.kind !== "unsent";
+}
+
+function verdictOf(end: AttemptEnd): Verdict {
+  switch (end.kind) {
+    case "streamed":
+      return "served";
+    case "answered":
+      return end.answer.status < 500 ? "served" : "none";
+    case "not-run":
+      return "full";
+    case "unsent":
+    case "broken":
+      return "failed";
+    case "given-up":
+      return end.reason === "stalled" ? "failed" : "none";
+  }
+}
+
+function reasonOf(end: AttemptEnd): string {
+  switch (end.kind) {
+    case "unsent":
+    case "broken":
+    case "given-up":
+      return end.reason;
+    case "not-run":
+      return String(end.status);
+    case "answered":
+      return String(end.answer.status);
+    case "streamed":
+      return "";
+  }
+}
+
+function retryAfterOf(error: ErrorNumber): number {
+  return error === 1214 ? REFUSED_RETRY_MS : 0;
+}
--- /dev/null
+++ b/src/direct/runner-pool.ts
@@ -0,0 +1,149 @@
+/**
+ * The runners of one service as one entry sees them: what it runs there
+ * itself, and whether they fail. Places a request on the runner that has the
+ * smallest part of its slots taken by this entry.
+ */
+import type { Dispatcher } from "undici";
+import type { Emit, Now, Random } from "../internal.js";
+import type { BackendServer } from "../membership/types.js";
+import { RunnerHealth } from "../placement/health.js";
+
+export interface Runner {
+  /** Its registration, as last read. */
+  server: BackendServer;
+  readonly connections: Dispatcher;
+  readonly health: RunnerHealth;
+  /** Attempts of this entry that run there. */
+  running: number;
+  /** The engine said that it was full; nothing is sent before then, ms. */
+  fullUntilMs: number;
+}
+
+export interface RunnerPoolInputs {
+  readonly now: Now;
+  readonly random: Random;
+  readonly emit: Emit;
+  readonly connect: (address: string) => Dispatcher;
+  /** Data centre of this entry. */
+  readonly dataCentre: string;
+}
+
+/** How an attempt ended, as far as it tells of the runner. */
+export type Verdict = "served" | "failed" | "full" | "none";
+
+/**
+ * A runner that was full is tried again after this time, ms: about the time
+ * of one of its slots coming free with eight answers of a second each.
+ */
+const FULL_PAUSE_MS = 120;
+
+export class RunnerPool {
+  private readonly runners = new Map<string, Runner>();
+
+  private constructor(private readonly inputs: RunnerPoolInputs) {}
+
+  static create(inputs: RunnerPoolInputs): RunnerPool {
+    return new RunnerPool(inputs);
+  }
+
+  get size(): number {
+    return this.runners.size;
+  }
+
+  /** Slots of all runners together. */
+  get slots(): number {
+    let slots = 0;
+    for (const { server } of this.runners.values()) slots += server.slots;
+    return slots;
+  }
+
+  get running(): number {
+    let running = 0;
+    for (const runner of this.runners.values()) running += runner.running;
+    return running;
+  }
+
+  set(server: BackendServer): void {
+    const known = this.runners.get(server.id);
+    if (known?.server.address === server.address) {
+      known.server = server;
+      return;
+    }
+    if (known !== undefined) this.remove(server.id);
+    this.runners.set(server.id, {
+      server,
+      connections: this.inputs.connect(server.address),
+      health: RunnerHealth.create(this.inputs.random),
+      running: 0,
+      fullUntilMs: 0,
+    });
+  }
+
+  /** What runs there goes on to its end. */
+  remove(id: string): void {
+    const runner = this.runners.get(id);
+    if (runner === undefined) return;
+    this.runners.delete(id);
+    void runner.connections.close();
+  }
+
+  /** The least taken runner outside `excluded` that may take work. */
+  choose(excluded: ReadonlySet<string>): Runner | undefined {
+    const nowMs = this.inputs.now();
+    let best: Runner | undefined;
+    let bestScore = Number.POSITIVE_INFINITY;
+    for (const runner of this.runners.values()) {
+      if (excluded.has(runner.server.id)) continue;
+      if (runner.fullUntilMs > nowMs) continue;
+      if (!runner.health.mayTake(nowMs)) continue;
+      const score = this.scoreOf(runner);
+      if (score >= bestScore) continue;
+      best = runner;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  start(runner: Runner): void {
+    runner.running += 1;
+    runner.health.onPlaced();
+  }
+
+  end(runner: Runner, verdict: Verdict): void {
+    runner.running -= 1;
+    const { health, server } = runner;
+    const nowMs = this.inputs.now();
+    switch (verdict) {
+      case "served":
+        if (health.onSucceeded()) {
+          this.inputs.emit(152, { runner: server.id });
+        }
+        return;
+      case "failed":
+        if (health.onFailed(nowMs)) {
+          const { id: name, service: pool } = server;
+          this.inputs.emit(151, { runner: name, pool });
+        }
+        return;
+      case "full":
+        runner.fullUntilMs = nowMs + FULL_PAUSE_MS;
+        health.onNoVerdict();
+        return;
+      case "none":
+        health.onNoVerdict();
+    }
+  }
+
+  async close(): Promise<void> {
+    const all = [...this.runners.values()];
+    this.runners.clear();
+    await Promise.all(all.map(({ connections }) => connections.close()));
+  }
+
+  /** Ties go to the own data centre at even odds, else at random. */
+  private scoreOf({ server, running }: Runner): number {
+    const { random, dataCentre } = this.inputs;
+    const near = server.dataCentre === dataCentre ? 0 : 0.25;
+    return (running + near + random() * 0.5) / Math.max(1, server.slots);
+  }
+}
--- /dev/null
+++ b/src/direct/service-gate.ts
@@ -0,0 +1,253 @@
+/**
+ * Decides when a request of a service may start and on which runner. Waiting,
+ * order and refusal are admission's; the room is what the pace of the streams
+ * allows.
+ */
+import { Left, Right, type Either } from "purify-ts/Either";
+import {
+  Admission,
+  RetryAllowance,
+  createDeferred,
+  failure,
+  type AdmissionRequest,
+  type Deferred,
+  type Emit,
+  type Now,
+  type Random,
+  type Refusal,
+} from "../internal.js";
+import type { BackendServer } from "../membership/types.js";
+import type { Route } from "../routing/types.js";
+import { PaceLimit } from "./pace-limit.js";
+import { RunnerPool, type Runner, type Verdict } from "./runner-pool.js";
+import type { Call } from "./types.js";
+import type { Dispatcher } from "undici";
+
+export interface ServiceGateInputs {
+  readonly now: Now;
+  readonly random: Random;
+  readonly emit: Emit;
+  readonly dataCentre: string;
+  readonly connect: (address: string) => Dispatcher;
+}
+
+/** A request that has its place at a runner. */
+export interface Admitted {
+  readonly request: AdmissionRequest;
+  readonly runner: Runner;
+}
+
+interface ServiceState {
+  readonly pool: RunnerPool;
+  readonly pace: PaceLimit;
+  readonly retries: RetryAllowance;
+}
+
+interface Pending {
+  readonly settle: Deferred<Either<Refusal, Runner>>;
+}
+
+const NOTHING_EXCLUDED: ReadonlySet<string> = new Set();
+
+/** No runner at all: one that is replaced takes about this long to come, ms. */
+const NOBODY_RETRY_MS = 500;
+
+/** Waiting work that one entry holds, tokens; the deadline binds long before. */
+const QUEUE_TOKENS = 1_000_000;
+
+/**
+ * Part of the objective that a request may wait in the queue: what starts
+ * later is late anyhow, and a place is better given to one that isn't.
+ */
+const QUEUE_SHARE_OF_OBJECTIVE = 0.6;
+
+/** Share of a new answer in the mean time of a route's answers. */
+const DURATION_SHARE = 0.1;
+
+/** Plain requests are charged by their number. */
+const LEAST_COST = 1;
+
+export class ServiceGate {
+  private readonly services = new Map<string, ServiceState>();
+  private readonly pending = new Map<string, Pending>();
+  private readonly durations = new Map<string, number>();
+  private readonly admission: Admission;
+  private sweepTimer: NodeJS.Timeout | undefined;
+
+  private constructor(private readonly inputs: ServiceGateInputs) {
+    const { now, random, emit } = inputs;
+    this.admission = Admission.create({
+      now,
+      random,
+      emit,
+      entries: () => 1,
+      start: (request) => this.start(request),
+      giveUp: ({ id }, refusal) => {
+        this.settle(id, Left(refusal));
+      },
+    });
+  }
+
+  static create(inputs: ServiceGateInputs): ServiceGate {
+    return new ServiceGate(inputs);
+  }
+
+  get waitingCount(): number {
+    return this.admission.waitingCount;
+  }
+
+  setServer(server: BackendServer): void {
+    this.serviceOf(server.service).pool.set(server);
+    this.admission.drain(server.service);
+  }
+
+  removeServer(id: string): void {
+    for (const { pool } of this.services.values()) pool.remove(id);
+  }
+
+  /** Resolves with a place, or with why there is none. */
+  async enter(call: Call): Promise<Either<Refusal, Admitted>> {
+    const { pool } = this.serviceOf(call.service);
+    if (pool.size === 0) return Left(nobody(call));
+    const request = this.admissionOf(call);
+    const settle = createDeferred<Either<Refusal, Runner>>();
+    this.pending.set(request.id, { settle });
+    const offer = this.admission.offer(request);
+    if (offer.kind === "refused") this.settle(request.id, Left(offer));
+    if (offer.kind === "queued") this.scheduleSweep();
+    const placed = await settle.promise;
+    return placed.map((runner) => ({ request, runner }));
+  }
+
+  /** Ends the wait of a request whose caller went away or whose time is over. */
+  cancel(id: string, refusal: Refusal): void {
+    this.admission.cancel(id);
+    this.settle(id, Left(refusal));
+  }
+
+  /** Attempts of this entry that run at the service. */
+  runningOf(service: string): number {
+    return this.serviceOf(service).pool.running;
+  }
+
+  /** Another runner for an admitted request, which keeps its place. */
+  moveOn(
+    admitted: Admitted,
+    excluded: ReadonlySet<string>,
+  ): Admitted | undefined {
+    const { pool } = this.serviceOf(admitted.request.pool);
+    const runner = pool.choose(excluded);
+    if (runner === undefined) return undefined;
+    pool.start(runner);
+    return { ...admitted, runner };
+  }
+
+  /** The attempt at the runner has ended. */
+  release({ request, runner }: Admitted, verdict: Verdict): void {
+    this.serviceOf(request.pool).pool.end(runner, verdict);
+  }
+
+  /** The request is over; its place is free. */
+  leave({ request }: Admitted, durationMs: number | undefined): void {
+    const { costTokens, profile } = request;
+    if (durationMs !== undefined) this.learnDuration(profile, durationMs);
+    this.admission.onEnded(request, { costTokens, durationMs });
+  }
+
+  retriesOf(service: string): RetryAllowance {
+    return this.serviceOf(service).retries;
+  }
+
+  paceOf(service: string): PaceLimit {
+    return this.serviceOf(service).pace;
+  }
+
+  async close(): Promise<void> {
+    clearTimeout(this.sweepTimer);
+    const states = [...this.services.values()];
+    await Promise.all(states.map(({ pool }) => pool.close()));
+  }
+
+  private start(request: AdmissionRequest): boolean {
+    const { pool, pace } = this.serviceOf(request.pool);
+    if (!pace.hasRoom(pool.running, pool.slots)) return false;
+    const runner = pool.choose(NOTHING_EXCLUDED);
+    if (runner === undefined) return false;
+    pool.start(runner);
+    this.settle(request.id, Right(runner));
+    return true;
+  }
+
+  private settle(id: string, result: Either<Refusal, Runner>): void {
+    const pending = this.pending.get(id);
+    this.pending.delete(id);
+    pending?.settle.resolve(result);
+  }
+
+  private admissionOf(call: Call): AdmissionRequest {
+    const { route, fields, account = "", service } = call;
+    const queueMs = route.objectiveMs * QUEUE_SHARE_OF_OBJECTIVE;
+    return {
+      id: call.id,
+      account,
+      weight: 1,
+      pool: service,
+      profile: route.name,
+      priority: call.priority,
+      costTokens: fields.promptTokens + LEAST_COST,
+      serviceMs: this.durations.get(route.name) ?? 0,
+      arrivedAtMs: call.arrivedAtMs,
+      deadlineAtMs: call.dueAtMs,
+      queue: { maximumTokens: QUEUE_TOKENS, maximumWaitMs: queueMs },
+      concurrency: Number.POSITIVE_INFINITY,
+    };
+  }
+
+  private learnDuration(profile: Route["name"], durationMs: number): void {
+    const known = this.durations.get(profile) ?? durationMs;
+    const change = DURATION_SHARE * (durationMs - known);
+    this.durations.set(profile, known + change);
+  }
+
+  private scheduleSweep(): void {
+    if (this.sweepTimer !== undefined) return;
+    const waitMs = this.admission.nextGiveUpAtMs - this.inputs.now();
+    if (!Number.isFinite(waitMs)) return;
+    this.sweepTimer = setTimeout(
+      () => {
+        this.sweepTimer = undefined;
+        for (const service of this.services.keys()) {
+          this.admission.drain(service);
+        }
+        if (this.admission.waitingCount > 0) this.scheduleSweep();
+      },
+      Math.max(1, Math.min(waitMs, LONGEST_SWEEP_MS)),
+    );
+  }
+
+  private serviceOf(name: string): ServiceState {
+    const known = this.services.get(name);
+    if (known !== undefined) return known;
+    const { random, emit, now } = this.inputs;
+    const state = {
+      pool: RunnerPool.create(this.inputs),
+      pace: PaceLimit.create({ now, emit, service: name }),
+      retries: RetryAllowance.create({ pool: name, random, emit }),
+    };
+    this.services.set(name, state);
+    return state;
+  }
+}
+
+/**
+ * A queue looks for room at least this often, ms: a full runner's pause ends
+ * without an event of its own.
+ */
+const LONGEST_SWEEP_MS = 50;
+
+function nobody(call: Call): Refusal {
+  return {
+    error: failure(1209, { pool: call.service }),
+    retryAfterMs: NOBODY_RETRY_MS,
+  };
+}
--- /dev/null
+++ b/src/direct/settings.ts
@@ -0,0 +1,107 @@
+/** Settings of the direct path's processes: JSON with comments, checked. */
+import { readFileSync } from "node:fs";
+import { parse, printParseErrorCode, type ParseError } from "jsonc-parser";
+import { z } from "zod";
+import { raise } from "../internal.js";
+
+const address = z
+  .string()
+  .regex(/^[^\s:]+:\d+$/, "host:port")
+  .describe("host:port");
+
+const store = z
+  .strictObject({
+    address,
+    leastLeaseMs: z
+      .int()
+      .min(100)
+      .default(1000)
+      .describe("Shortest lease that the store grants a group's member, ms."),
+  })
+  .readonly();
+
+const common = {
+  name: z.string().min(1),
+  dataCentre: z.string().min(1),
+  store,
+  /** host:port on which operators fetch metrics; absent for none. */
+  metrics: address.optional(),
+  logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
+  graceSeconds: z
+    .number()
+    .min(0)
+    .default(8)
+    .describe("Time between the request to stop and the kill, s."),
+};
+
+const entrySettings = z
+  .strictObject({
+    role: z.literal("entry"),
+    ...common,
+    callers: address,
+    readiness: address,
+  })
+  .readonly();
+
+const agentSettings = z
+  .strictObject({
+    role: z.literal("agent"),
+    ...common,
+    runner: address.describe("The runner beside this process."),
+    peers: address.describe("Where the planner of the group asks this agent."),
+    service: z.string().min(1),
+  })
+  .readonly();
+
+export const directSettingsSchema = z.discriminatedUnion("role", [
+  entrySettings,
+  agentSettings,
+]);
+
+export type DirectSettings = z.infer<typeof directSettingsSchema>;
+export type DirectEntrySettings = z.infer<typeof entrySettings>;
+export type RankAgentSettings = z.infer<typeof agentSettings>;
+
+/** Throws 1001 or 1002. */
+export function loadDirectSettings(file: string): DirectSettings {
+  return parseDirectSettings(readText(file), file);
+}
+
+export function parseDirectSettings(
+  text: string,
+  file: string,
+): DirectSettings {
+  const errors: ParseError[] = [];
+  const value: unknown = parse(text, errors, { allowTrailingComma: true });
+  const syntax = errors.at(0);
+  if (syntax !== undefined) {
+    const line = text.slice(0, syntax.offset).split("\n").length;
+    raise(1002, { file, line, found: printParseErrorCode(syntax.error) });
+  }
+  const result = directSettingsSchema.safeParse(value);
+  if (result.success) return result.data;
+  const issue = result.error.issues.at(0);
+  const path = issue?.path.join(".") ?? "";
+  return raise(1002, { file, path, expected: issue?.message ?? "" });
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (error) {
+    return raise(1001, { file }, error);
+  }
+}
+
+export interface HostPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+export function hostPortOf(text: string): HostPort {
+  const separator = text.lastIndexOf(":");
+  return {
+    host: text.slice(0, separator),
+    port: Number(text.slice(separator + 1)),
+  };
+}
--- /dev/null
+++ b/src/platform/topic-follower.ts
@@ -0,0 +1,122 @@
+/**
+ * Keeps up with a keyed topic: all newest records once, then what changes. An
+ * outage is told once at each end; a forgotten history is read anew.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { toFailure, type Emit, type Random } from "../internal.js";
+import type { KeyedRecord, KeyedTopic } from "./keyed-topic.js";
+
+/** First pause after a failed call, ms. */
+const FIRST_BACKOFF_MS = 100;
+/**
+ * Longest pause, ms. Refused calls count against the store's limit as well;
+ * half a second finds its return well inside the two seconds in which
+ * registrations and configurations have to take effect.
+ */
+const LONGEST_BACKOFF_MS = 500;
+const HISTORY_FORGOTTEN = 1902;
+
+export interface FollowOptions {
+  readonly name: string;
+  readonly topic: KeyedTopic;
+  /** How long the store holds a read open for a record, ms. */
+  readonly waitMs: number;
+  /** Least time between two reads, ms. */
+  readonly intervalMs: number;
+  readonly random: Random;
+  readonly emit: Emit;
+  /** All newest records: at the start, and when history was forgotten. */
+  readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
+  readonly onChanges: (records: readonly KeyedRecord[]) => void;
+  readonly onLost: () => void;
+  readonly onRestored: () => void;
+}
+
+/** Runs until the signal aborts. */
+export async function followTopic(
+  options: FollowOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const follower = TopicFollower.create(options, signal);
+  while (!signal.aborted) await follower.step();
+}
+
+class TopicFollower {
+  private offset: number | undefined;
+  private failures = 0;
+  private lostAtMs = 0;
+
+  private constructor(
+    private readonly options: FollowOptions,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  static create(options: FollowOptions, signal: AbortSignal): TopicFollower {
+    return new TopicFollower(options, signal);
+  }
+
+  async step(): Promise<void> {
+    try {
+      await this.read();
+      this.onSuccess();
+      await this.pause(this.options.intervalMs);
+    } catch (error) {
+      if (this.signal.aborted) return;
+      const failure = toFailure(error, 1901);
+      if (failure.number === HISTORY_FORGOTTEN) {
+        this.offset = undefined;
+        return;
+      }
+      this.onFailure(failure.message);
+      await this.backOff();
+    }
+  }
+
+  private async read(): Promise<void> {
+    const { topic, waitMs, onSnapshot, onChanges } = this.options;
+    if (this.offset === undefined) {
+      const page = await topic.newest(this.signal);
+      this.offset = page.nextOffset;
+      this.onSuccess();
+      onSnapshot(page.records);
+      return;
+    }
+    const page = await topic.changes(this.offset, waitMs, this.signal);
+    this.offset = page.nextOffset;
+    this.onSuccess();
+    if (page.records.length > 0) onChanges(page.records);
+  }
+
+  private onSuccess(): void {
+    if (this.failures === 0) return;
+    this.failures = 0;
+    const { name, emit, onRestored } = this.options;
+    const outageMs = Math.round(performance.now() - this.lostAtMs);
+    emit(192, { stream: name, outageMs });
+    onRestored();
+  }
+
+  private onFailure(reason: string): void {
+    this.failures += 1;
+    if (this.failures > 1) return;
+    this.lostAtMs = performance.now();
+    const { name, emit, onLost } = this.options;
+    emit(191, { stream: name, reason });
+    onLost();
+  }
+
+  private async backOff(): Promise<void> {
+    const doubled = FIRST_BACKOFF_MS * 2 ** Math.min(this.failures - 1, 8);
+    const longest = Math.min(LONGEST_BACKOFF_MS, doubled);
+    await this.pause(longest * (0.5 + this.options.random() / 2));
+  }
+
+  private async pause(ms: number): Promise<void> {
+    if (ms <= 0) return;
+    try {
+      await sleep(ms, undefined, { signal: this.signal });
+    } catch {
+      // Aborted: the loop looks at the signal.
+    }
+  }
+}
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -303,6 +303,51 @@
     stream: "stream of the log",
     outageMs: "length of the outage, ms",
   }),
+
+  // 200: direct path of an entry
+  201: entry("routes-in-force", "info", "A configuration is in force here.", {
+    version: "the operator's version",
+    routes: "number of routes",
+    accounts: "number of client accounts",
+  }),
+  202: entry(
+    "configuration-unreadable",
+    "error",
+    "A configuration can't be decoded; the older one stays in force.",
+    { reason: "field and what was expected" },
+  ),
+  203: entry("settings-reloaded", "info", "The settings file was read again.", {
+    changed: "fields that differ and need a restart, none when empty",
+  }),
+  211: entry("runner-joined", "info", "A runner registered itself.", {
+    runner: "id of the runner",
+    service: "service that it runs",
+    address: "host:port",
+  }),
+  212: entry("runner-left", "info", "A runner gets no new work.", {
+    runner: "id of the runner",
+    reason: "leaving, removed, lapsed or address taken",
+  }),
+  213: entry("pace-limit-lowered", "info", "Streams are slow; less starts.", {
+    service: "service",
+    limit: "requests that this entry runs at once",
+    pauseMs: "mean pause between events, ms",
+  }),
+  214: entry("request-refused", "info", "A request got no runner's answer.", {
+    request: "attempt id of the caller",
+    error: "error number",
+    route: "route",
+    retryAfterMs: "when the caller may come back, ms; 0 when not told",
+    ageMs: "time since its arrival, ms",
+  }),
+  215: entry("attempt-ended", "info", "An attempt didn't end in an answer.", {
+    request: "attempt id of the caller",
+    runner: "id of the runner",
+    end: "answered, not-run, unsent, broken or given-up",
+    reason: "what was seen",
+    next: "repeat, fail or break-off",
+    attempt: "number of the attempt",
+  }),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- /dev/null
+++ b/tests/membership/directory.test.ts
@@ -0,0 +1,128 @@
+import * as assert from "uvu/assert";
+import { ignoreEvents } from "../../src/internal.js";
+import {
+  BackendServerDirectory,
+  LAPSE_GRACE_MS,
+} from "../../src/membership/directory.js";
+import type { BackendServer } from "../../src/membership/types.js";
+import { describe, it } from "../support/describe.js";
+
+function serverOf(fields: Partial<BackendServer>): BackendServer {
+  return {
+    id: "r1",
+    service: "model",
+    address: "10.0.0.1:80",
+    dataCentre: "here",
+    slots: 8,
+    isLeaving: false,
+    heartbeat: 1,
+    ...fields,
+  };
+}
+
+class Site {
+  nowMs = 0;
+  readonly serving = new Set<string>();
+  readonly directory = BackendServerDirectory.create({
+    now: () => this.nowMs,
+    emit: ignoreEvents,
+    onServer: ({ id }) => this.serving.add(id),
+    onGone: (id) => this.serving.delete(id),
+  });
+
+  register(fields: Partial<BackendServer>): void {
+    const server = serverOf(fields);
+    this.directory.apply([{ id: server.id, server }]);
+  }
+
+  remove(id: string): void {
+    this.directory.apply([{ id, server: undefined }]);
+  }
+
+  get names(): string[] {
+    return [...this.serving].sort();
+  }
+}
+
+describe("directory of backend servers", () => {
+  it("gives a leaving runner nothing more, whatever comes late", () => {
+    // A runner reports that it leaves; a heartbeat from before arrives after.
+    // Taking it back would send it requests past the platform's bound.
+    const site = new Site();
+    site.register({ heartbeat: 4 });
+    site.register({ heartbeat: 6, isLeaving: true });
+    site.register({ heartbeat: 5 });
+    assert.equal(site.names, []);
+    site.register({ heartbeat: 7 });
+    assert.equal(site.names, []);
+  });
+
+  it("drops a removed runner at once while the store is well", () => {
+    const site = new Site();
+    site.nowMs = 60_000;
+    site.register({});
+    site.remove("r1");
+    assert.equal(site.names, []);
+  });
+
+  it("gives an address to the runner that registered there last", () => {
+    const site = new Site();
+    site.register({ id: "old" });
+    site.register({ id: "new", service: "other" });
+    assert.equal(site.names, ["new"]);
+  });
+
+  describe("around an outage of the store", () => {
+    it("keeps a lapsed runner until it has registered again", () => {
+      // The store is away longer than the heartbeats last: every registration
+      // lapses, and the removals are read first when it is back. The runners
+      // live; without them callers would get nothing but refusals.
+      const site = new Site();
+      site.nowMs = 60_000;
+      site.register({ heartbeat: 3 });
+      site.directory.onStoreLost();
+      site.nowMs += 8000;
+      site.directory.onStoreRestored();
+      site.remove("r1");
+      site.nowMs += 1500;
+      site.register({ heartbeat: 9 });
+      site.nowMs += LAPSE_GRACE_MS;
+      site.directory.sweep();
+      assert.equal(site.names, ["r1"]);
+    });
+
+    it("drops one that is still missing after the grace", () => {
+      const site = new Site();
+      site.nowMs = 60_000;
+      site.register({});
+      site.directory.onStoreLost();
+      site.directory.onStoreRestored();
+      site.remove("r1");
+      site.nowMs += LAPSE_GRACE_MS - 1;
+      site.directory.sweep();
+      assert.equal(site.names, ["r1"]);
+      site.nowMs += 1;
+      site.directory.sweep();
+      assert.equal(site.names, []);
+    });
+
+    it("still drops one that says that it leaves", () => {
+      const site = new Site();
+      site.nowMs = 60_000;
+      site.register({ heartbeat: 1 });
+      site.directory.onStoreLost();
+      site.directory.onStoreRestored();
+      site.register({ heartbeat: 2, isLeaving: true });
+      assert.equal(site.names, []);
+    });
+  });
+
+  it("takes a register read anew as the whole truth", () => {
+    const site = new Site();
+    site.nowMs = 60_000;
+    site.register({ id: "a", address: "10.0.0.1:80" });
+    site.register({ id: "b", address: "10.0.0.2:80" });
+    site.directory.replace([serverOf({ id: "b", address: "10.0.0.2:80" })]);
+    assert.equal(site.names, ["b"]);
+  });
+});
--- /dev/null
+++ b/tests/routing/route-table.test.ts
@@ -0,0 +1,64 @@
+import * as assert from "uvu/assert";
+import { createRandom } from "../../src/internal.js";
+import { RouteTable, chooseService } from "../../src/routing/route-table.js";
+import { describe, it } from "../support/describe.js";
+import { routeOf, siteOf } from "./support.js";
+
+describe("route table", () => {
+  const table = RouteTable.create(
+    siteOf({
+      routes: [
+        routeOf({ name: "short", pathPrefix: "/a/" }),
+        routeOf({ name: "long", pathPrefix: "/a/b/" }),
+        routeOf({ name: "other", hostname: "other.example", pathPrefix: "/" }),
+      ],
+      accounts: [{ name: "one", credentials: ["k1", "k2"], priority: 3 }],
+    }),
+  );
+
+  it("takes the longest prefix of the request's own host", () => {
+    assert.is(table.findRoute("site.example", "/a/b/c")?.name, "long");
+    assert.is(table.findRoute("site.example", "/a/c")?.name, "short");
+    assert.is(table.findRoute("other.example", "/a/b/c")?.name, "other");
+  });
+
+  it("knows no route for another path or host", () => {
+    assert.is(table.findRoute("site.example", "/ab"), undefined);
+    assert.is(table.findRoute("nobody.example", "/a/"), undefined);
+  });
+
+  it("finds the account of each of its credentials", () => {
+    assert.is(table.findAccount("k2")?.name, "one");
+    assert.is(table.findAccount("k3"), undefined);
+  });
+
+  describe("split", () => {
+    it("draws services by weight", () => {
+      const random = createRandom(7);
+      const shares = [
+        { service: "new", weight: 10 },
+        { service: "old", weight: 90 },
+      ];
+      const drawn = Array.from({ length: 2000 }, () =>
+        chooseService(shares, random),
+      );
+      const share = drawn.filter((name) => name === "new").length / 2000;
+      assert.ok(share > 0.07 && share < 0.13, String(share));
+    });
+
+    it("never draws a service of weight 0", () => {
+      const shares = [
+        { service: "off", weight: 0 },
+        { service: "on", weight: 1 },
+      ];
+      assert.is(
+        chooseService(shares, () => 0),
+        "on",
+      );
+      assert.is(
+        chooseService(shares, () => 0.999),
+        "on",
+      );
+    });
+  });
+});
