Plan expert maps by one agent of a group, with a held step

Cause: without maps the most loaded rank has 3.55 times the mean work, passes are slow and almost every stream is late or refused by the pace limit.

A fuzzed history test with lost and late orders, crashes and two planners first showed mixed passes and a stuck group; calling a switch off under a higher fencing number mended both.

--- a/src/balance/layer-search.ts
+++ b/src/balance/layer-search.ts
@@ -42,6 +42,8 @@
   private readonly tokens: Float64Array;
   private readonly times: Float64Array;
   private readonly slowness: Float64Array;
+  /** Ranks that take no further expert. */
+  private readonly closed: Uint8Array;
   private best: Change | undefined;
   private bestGain = 0;
 
@@ -58,6 +60,7 @@
     this.tokens = new Float64Array(experts);
     this.times = new Float64Array(ranks);
     this.slowness = new Float64Array(ranks);
+    this.closed = new Uint8Array(ranks);
   }
 
   /** The working memory of one search, reused for layer after layer. */
@@ -75,6 +78,7 @@
     requestTokens: ArrayLike<number>,
     speeds: ArrayLike<number>,
   ): void {
+    this.closed.fill(0);
     this.replicas.fill(0);
     this.holds.fill(0);
     this.tokens.set(tokens);
@@ -111,6 +115,11 @@
     return Math.sqrt(total) * this.slowness[slowest];
   }
 
+  /** No further step brings an expert to the rank, until the next load. */
+  close(rank: number): void {
+    this.closed[rank] = 1;
+  }
+
   /** Slots of the layer as the steps so far left them. */
   get currentSlots(): ArrayLike<number> {
     return this.slots;
@@ -160,13 +169,14 @@
       if (before - touched <= this.bestGain) continue;
       const rank = this.rankOfSlot[slot];
       if (rank === slowest || this.isHeld(expert, rank)) continue;
-      if (!this.isRedundant(slot)) continue;
+      if (this.closed[rank] === 1 || !this.isRedundant(slot)) continue;
       this.considerPlacing(slowest, slot, expert, touched);
     }
   }
 
   /** The slowest rank gives up a redundant replica for a cooler expert. */
   private considerDropping(slowest: number, slot: number): void {
+    if (this.closed[slowest] === 1) return;
     const before = this.times[slowest];
     for (let expert = 0; expert < this.replicas.length; expert++) {
       const share = this.tokens[expert] / (this.replicas[expert] + 1);
@@ -242,6 +252,7 @@
   }
 
   private considerSwaps(slowest: number, own: number, expert: number): void {
+    if (this.closed[slowest] === 1) return;
     const { shares, times, slowness, rankOfSlot } = this;
     const before = times[slowest];
     const share = shares[expert];
@@ -254,6 +265,7 @@
       const gives = before - work * slowness[slowest];
       if (gives >= limit) continue;
       const rank = rankOfSlot[slot];
+      if (this.closed[rank] === 1) continue;
       const takes = times[rank] + work * slowness[rank];
       if (takes >= limit) continue;
       if (this.isHeld(other, slowest) || this.isHeld(expert, rank)) continue;
--- a/src/daemon/background-task.ts
+++ b/src/daemon/background-task.ts
@@ -32,6 +32,7 @@
 
 /** Waits, or returns early when the signal aborts. */
 export async function pause(ms: number, signal: AbortSignal): Promise<void> {
+  if (ms <= 0) return;
   try {
     await sleep(ms, undefined, { signal });
   } catch {
--- a/src/platform/topic-follower.ts
+++ b/src/platform/topic-follower.ts
@@ -2,7 +2,7 @@
  * Keeps up with a keyed topic: all newest records once, then what changes. An
  * outage is told once at each end; a forgotten history is read anew.
  */
-import { setTimeout as sleep } from "node:timers/promises";
+import { pause } from "../daemon/background-task.js";
 import { toFailure, type Emit, type Random } from "../internal.js";
 import type { KeyedRecord, KeyedTopic } from "./keyed-topic.js";
 
@@ -59,7 +59,7 @@
     try {
       await this.read();
       this.onSuccess();
-      await this.pause(this.options.intervalMs);
+      await pause(this.options.intervalMs, this.signal);
     } catch (error) {
       if (this.signal.aborted) return;
       const failure = toFailure(error, 1901);
@@ -108,15 +108,6 @@
   private async backOff(): Promise<void> {
     const doubled = FIRST_BACKOFF_MS * 2 ** Math.min(this.failures - 1, 8);
     const longest = Math.min(LONGEST_BACKOFF_MS, doubled);
-    await this.pause(longest * (0.5 + this.options.random() / 2));
-  }
-
-  private async pause(ms: number): Promise<void> {
-    if (ms <= 0) return;
-    try {
-      await sleep(ms, undefined, { signal: this.signal });
-    } catch {
-      // Aborted: the loop looks at the signal.
-    }
+    await pause(longest * (0.5 + this.options.random() / 2), this.signal);
   }
 }
--- /dev/null
+++ b/src/rankmaps/demand.ts
@@ -0,0 +1,41 @@
+/**
+ * How much each expert of a group is in demand now: counts that fade with
+ * time, so that a turn of demand shows within a second.
+ */
+
+/**
+ * Time after which a count has faded to 1/e, ms. Shorter, and the few long
+ * prompts of the moment pass for a turn of demand; longer, and a turn is
+ * followed late.
+ */
+const FADE_MS = 1200;
+
+export class ExpertDemand {
+  readonly tokens: Float64Array;
+
+  private constructor(size: number) {
+    this.tokens = new Float64Array(size);
+  }
+
+  /** `size`: sets * experts. */
+  static create(size: number): ExpertDemand {
+    return new ExpertDemand(size);
+  }
+
+  get total(): number {
+    return this.tokens.reduce((sum, count) => sum + count, 0);
+  }
+
+  /** What all ranks counted in the last `elapsedMs`. */
+  add(counted: readonly (readonly number[])[], elapsedMs: number): void {
+    const kept = Math.exp(-elapsedMs / FADE_MS);
+    for (let index = 0; index < this.tokens.length; index += 1) {
+      this.tokens[index] *= kept;
+    }
+    for (const counts of counted) {
+      counts.forEach((count, index) => {
+        if (index < this.tokens.length) this.tokens[index] += count;
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/rankmaps/group-planner.ts
@@ -0,0 +1,262 @@
+/**
+ * Plans the expert map of one group while it holds the seat: observes all
+ * ranks, follows demand, and takes each better map through its switch.
+ */
+import { toFailure, type Emit } from "../internal.js";
+import type { EngineFigures } from "../routing/types.js";
+import { ExpertDemand } from "./demand.js";
+import { MapPlanner, type MapLimits, type MapPlan } from "./map-planner.js";
+import type { PlannerSeat } from "./planner-seat.js";
+import type { Observation } from "./rank-messages.js";
+import { isInForce, wholeGroup, type AddressedOrder } from "./switch-orders.js";
+import { SwitchRun } from "./switch-run.js";
+import type {
+  MapGoal,
+  MapSets,
+  OrderFence,
+  OrderResult,
+  RankOrder,
+  RankState,
+} from "./types.js";
+
+/** A rank that can be reached. */
+export interface GroupRank {
+  readonly observe: (request: {
+    readonly withCounts: boolean;
+    readonly withExperts: boolean;
+  }) => Promise<Observation>;
+  readonly order: (order: RankOrder, fence: OrderFence) => Promise<OrderResult>;
+}
+
+export interface GroupPlannerOptions {
+  readonly seat: PlannerSeat;
+  readonly emit: Emit;
+  readonly engine: EngineFigures;
+  /** Rank of the planner's own runner. */
+  readonly ownRank: number;
+}
+
+/** What is known of the group in its present epoch. */
+interface GroupView {
+  readonly epoch: number;
+  readonly planner: MapPlanner;
+  readonly demand: ExpertDemand;
+  map: MapSets;
+  mapVersion: number;
+}
+
+interface Goal extends MapGoal {
+  readonly plan: MapPlan;
+  readonly startedAtMs: number;
+}
+
+/**
+ * Time that copying for one map may take, ms. Shorter, and more of the time
+ * goes into switching; longer, and demand has turned before the map is in.
+ */
+const COPY_BUDGET_MS = 450;
+
+/**
+ * Tokens that have to be counted before a map is made of them: with fewer, the
+ * experts of a few prompts pass for the demand of all.
+ */
+const LEAST_TOKENS = 20_000;
+
+/** Between two observations with counts, ms. */
+export const COUNT_INTERVAL_MS = 250;
+/** Between two looks at ranks that copy or wait for a step, ms. */
+export const SWITCH_INTERVAL_MS = 60;
+/** Between two looks while the ranks are being armed, ms. */
+const URGENT_INTERVAL_MS = 5;
+
+export class GroupPlanner {
+  private view: GroupView | undefined;
+  private goal: Goal | undefined;
+  private run: SwitchRun | undefined;
+  private countedAtMs = Number.NEGATIVE_INFINITY;
+
+  private constructor(private readonly options: GroupPlannerOptions) {}
+
+  static create(options: GroupPlannerOptions): GroupPlanner {
+    return new GroupPlanner(options);
+  }
+
+  /**
+   * One look at the group and what follows from it. Resolves with the time to
+   * the next one, ms. Throws 1607 when a rank can't be reached.
+   */
+  async step(ranks: readonly GroupRank[]): Promise<number> {
+    const run = this.currentRun();
+    if (run === undefined) return COUNT_INTERVAL_MS;
+    const nowMs = performance.now();
+    const withCounts = nowMs - this.countedAtMs >= COUNT_INTERVAL_MS;
+    const withExperts = this.view === undefined;
+    const seen = await Promise.all(
+      ranks.map((rank) => rank.observe({ withCounts, withExperts })),
+    );
+    const states = wholeGroup(seen.map(({ state }) => state));
+    if (states === undefined) {
+      this.forget();
+      return COUNT_INTERVAL_MS;
+    }
+    this.takeIn(seen, states, withCounts, nowMs);
+    if (run.isIdle(states)) this.goal ??= this.makeGoal(run);
+    const orders = run.nextOrders(states, this.goal);
+    await this.send(ranks, states, orders, run);
+    return this.pauseAfter(orders);
+  }
+
+  /** One run for each generation of the seat. */
+  private currentRun(): SwitchRun | undefined {
+    const generation = this.options.seat.generation;
+    if (generation === undefined) return undefined;
+    if (this.run?.generation !== generation) {
+      this.run = SwitchRun.create(generation);
+      this.goal = undefined;
+    }
+    return this.run;
+  }
+
+  private forget(): void {
+    this.view = undefined;
+    this.goal = undefined;
+  }
+
+  private takeIn(
+    seen: readonly Observation[],
+    states: readonly RankState[],
+    withCounts: boolean,
+    nowMs: number,
+  ): void {
+    const { epoch, mapVersion } = states[0];
+    if (this.view !== undefined && this.view.epoch !== epoch) this.forget();
+    const isStale = this.view?.mapVersion !== mapVersion;
+    if (this.view === undefined || isStale) this.learnMap(seen, states);
+    if (!withCounts) return;
+    const elapsedMs = Math.min(nowMs - this.countedAtMs, 60_000);
+    this.countedAtMs = nowMs;
+    this.view?.demand.add(
+      seen.map(({ counts }) => counts),
+      elapsedMs,
+    );
+  }
+
+  /** The map of the goal once it is in force, else what the ranks hold. */
+  private learnMap(
+    seen: readonly Observation[],
+    states: readonly RankState[],
+  ): void {
+    const { epoch, mapVersion, size } = states[0];
+    if (!isInForce(states, mapVersion)) return;
+    if (this.view !== undefined && this.goal?.version === mapVersion) {
+      this.view.map = this.goal.plan.sets;
+      this.view.mapVersion = mapVersion;
+      this.finishGoal(this.goal);
+      return;
+    }
+    this.view = undefined;
+    if (seen.some(({ experts }) => experts.length === 0)) return;
+    const { engine } = this.options;
+    const byRank = seen.toSorted((a, b) => a.state.rank - b.state.rank);
+    const map = Array.from({ length: engine.expertSets }, (_, set) =>
+      byRank.map(({ experts }) => experts[set] ?? []),
+    );
+    const shape = {
+      ranks: size,
+      layers: engine.expertSets,
+      experts: engine.experts,
+      slotsPerRank: engine.slotsPerRank,
+    };
+    this.view = {
+      epoch,
+      map,
+      mapVersion,
+      planner: MapPlanner.create(shape, limitsOf(engine)),
+      demand: ExpertDemand.create(engine.expertSets * engine.experts),
+    };
+  }
+
+  private finishGoal(goal: Goal): void {
+    this.goal = undefined;
+    const { version, plan, startedAtMs } = goal;
+    this.options.emit(221, {
+      map: version,
+      copies: plan.copies,
+      durationMs: Math.round(performance.now() - startedAtMs),
+    });
+  }
+
+  private makeGoal(run: SwitchRun): Goal | undefined {
+    const { view } = this;
+    if (view === undefined || view.demand.total < LEAST_TOKENS) {
+      return undefined;
+    }
+    const plan = view.planner.plan(view.map, view.demand.tokens);
+    if (plan === undefined) return undefined;
+    const version = run.takeVersion();
+    const { copies, skewBefore, skewAfter, sets } = plan;
+    this.options.emit(220, { map: version, copies, skewBefore, skewAfter });
+    const { ownRank: holder } = this.options;
+    return { version, sets, holder, plan, startedAtMs: performance.now() };
+  }
+
+  private async send(
+    ranks: readonly GroupRank[],
+    states: readonly RankState[],
+    orders: readonly AddressedOrder[],
+    run: SwitchRun,
+  ): Promise<void> {
+    const { epoch } = states[0];
+    const fence = { epoch, fencing: run.fencing };
+    await Promise.all(
+      orders.map(async ({ rank, order }) => {
+        const index = states.findIndex((state) => state.rank === rank);
+        const isAccepted = await this.sendOne(ranks[index], order, fence);
+        if (isAccepted) run.onAccepted(rank, fence);
+      }),
+    );
+  }
+
+  /** An order without an answer is sent again after the next look. */
+  private async sendOne(
+    rank: GroupRank,
+    order: RankOrder,
+    fence: OrderFence,
+  ): Promise<boolean> {
+    const { emit, seat } = this.options;
+    try {
+      const result = await rank.order(order, fence);
+      if (result.kind === "fenced") {
+        emit(171, { fencing: fence.fencing, highest: null, error: 1701 });
+        seat.onFenced();
+      }
+      if (result.kind === "refused") this.onRefused(order, result.status);
+      return result.kind === "accepted";
+    } catch (error) {
+      const { message } = toFailure(error, 1607);
+      emit(222, { order: order.kind, reason: message });
+      return false;
+    }
+  }
+
+  /** The rank has had a higher version, or can't take the map: a new one. */
+  private onRefused(order: RankOrder, status: number): void {
+    this.options.emit(222, { order: order.kind, reason: String(status) });
+    if (order.kind === "prepare") this.goal = undefined;
+  }
+
+  private pauseAfter(orders: readonly AddressedOrder[]): number {
+    const isUrgent = orders.some(({ order }) => order.kind !== "prepare");
+    if (isUrgent) return URGENT_INTERVAL_MS;
+    return this.goal === undefined ? COUNT_INTERVAL_MS : SWITCH_INTERVAL_MS;
+  }
+}
+
+function limitsOf(engine: EngineFigures): MapLimits {
+  const { expertCopyMs, maximumNewExperts } = engine;
+  const fitting = Math.floor(COPY_BUDGET_MS / Math.max(1, expertCopyMs));
+  return {
+    copiesEachRank: Math.max(1, fitting),
+    copiesEachSet: Math.max(1, maximumNewExperts),
+  };
+}
--- /dev/null
+++ b/src/rankmaps/map-planner.ts
@@ -0,0 +1,146 @@
+/**
+ * A better expert map that few copies lead to. Every copy takes its rank's
+ * link for a while, in which all passes of the group are slower, and by the
+ * end of a long copy demand has turned again; so each map brings a rank only a
+ * few new experts, those that relieve the group most, and the next map goes on
+ * from there.
+ */
+import { LayerSearch } from "../balance/layer-search.js";
+import { EMPTY_SLOT, type GroupShape } from "../balance/types.js";
+import { sum } from "../balance/numbers.js";
+import type { MapSets, RankExperts } from "./types.js";
+
+export interface MapLimits {
+  /** Experts that a rank copies for one map, over all sets. */
+  readonly copiesEachRank: number;
+  /** Experts that a rank copies for one map in one set. */
+  readonly copiesEachSet: number;
+}
+
+export interface MapPlan {
+  readonly sets: MapSets;
+  readonly copies: number;
+  /** Work of the most loaded ranks over even work, before and after. */
+  readonly skewBefore: number;
+  readonly skewAfter: number;
+}
+
+/** Part of the work of the most loaded ranks that a map has to save. */
+const LEAST_SAVING = 0.02;
+/** A set is left alone while its slowest rank is this close to even. */
+const TOLERATED_EXCESS = 0.05;
+
+interface SetState {
+  readonly search: LayerSearch;
+  readonly even: number;
+  readonly before: number;
+  isDone: boolean;
+}
+
+export class MapPlanner {
+  private constructor(
+    private readonly shape: GroupShape,
+    private readonly limits: MapLimits,
+  ) {}
+
+  static create(shape: GroupShape, limits: MapLimits): MapPlanner {
+    return new MapPlanner(shape, limits);
+  }
+
+  /** Undefined when no map is worth a change. */
+  plan(map: MapSets, tokens: Float64Array): MapPlan | undefined {
+    const sets = map.map((ranks, set) => this.load(ranks, tokens, set));
+    const copies = this.improve(sets);
+    const before = sum(sets.map((set) => set.before));
+    const after = sum(sets.map(({ search }) => search.slowest));
+    if (copies === 0 || before - after < before * LEAST_SAVING) {
+      return undefined;
+    }
+    const even = sum(sets.map((set) => set.even));
+    return {
+      sets: sets.map(({ search }) => this.rankExperts(search)),
+      copies,
+      skewBefore: before / even,
+      skewAfter: after / even,
+    };
+  }
+
+  private load(
+    ranks: MapSets[number],
+    tokens: Float64Array,
+    set: number,
+  ): SetState {
+    const { ranks: count, experts } = this.shape;
+    const own = tokens.subarray(set * experts, (set + 1) * experts);
+    const search = LayerSearch.create({ ...this.shape, layers: 1 });
+    const speeds = new Float64Array(count).fill(1);
+    search.load(this.slotsOf(ranks), own, new Float64Array(count), speeds);
+    return {
+      search,
+      even: sum(own) / count,
+      before: search.slowest,
+      isDone: false,
+    };
+  }
+
+  /** Always relieves the set whose slowest rank is furthest from even. */
+  private improve(sets: readonly SetState[]): number {
+    const taken = new Int32Array(this.shape.ranks);
+    const takenInSet = sets.map(() => new Int32Array(this.shape.ranks));
+    let copies = 0;
+    for (;;) {
+      const index = worstOf(sets);
+      if (index === undefined) return copies;
+      const set = sets[index];
+      const step = set.search.improve(1).at(0);
+      if (step === undefined) {
+        set.isDone = true;
+        continue;
+      }
+      for (const slot of step.slots) {
+        const rank = Math.floor(slot / this.shape.slotsPerRank);
+        copies += 1;
+        taken[rank] += 1;
+        takenInSet[index][rank] += 1;
+        if (takenInSet[index][rank] >= this.limits.copiesEachSet) {
+          set.search.close(rank);
+        }
+        if (taken[rank] >= this.limits.copiesEachRank) {
+          for (const { search } of sets) search.close(rank);
+        }
+      }
+    }
+  }
+
+  private slotsOf(ranks: readonly (readonly number[])[]): Int16Array {
+    const { slotsPerRank } = this.shape;
+    const slots = new Int16Array(ranks.length * slotsPerRank).fill(EMPTY_SLOT);
+    ranks.forEach((experts, rank) => {
+      slots.set(experts, rank * slotsPerRank);
+    });
+    return slots;
+  }
+
+  private rankExperts(search: LayerSearch): RankExperts {
+    const { ranks, slotsPerRank } = this.shape;
+    const slots = Array.from(search.currentSlots);
+    return Array.from({ length: ranks }, (_, rank) =>
+      slots
+        .slice(rank * slotsPerRank, (rank + 1) * slotsPerRank)
+        .filter((expert) => expert !== EMPTY_SLOT),
+    );
+  }
+}
+
+function worstOf(sets: readonly SetState[]): number | undefined {
+  let worst: number | undefined;
+  let mostExcess = 0;
+  sets.forEach(({ search, even, isDone }, index) => {
+    if (isDone || search.slowest <= even * (1 + TOLERATED_EXCESS)) return;
+    const excess = search.slowest - even;
+    if (excess <= mostExcess) return;
+    worst = index;
+    mostExcess = excess;
+  });
+  return worst;
+}
--- /dev/null
+++ b/src/rankmaps/planner-seat.ts
@@ -0,0 +1,113 @@
+/**
+ * Which agent plans for a group: a seat that the platform's store gives to one
+ * member of a consumer group. The generation of the assignment rises with each
+ * change and fences the orders of whoever held the seat before.
+ *
+ * While the store is away the holder goes on: nobody else can get the seat
+ * then, and if the store gave it away unseen, the newer generation's orders
+ * overtake ours.
+ */
+import { pause } from "../daemon/background-task.js";
+import { toFailure, type Emit } from "../internal.js";
+
+export interface SeatAssignment {
+  readonly generation: number;
+  readonly isHolder: boolean;
+}
+
+export interface SeatService {
+  /** Joins, or stays in, the group. Throws 1901. */
+  readonly join: (
+    group: string,
+    member: string,
+    generation: number,
+    leaseMs: number,
+  ) => Promise<SeatAssignment>;
+  readonly leave: (group: string, member: string) => Promise<void>;
+}
+
+export interface PlannerSeatOptions {
+  readonly service: SeatService;
+  readonly emit: Emit;
+  /** New for every life of the process, so that a restart is a change. */
+  readonly member: string;
+  readonly leastLeaseMs: number;
+}
+
+/**
+ * Silence after which a member has lost the seat, ms: a group is without a
+ * planner for that long when its planner is killed.
+ */
+const LEASE_MS = 2400;
+/** Several renewals fit a lease, so that one lost answer costs nothing. */
+const RENEWALS_EACH_LEASE = 4;
+
+export class PlannerSeat {
+  private assignment: SeatAssignment = { generation: 0, isHolder: false };
+  private fencedGeneration = -1;
+  private isLost = false;
+
+  private constructor(private readonly options: PlannerSeatOptions) {}
+
+  static create(options: PlannerSeatOptions): PlannerSeat {
+    return new PlannerSeat(options);
+  }
+
+  /** Fences the holder's orders; undefined without the seat. */
+  get generation(): number | undefined {
+    const { generation, isHolder } = this.assignment;
+    if (!isHolder || generation <= this.fencedGeneration) return undefined;
+    return generation;
+  }
+
+  /** An order was refused: somebody with a higher number has the seat. */
+  onFenced(): void {
+    this.fencedGeneration = this.assignment.generation;
+  }
+
+  /** Keeps this process in the group until the signal aborts. */
+  async run(group: string, signal: AbortSignal): Promise<void> {
+    const { leastLeaseMs } = this.options;
+    const leaseMs = Math.max(leastLeaseMs, LEASE_MS);
+    while (!signal.aborted) {
+      await this.renew(group, leaseMs);
+      await pause(leaseMs / RENEWALS_EACH_LEASE, signal);
+    }
+    await this.leave(group);
+  }
+
+  private async renew(group: string, leaseMs: number): Promise<void> {
+    const { service, member, emit } = this.options;
+    const { generation } = this.assignment;
+    try {
+      const next = await service.join(group, member, generation, leaseMs);
+      if (this.isLost) emit(192, { stream: "seats", outageMs: 0 });
+      this.isLost = false;
+      this.take(next);
+    } catch (error) {
+      if (!this.isLost) {
+        emit(191, { stream: "seats", reason: toFailure(error, 1901).message });
+      }
+      this.isLost = true;
+    }
+  }
+
+  private take(next: SeatAssignment): void {
+    const before = this.assignment;
+    this.assignment = next;
+    if (before.isHolder === next.isHolder) return;
+    const { emit } = this.options;
+    if (next.isHolder) emit(173, { fencing: next.generation });
+    else emit(174, { fencing: before.generation, reason: "superseded" });
+  }
+
+  /** So that the next one need not wait for the lease to run out. */
+  private async leave(group: string): Promise<void> {
+    const { service, member, emit } = this.options;
+    try {
+      await service.leave(group, member);
+    } catch (error) {
+      emit(191, { stream: "seats", reason: toFailure(error, 1901).message });
+    }
+  }
+}
--- /dev/null
+++ b/src/rankmaps/rank-client.ts
@@ -0,0 +1,80 @@
+/** A rank of the group as its planner reaches it: over the agent beside it. */
+import { Metadata, type ServiceError } from "@grpc/grpc-js";
+import { channelOptions, clientCredentials } from "../daemon/transport.js";
+import type { TransportSettings } from "../daemon/settings.js";
+import { failure } from "../internal.js";
+import {
+  RankAgentClient,
+  type ObserveRequest,
+} from "../wire/generated/rankmaps.js";
+import {
+  readObservation,
+  writeOrder,
+  type Observation,
+} from "./rank-messages.js";
+import type { OrderFence, OrderResult, RankOrder } from "./types.js";
+
+/**
+ * An agent answers in a few milliseconds; a rank whose answer takes longer is
+ * asked again, because a step may be held meanwhile.
+ */
+const CALL_TIMEOUT_MS = 250;
+
+type Reply<T> = (error: ServiceError | null, value: T) => void;
+
+export class RankClient implements Disposable {
+  private readonly client: RankAgentClient;
+
+  private constructor(
+    readonly address: string,
+    transport: TransportSettings,
+  ) {
+    const credentials = clientCredentials(transport, address);
+    this.client = new RankAgentClient(address, credentials, channelOptions);
+  }
+
+  static create(address: string, transport: TransportSettings): RankClient {
+    return new RankClient(address, transport);
+  }
+
+  /** Throws 1607. */
+  async observe(request: ObserveRequest): Promise<Observation> {
+    const reply = await this.call<Parameters<typeof readObservation>[0]>(
+      (options, done) => {
+        this.client.observe(request, new Metadata(), options, done);
+      },
+    );
+    return readObservation(reply);
+  }
+
+  /** Throws 1607: the order may have been carried out, or may yet be. */
+  async order(order: RankOrder, fence: OrderFence): Promise<OrderResult> {
+    const message = writeOrder(order, fence);
+    const reply = await this.call<{
+      readonly isAccepted: boolean;
+      readonly isFenced: boolean;
+      readonly status: number;
+    }>((options, done) => {
+      this.client.order(message, new Metadata(), options, done);
+    });
+    if (reply.isAccepted) return { kind: "accepted" };
+    if (reply.isFenced) return { kind: "fenced" };
+    return { kind: "refused", status: reply.status };
+  }
+
+  [Symbol.dispose](): void {
+    this.client.close();
+  }
+
+  private call<T>(
+    send: (options: { deadline: number }, done: Reply<T>) => void,
+  ): Promise<T> {
+    const { address } = this;
+    return new Promise((resolve, reject) => {
+      send({ deadline: Date.now() + CALL_TIMEOUT_MS }, (error, value) => {
+        if (error === null) resolve(value);
+        else reject(failure(1607, { address, reason: error.message }, error));
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/rankmaps/rank-messages.ts
@@ -0,0 +1,108 @@
+/** Between the types of this aggregate and the messages between agents. */
+import type {
+  ObserveReply,
+  RankOrderRequest,
+} from "../wire/generated/rankmaps.js";
+import type {
+  MapSets,
+  OrderFence,
+  RankExperts,
+  RankOrder,
+  RankState,
+} from "./types.js";
+
+/** What an agent answers, decoded. */
+export interface Observation {
+  readonly state: RankState;
+  /** Since the last observation with counts; empty unless asked for. */
+  readonly counts: readonly number[];
+  readonly countedMs: number;
+  /** By set; empty unless asked for. */
+  readonly experts: RankExperts;
+}
+
+export function writeObservation(observation: Observation): ObserveReply {
+  const { state, counts, countedMs, experts } = observation;
+  return {
+    ...state,
+    counts,
+    countedMs,
+    experts: experts.map((set) => ({ experts: set })),
+  };
+}
+
+export function readObservation(reply: ObserveReply): Observation {
+  const { counts, countedMs, experts, ...state } = reply;
+  return {
+    state: {
+      ...state,
+      preparedVersion: state.preparedVersion,
+      armed: state.armed,
+      heldStep: state.heldStep,
+    },
+    counts,
+    countedMs,
+    experts: experts.map((set) => set.experts),
+  };
+}
+
+export function writeOrder(
+  order: RankOrder,
+  fence: OrderFence,
+): RankOrderRequest {
+  return { ...fence, order: orderMessage(order) };
+}
+
+/** Undefined for an order that this release doesn't know. */
+export function readOrder(request: RankOrderRequest): RankOrder | undefined {
+  const { order } = request;
+  switch (order?.$case) {
+    case "prepare": {
+      const { version, sets } = order.value;
+      return { kind: "prepare", version, sets: sets.map(readSet) };
+    }
+    case "arm":
+      return { kind: "arm", ...order.value };
+    case "disarm":
+      return { kind: "disarm", version: order.value };
+    case "hold":
+      return { kind: "hold", step: order.value };
+    case "release":
+      return { kind: "release", step: order.value };
+    case undefined:
+      return undefined;
+  }
+}
+
+function orderMessage(order: RankOrder): RankOrderRequest["order"] {
+  switch (order.kind) {
+    case "prepare": {
+      const { version } = order;
+      const sets = order.sets.map(writeSet);
+      return { $case: "prepare", value: { version, sets } };
+    }
+    case "arm": {
+      const { version, step } = order;
+      return { $case: "arm", value: { version, step } };
+    }
+    case "disarm":
+      return { $case: "disarm", value: order.version };
+    case "hold":
+      return { $case: "hold", value: order.step };
+    case "release":
+      return { $case: "release", value: order.step };
+  }
+}
+
+type SetMessage = Extract<
+  NonNullable<RankOrderRequest["order"]>,
+  { readonly $case: "prepare" }
+>["value"]["sets"][number];
+
+function writeSet(ranks: MapSets[number]): SetMessage {
+  return { ranks: ranks.map((experts) => ({ experts })) };
+}
+
+function readSet({ ranks }: SetMessage): MapSets[number] {
+  return ranks.map(({ experts }) => experts);
+}
--- /dev/null
+++ b/src/rankmaps/switch-orders.ts
@@ -0,0 +1,137 @@
+/**
+ * What has to be ordered next so that all ranks of a group change to a map at
+ * one and the same step. Decided from what the ranks show alone, so whoever
+ * plans next can finish a switch that another one began.
+ *
+ * A rank that was told to arm may carry that out seconds after its answer was
+ * due. So a step is held before the first rank is armed for it, and released
+ * only when all ranks show that they are armed. Where that can't be reached,
+ * because another planner's order has replaced what a rank had prepared, the
+ * switch is called off: every rank first accepts an order with a higher fencing
+ * number, which makes all earlier orders void, and only then the step is
+ * released. A hold costs the group a pause at worst, two maps in one step a
+ * wrong answer.
+ */
+import type { MapGoal, RankOrder, RankState } from "./types.js";
+
+export interface AddressedOrder {
+  readonly rank: number;
+  readonly order: RankOrder;
+}
+
+/**
+ * Steps between the last one begun and the one that is held. All ranks are
+ * armed in about 20 ms, and a step takes 30 ms at least, so that a group that
+ * answers in time is never kept waiting.
+ */
+const STEPS_AHEAD = 3;
+
+/** All ranks of one epoch; undefined while they don't show that. */
+export function wholeGroup(
+  states: readonly RankState[],
+): readonly RankState[] | undefined {
+  const first = states.at(0);
+  if (first === undefined) return undefined;
+  const { group, epoch, size } = first;
+  const ranks = new Set<number>();
+  for (const state of states) {
+    if (state.group !== group || state.epoch !== epoch) return undefined;
+    if (!state.isOpen) return undefined;
+    ranks.add(state.rank);
+  }
+  return ranks.size === size ? states : undefined;
+}
+
+/** What a switch that is under way needs. */
+export type PendingSwitch =
+  | { readonly kind: "none" }
+  /** All ranks are armed and let go: the step comes by itself. */
+  | { readonly kind: "coming" }
+  | { readonly kind: "orders"; readonly orders: readonly AddressedOrder[] }
+  /** It can't be finished any more. */
+  | { readonly kind: "call-off" };
+
+export function pendingSwitch(states: readonly RankState[]): PendingSwitch {
+  const armed = states.find((state) => state.armed !== undefined)?.armed;
+  const held = states.find(({ heldStep }) => heldStep !== undefined)?.heldStep;
+  if (armed === undefined && held === undefined) return { kind: "none" };
+  const version = armed?.version ?? commonPrepared(states);
+  const step = armed?.step ?? held;
+  if (version === undefined || step === undefined) return { kind: "call-off" };
+  const unarmed = states.filter((state) => !isArmed(state, version, step));
+  if (unarmed.length === 0) {
+    const orders = releases(states);
+    return orders.length === 0
+      ? { kind: "coming" }
+      : { kind: "orders", orders };
+  }
+  const isArmable = unarmed.every(
+    (state) => state.preparedVersion === version && state.armed === undefined,
+  );
+  if (!isArmable) return { kind: "call-off" };
+  const order = { kind: "arm", version, step } as const;
+  return {
+    kind: "orders",
+    orders: unarmed.map(({ rank }) => ({ rank, order })),
+  };
+}
+
+/**
+ * The orders that call a switch off; none when it is called off. `voided` are
+ * the ranks that have accepted an order with the present fencing number: what
+ * was ordered before can't be carried out there any more.
+ */
+export function callOffOrders(
+  states: readonly RankState[],
+  voided: ReadonlySet<number>,
+  unusedVersion: number,
+): readonly AddressedOrder[] {
+  const left = states.filter(
+    ({ rank, armed }) => armed !== undefined || !voided.has(rank),
+  );
+  if (left.length === 0) return releases(states);
+  return left.map(({ rank, armed }) => ({
+    rank,
+    order: { kind: "disarm", version: armed?.version ?? unusedVersion },
+  }));
+}
+
+/** The next orders towards a new map, when nothing is under way. */
+export function goalOrders(
+  states: readonly RankState[],
+  { version, sets, holder }: MapGoal,
+): readonly AddressedOrder[] {
+  const prepare = { kind: "prepare", version, sets } as const;
+  const missing = states.filter(
+    ({ preparedVersion }) => preparedVersion !== version,
+  );
+  if (missing.length > 0) {
+    return missing.map(({ rank }) => ({ rank, order: prepare }));
+  }
+  const begun = Math.max(...states.map(({ step }) => step));
+  const order = { kind: "hold", step: begun + STEPS_AHEAD } as const;
+  return [{ rank: holder, order }];
+}
+
+export function isInForce(
+  states: readonly RankState[],
+  version: number,
+): boolean {
+  return states.every(({ mapVersion }) => mapVersion === version);
+}
+
+function isArmed({ armed }: RankState, version: number, step: number): boolean {
+  return armed?.version === version && armed.step === step;
+}
+
+function releases(states: readonly RankState[]): readonly AddressedOrder[] {
+  return states.flatMap(({ rank, heldStep: step }) =>
+    step === undefined ? [] : [{ rank, order: { kind: "release", step } }],
+  );
+}
+
+function commonPrepared(states: readonly RankState[]): number | undefined {
+  const version = states.at(0)?.preparedVersion;
+  const isCommon = states.every((state) => state.preparedVersion === version);
+  return isCommon ? version : undefined;
+}
--- /dev/null
+++ b/src/rankmaps/switch-run.ts
@@ -0,0 +1,94 @@
+/**
+ * The switches of one holder of the planner's seat: which orders come next,
+ * under which fencing number and versions. Keeps what can't be read back from
+ * the ranks: which of them have accepted the present fencing number.
+ */
+import {
+  callOffOrders,
+  goalOrders,
+  pendingSwitch,
+  type AddressedOrder,
+} from "./switch-orders.js";
+import type { MapGoal, OrderFence, RankState } from "./types.js";
+
+/** Versions, and fencing numbers, that one generation of the seat can use. */
+const EACH_GENERATION = 1_000_000;
+
+export class SwitchRun {
+  private versions = 0;
+  private callOffs = 0;
+  private isCallingOff = false;
+  private readonly voided = new Set<number>();
+  private epoch = 0;
+
+  private constructor(readonly generation: number) {}
+
+  static create(generation: number): SwitchRun {
+    return new SwitchRun(generation);
+  }
+
+  /** Higher than that of any earlier holder, and of own orders now void. */
+  get fencing(): number {
+    return this.generation * EACH_GENERATION + this.callOffs;
+  }
+
+  /** A version that no rank has had. */
+  takeVersion(): number {
+    this.versions += 1;
+    return this.generation * EACH_GENERATION + this.versions;
+  }
+
+  /** Whether a new map may be begun. */
+  isIdle(states: readonly RankState[]): boolean {
+    return !this.isCallingOff && pendingSwitch(states).kind === "none";
+  }
+
+  nextOrders(
+    states: readonly RankState[],
+    goal: MapGoal | undefined,
+  ): readonly AddressedOrder[] {
+    this.noteEpoch(states);
+    if (this.isCallingOff) {
+      const orders = this.callOff(states);
+      if (orders.length > 0) return orders;
+      this.isCallingOff = false;
+    }
+    const pending = pendingSwitch(states);
+    switch (pending.kind) {
+      case "none":
+        return goal === undefined ? [] : goalOrders(states, goal);
+      case "coming":
+        return [];
+      case "orders":
+        return pending.orders;
+      case "call-off":
+        this.beginCallOff();
+        return this.callOff(states);
+    }
+  }
+
+  /** The rank took an order: what has a lower fencing number is void there. */
+  onAccepted(rank: number, { epoch, fencing }: OrderFence): void {
+    const isPresent = epoch === this.epoch && fencing === this.fencing;
+    if (isPresent) this.voided.add(rank);
+  }
+
+  /** Ranks of a new epoch take no orders of an older one. */
+  private noteEpoch(states: readonly RankState[]): void {
+    const epoch = states.at(0)?.epoch ?? 0;
+    if (epoch === this.epoch) return;
+    this.epoch = epoch;
+    this.isCallingOff = false;
+    this.voided.clear();
+  }
+
+  private beginCallOff(): void {
+    this.isCallingOff = true;
+    this.callOffs += 1;
+    this.voided.clear();
+  }
+
+  private callOff(states: readonly RankState[]): readonly AddressedOrder[] {
+    return callOffOrders(states, this.voided, this.takeVersion());
+  }
+}
--- /dev/null
+++ b/src/rankmaps/types.ts
@@ -0,0 +1,82 @@
+/**
+ * Types of expert maps at engines that hold a step by order: what a rank
+ * tells, what it can be told, and the map of a group.
+ */
+
+export interface ArmedMap {
+  readonly version: number;
+  /** The rank changes to the map as it begins this step. */
+  readonly step: number;
+}
+
+/** What a rank tells of itself. */
+export interface RankState {
+  /** Group that the platform has formed; its ranks make every step together. */
+  readonly group: string;
+  /** New whenever the group was formed anew. */
+  readonly epoch: number;
+  readonly rank: number;
+  readonly size: number;
+  /** False while a rank of the group is missing. */
+  readonly isOpen: boolean;
+  /** The last step that was begun. */
+  readonly step: number;
+  readonly mapVersion: number;
+  /** Version of which the rank has all weights. */
+  readonly preparedVersion: number | undefined;
+  readonly armed: ArmedMap | undefined;
+  /** Step that the group doesn't begin until this rank is released. */
+  readonly heldStep: number | undefined;
+}
+
+/** How often this rank's requests chose each expert. */
+export interface RankCounts {
+  readonly epoch: number;
+  /** Since the rank's start: set * experts + expert. */
+  readonly counts: readonly number[];
+}
+
+/** The experts of one rank, by set. */
+export type RankExperts = readonly (readonly number[])[];
+
+/** A map: experts by set and rank. */
+export type MapSets = readonly (readonly (readonly number[])[])[];
+
+/** A map that all ranks are to change to. */
+export interface MapGoal {
+  readonly version: number;
+  readonly sets: MapSets;
+  /** Rank that holds the step; the planner's own, which it reaches fastest. */
+  readonly holder: number;
+}
+
+export type RankOrder =
+  | {
+      readonly kind: "prepare";
+      readonly version: number;
+      readonly sets: MapSets;
+    }
+  | { readonly kind: "arm"; readonly version: number; readonly step: number }
+  | { readonly kind: "disarm"; readonly version: number }
+  | { readonly kind: "hold"; readonly step: number }
+  | { readonly kind: "release"; readonly step: number };
+
+/** Makes an order harmless once it is out of date. */
+export interface OrderFence {
+  readonly epoch: number;
+  readonly fencing: number;
+}
+
+export type OrderResult =
+  | { readonly kind: "accepted" }
+  | { readonly kind: "refused"; readonly status: number }
+  /** A planner with a higher fencing number has ordered already. */
+  | { readonly kind: "fenced" };
+
+/** One rank, as the adapter of a platform reaches it. All throw 1607. */
+export interface RankPort {
+  readonly observe: () => Promise<RankState>;
+  readonly counts: () => Promise<RankCounts>;
+  readonly experts: () => Promise<RankExperts>;
+  readonly order: (order: RankOrder, fence: OrderFence) => Promise<OrderResult>;
+}
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -45,6 +45,8 @@
   readonly slotsPerRank: number;
   /** Experts new to a rank that one map may bring in one set. */
   readonly maximumNewExperts: number;
+  /** Time in which a rank copies one expert over its link, ms. */
+  readonly expertCopyMs: number;
 }
 
 export interface Service {
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -348,6 +348,26 @@
     next: "repeat, fail or break-off",
     attempt: "number of the attempt",
   }),
+
+  // 220: expert maps of engines that hold a step
+  220: entry("map-planned", "info", "A better expert map was planned.", {
+    map: "version of the new map",
+    copies: "experts to copy",
+    skewBefore: "work of the most loaded ranks over even work, old map",
+    skewAfter: "the same on the new map, as foretold",
+  }),
+  221: entry("map-switched", "info", "All ranks run on the planned map.", {
+    map: "version of the map",
+    copies: "experts that were copied",
+    durationMs: "time since it was planned, ms",
+  }),
+  222: entry("rank-order-failed", "warn", "A rank didn't take an order.", {
+    order: "prepare, arm, hold or release",
+    reason: "status, or why there was no answer",
+  }),
+  223: entry("group-incomplete", "warn", "Not all ranks can be reached.", {
+    reason: "failure seen",
+  }),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- /dev/null
+++ b/tests/rankmaps/held-engines.ts
@@ -0,0 +1,189 @@
+/**
+ * Engines of one group that hold a step by order, as the platform states them:
+ * an order may get no answer and be carried out later, after newer ones.
+ */
+import type { Random } from "../../src/internal.js";
+import type {
+  ArmedMap,
+  OrderFence,
+  RankOrder,
+  RankState,
+} from "../../src/rankmaps/types.js";
+
+export interface History {
+  readonly passes: number;
+  readonly switches: number;
+  readonly mixedPasses: number;
+}
+
+interface Engine {
+  map: number;
+  prepared: number | undefined;
+  highestVersion: number;
+  armed: ArmedMap | undefined;
+  held: number | undefined;
+  fencing: number;
+}
+
+interface Flying {
+  readonly rank: number;
+  readonly order: RankOrder;
+  readonly fence: OrderFence;
+  /** Deliveries that it is late by. */
+  delay: number;
+  /** Its answer was never seen. */
+  readonly isLate: boolean;
+}
+
+/** An order that a rank has taken, and whose answer came back. */
+export interface Acceptance {
+  readonly rank: number;
+  readonly fence: OrderFence;
+}
+
+const LATE_SHARE = 0.3;
+const LOST_SHARE = 0.1;
+const LONGEST_DELAY = 40;
+
+export class HeldEngines {
+  epoch = 1;
+  private step = 0;
+  private engines: Engine[];
+  private flying: Flying[] = [];
+  private isCalm = false;
+  private accepted: Acceptance[] = [];
+  private readonly counted = { passes: 0, switches: 0, mixedPasses: 0 };
+
+  private constructor(
+    private readonly size: number,
+    private readonly random: Random,
+  ) {
+    this.engines = this.fresh();
+  }
+
+  static create(size: number, random: Random): HeldEngines {
+    return new HeldEngines(size, random);
+  }
+
+  get history(): History {
+    return { ...this.counted };
+  }
+
+  states(): readonly RankState[] {
+    return this.engines.map((engine, rank) => ({
+      group: "g",
+      epoch: this.epoch,
+      rank,
+      size: this.size,
+      isOpen: true,
+      step: this.step,
+      mapVersion: engine.map,
+      preparedVersion: engine.prepared,
+      armed: engine.armed,
+      heldStep: engine.held,
+    }));
+  }
+
+  /** From here on every order is carried out at once. */
+  calm(): void {
+    this.isCalm = true;
+  }
+
+  send(rank: number, order: RankOrder, fence: OrderFence): void {
+    const draw = this.random();
+    if (!this.isCalm && draw < LOST_SHARE) return;
+    const isLate = !this.isCalm && draw < LOST_SHARE + LATE_SHARE;
+    const delay = isLate ? 1 + Math.floor(this.random() * LONGEST_DELAY) : 0;
+    this.flying.push({ rank, order, fence, delay, isLate });
+  }
+
+  /** Carries out what is due, and gives the answers that come back. */
+  deliver(): readonly Acceptance[] {
+    this.accepted = [];
+    const due = this.flying.filter(({ delay }) => delay <= 0);
+    this.flying = this.flying.filter(({ delay }) => delay > 0);
+    for (const flying of this.flying) flying.delay -= 1;
+    for (const { rank, order, fence, isLate } of due) {
+      const before = this.accepted.length;
+      this.carryOut(rank, order, fence);
+      if (isLate) this.accepted.length = before;
+    }
+    return this.accepted;
+  }
+
+  /** Begins the next pass, unless a rank holds it. */
+  pass(): void {
+    const next = this.step + 1;
+    if (this.engines.some(({ held }) => held === next)) return;
+    this.step = next;
+    let switched = 0;
+    for (const engine of this.engines) {
+      if (engine.armed?.step !== next) continue;
+      engine.map = engine.armed.version;
+      engine.armed = undefined;
+      engine.prepared = undefined;
+      switched += 1;
+    }
+    const maps = new Set(this.engines.map(({ map }) => map));
+    this.counted.passes += 1;
+    if (switched > 0) this.counted.switches += 1;
+    if (maps.size > 1) this.counted.mixedPasses += 1;
+  }
+
+  /** A rank is gone and back: the group is formed anew. */
+  crash(): void {
+    this.epoch += 1;
+    this.engines = this.fresh();
+  }
+
+  private fresh(): Engine[] {
+    return Array.from({ length: this.size }, () => ({
+      map: 0,
+      prepared: undefined,
+      highestVersion: 0,
+      armed: undefined,
+      held: undefined,
+      fencing: 0,
+    }));
+  }
+
+  private carryOut(rank: number, order: RankOrder, fence: OrderFence): void {
+    const engine = this.engines[rank];
+    if (fence.epoch !== this.epoch || fence.fencing < engine.fencing) return;
+    if (!this.apply(engine, order)) return;
+    // An order that doesn't fit the engine's state leaves no trace.
+    engine.fencing = fence.fencing;
+    this.accepted.push({ rank, fence });
+  }
+
+  /** False when the order doesn't fit the engine's state. */
+  private apply(engine: Engine, order: RankOrder): boolean {
+    switch (order.kind) {
+      case "prepare":
+        if (order.version <= engine.highestVersion) return false;
+        if (engine.armed !== undefined) return false;
+        engine.highestVersion = order.version;
+        engine.prepared = order.version;
+        return true;
+      case "arm":
+        if (engine.prepared !== order.version) return false;
+        if (order.step <= this.step) return false;
+        engine.armed = { version: order.version, step: order.step };
+        return true;
+      case "disarm":
+        if (engine.map === order.version) return false;
+        if (engine.armed?.version === order.version) engine.armed = undefined;
+        return true;
+      case "hold":
+        if (order.step <= this.step) return false;
+        if (engine.held !== undefined && engine.held !== order.step) {
+          return false;
+        }
+        engine.held = order.step;
+        return true;
+      case "release":
+        if (engine.held === order.step) engine.held = undefined;
+        return true;
+    }
+  }
+}
--- /dev/null
+++ b/tests/rankmaps/map-planner.test.ts
@@ -0,0 +1,111 @@
+import * as assert from "uvu/assert";
+import { createRandom } from "../../src/internal.js";
+import { ExpertDemand } from "../../src/rankmaps/demand.js";
+import { MapPlanner } from "../../src/rankmaps/map-planner.js";
+import type { MapSets } from "../../src/rankmaps/types.js";
+import { describe, it } from "../support/describe.js";
+
+const SHAPE = { ranks: 12, layers: 3, experts: 96, slotsPerRank: 11 };
+
+/** The engines' first map: experts in turn. */
+function firstMap(): MapSets {
+  return Array.from({ length: SHAPE.layers }, () =>
+    Array.from({ length: SHAPE.ranks }, (_, rank) =>
+      Array.from({ length: 8 }, (_, place) => rank + place * SHAPE.ranks),
+    ),
+  );
+}
+
+/** A few experts draw most of the demand. */
+function skewedDemand(seed: number): Float64Array {
+  const random = createRandom(seed);
+  const size = SHAPE.layers * SHAPE.experts;
+  return Float64Array.from({ length: size }, () => 1000 * random() ** -0.6);
+}
+
+function copiesOf(before: MapSets, after: MapSets): number[][] {
+  return after.map((ranks, set) =>
+    ranks.map(
+      (experts, rank) =>
+        experts.filter((expert) => !before[set][rank].includes(expert)).length,
+    ),
+  );
+}
+
+describe("map planner", () => {
+  const limits = { copiesEachRank: 1, copiesEachSet: 4 };
+  const planner = MapPlanner.create(SHAPE, limits);
+
+  it("keeps every expert on a rank, within the ranks' places", () => {
+    let map = firstMap();
+    for (let seed = 1; seed <= 30; seed += 1) {
+      map = planner.plan(map, skewedDemand(seed))?.sets ?? map;
+      for (const ranks of map) {
+        const held = new Set(ranks.flat());
+        assert.is(held.size, SHAPE.experts);
+        for (const experts of ranks) {
+          assert.ok(experts.length <= SHAPE.slotsPerRank);
+          assert.is(new Set(experts).size, experts.length);
+        }
+      }
+    }
+  });
+
+  it("brings no rank more new experts than it may copy", () => {
+    let map = firstMap();
+    for (let seed = 1; seed <= 30; seed += 1) {
+      const next = planner.plan(map, skewedDemand(seed))?.sets;
+      if (next === undefined) continue;
+      const copies = copiesOf(map, next);
+      for (let rank = 0; rank < SHAPE.ranks; rank += 1) {
+        const all = copies.reduce((sum, ranks) => sum + ranks[rank], 0);
+        assert.ok(all <= limits.copiesEachRank, `rank ${rank}: ${all}`);
+      }
+      map = next;
+    }
+  });
+
+  it("evens out a lasting demand within a few maps", () => {
+    // Demand turns at once, as when a wave of mandates begins. Passes take as
+    // long as the most loaded rank, so callers wait for its part.
+    const demand = skewedDemand(5);
+    let map = firstMap();
+    const skews: number[] = [];
+    for (let round = 0; round < 8; round += 1) {
+      const plan = planner.plan(map, demand);
+      if (plan === undefined) break;
+      skews.push(plan.skewBefore);
+      map = plan.sets;
+    }
+    const last = planner.plan(map, demand)?.skewBefore ?? 1;
+    assert.ok(skews[0] > 1.6, String(skews[0]));
+    assert.ok(last < 1.25, String(last));
+  });
+
+  it("leaves an even load alone", () => {
+    const size = SHAPE.layers * SHAPE.experts;
+    const even = new Float64Array(size).fill(1000);
+    assert.is(planner.plan(firstMap(), even), undefined);
+  });
+});
+
+describe("expert demand", () => {
+  it("follows a turn of demand within two seconds", () => {
+    const demand = ExpertDemand.create(2);
+    for (let round = 0; round < 40; round += 1) demand.add([[100, 10]], 250);
+    for (let round = 0; round < 8; round += 1) demand.add([[10, 100]], 250);
+    assert.ok(demand.tokens[1] > 3 * demand.tokens[0]);
+  });
+
+  it("adds up what all ranks counted", () => {
+    const demand = ExpertDemand.create(2);
+    demand.add(
+      [
+        [1, 2],
+        [3, 4],
+      ],
+      250,
+    );
+    assert.equal(Array.from(demand.tokens), [4, 6]);
+  });
+});
