--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -3,7 +3,6 @@
  * the platform's store for what the operator wants and who serves.
  */
 import { createServer, type ServerResponse } from "node:http";
-import { Pool, type Dispatcher } from "undici";
 import { sendError } from "../daemon/entry/answer-writer.js";
 import { EventLog } from "../daemon/event-log.js";
 import { listen, type Listening } from "../daemon/listening.js";
@@ -16,6 +15,7 @@
 import type { SiteConfiguration } from "../routing/types.js";
 import { applyBounds, createCallerListener } from "./caller-listener.js";
 import { Forwarder } from "./forwarder.js";
+import { connectRunner } from "./runner-connections.js";
 import { ServiceGate } from "./service-gate.js";
 import { hostPortOf, type DirectEntrySettings } from "./settings.js";
 import type { HeaderCodec } from "./types.js";
@@ -46,13 +46,6 @@
  */
 const REGISTER_INTERVAL_MS = 700;
 
-/** Established within this time or not at all, ms. */
-const CONNECT_TIMEOUT_MS = 800;
-/** Idle connections are closed after this time, ms; runners may be sooner. */
-const IDLE_CONNECTION_MS = 4000;
-/** Connections of one entry to one runner. */
-const CONNECTIONS_EACH_RUNNER = 24;
-
 /**
  * New connections come until the balancer has noticed, which asks once a
  * second and believes the second miss, ms.
@@ -85,7 +78,13 @@
     this.emit = emit;
     const now = (): number => performance.now();
     const random = Math.random;
-    const gate = ServiceGate.create({ now, random, emit, dataCentre, connect });
+    const gate = ServiceGate.create({
+      now,
+      random,
+      emit,
+      dataCentre,
+      connect: connectRunner,
+    });
     this.gate = gate;
     this.directory = BackendServerDirectory.create({
       now,
@@ -262,17 +261,6 @@
   sendError(response, error, retryAfterMs);
 }
 
-function connect(address: string): Dispatcher {
-  return new Pool(`http://${address}`, {
-    connections: CONNECTIONS_EACH_RUNNER,
-    pipelining: 1,
-    connectTimeout: CONNECT_TIMEOUT_MS,
-    keepAliveTimeout: IDLE_CONNECTION_MS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
-}
-
 function sleepMs(ms: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, ms);
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -14,15 +14,18 @@
 import type { KeyedRecord, KeyedTopic } from "../platform/keyed-topic.js";
 import type { EngineFigures, SiteConfiguration } from "../routing/types.js";
 import { RankAgentService } from "../wire/generated/rankmaps.js";
-import { GroupPlanner } from "./group-planner.js";
+import { GroupPlanner, type GroupRank } from "./group-planner.js";
+import { HoldGuard } from "./hold-guard.js";
 import { PlannerSeat, type SeatService } from "./planner-seat.js";
 import { RankAgent } from "./rank-agent.js";
 import { RankClient } from "./rank-client.js";
+import { createReachableRank } from "./reachable-rank.js";
 import type { RankPort, RankState } from "./types.js";
 
 export interface AgentOptions {
   readonly settings: RankAgentSettings;
-  readonly port: RankPort;
+  /** Reaches a runner at host:port. */
+  readonly connectRunner: (address: string) => RankPort;
   readonly seats: SeatService;
   readonly configuration: KeyedTopic;
   readonly configurationKey: string;
@@ -44,15 +47,30 @@
   private readonly server = new Server(channelOptions);
   private readonly stop = new AbortController();
   private readonly clients = new Map<string, RankClient>();
-  private group: readonly RankClient[] = [];
+  private readonly ranks = new Map<string, GroupRank>();
+  private group: readonly GroupRank[] = [];
   private readonly seat: PlannerSeat;
+  private readonly port: RankPort;
 
   private constructor(private readonly options: AgentOptions) {
-    const { settings, port, seats } = options;
+    const { settings, connectRunner, seats } = options;
+    const port = connectRunner(settings.runner);
+    this.port = port;
     const { name, logLevel, store } = settings;
     const events = EventLog.create(name, HybridClock.create(), logLevel);
     this.emit = events.emit;
-    this.agent = RankAgent.create({ port, emit: this.emit });
+    const guard = HoldGuard.create({
+      port,
+      emit: this.emit,
+      group: () => this.knownGroup(),
+      signal: this.stop.signal,
+    });
+    this.agent = RankAgent.create({
+      port,
+      onHold: (step, fence) => {
+        guard.watch(step, fence);
+      },
+    });
     this.seat = PlannerSeat.create({
       service: seats,
       emit: this.emit,
@@ -93,6 +111,7 @@
     while (!signal.aborted) {
       if (this.seat.generation === undefined) {
         planner = undefined;
+        await this.prepareForHolds(own);
         await pause(SEARCH_INTERVAL_MS / 2, signal);
         continue;
       }
@@ -100,11 +119,29 @@
     }
   }
 
+  private async prepareForHolds({ size }: RankState): Promise<void> {
+    if (this.group.length === size) return;
+    try {
+      await this.knownGroup();
+    } catch (error) {
+      this.noteUnreachable(error);
+    }
+  }
+
+  /** Found before it is needed: the store may be away by then. */
+  private async knownGroup(): Promise<readonly GroupRank[]> {
+    const own = await this.port.observe();
+    if (this.group.length !== own.size) {
+      this.group = await this.findGroup(own, this.stop.signal);
+    }
+    return this.group;
+  }
+
   /** Waits until the runner belongs to a group. */
   private async ownState(signal: AbortSignal): Promise<RankState | undefined> {
     while (!signal.aborted) {
       try {
-        const state = await this.options.port.observe();
+        const state = await this.port.observe();
         if (state.size > 0) return state;
       } catch (error) {
         this.noteUnreachable(error);
@@ -142,12 +179,12 @@
     const engine = await this.engineFigures(signal);
     if (engine === undefined || engine.expertSets === 0) return undefined;
     this.group = await this.findGroup(own, signal);
-    const { rank } = await this.options.port.observe();
+    const { rank, size } = await this.port.observe();
     return GroupPlanner.create({
       seat: this.seat,
       emit: this.emit,
       engine,
-      ownRank: rank,
+      holder: (rank + 1) % size,
     });
   }
 
@@ -164,31 +201,26 @@
     return services.find(({ name }) => name === service)?.engine;
   }
 
-  /** The agents beside the runners of the own group. */
+  /** The ranks of the own group among the registered runners. */
   private async findGroup(
     own: RankState,
     signal: AbortSignal,
-  ): Promise<readonly RankClient[]> {
+  ): Promise<readonly GroupRank[]> {
     const { register, decodeServer, settings } = this.options;
     const { records } = await register.newest(signal);
-    const { port } = hostPortOf(settings.peers);
     const addresses = records
       .flatMap((record) => decodeServer(record).server ?? [])
       .filter(({ service }) => service === settings.service)
-      .map(({ address }) => `${hostPortOf(address).host}:${port}`);
-    const clients = [...new Set(addresses)].map((to) => this.clientOf(to));
-    const groups = await Promise.all(
-      clients.map((client) => this.groupOf(client)),
-    );
-    return clients.filter((_, index) => groups[index] === own.group);
+      .map(({ address }) => address);
+    const ranks = [...new Set(addresses)].map((to) => this.rankAt(to));
+    const groups = await Promise.all(ranks.map((rank) => this.groupOf(rank)));
+    return ranks.filter((_, index) => groups[index] === own.group);
   }
 
-  private async groupOf(client: RankClient): Promise<string | undefined> {
+  private async groupOf(rank: GroupRank): Promise<string | undefined> {
     try {
-      const { state } = await client.observe({
-        withCounts: false,
-        withExperts: false,
-      });
+      const request = { withCounts: false, withExperts: false };
+      const { state } = await rank.observe(request);
       return state.group;
     } catch (error) {
       this.noteUnreachable(error);
@@ -196,6 +228,21 @@
     }
   }
 
+  /** `address`: host:port of the runner; its agent is on the same VM. */
+  private rankAt(address: string): GroupRank {
+    const known = this.ranks.get(address);
+    if (known !== undefined) return known;
+    const { host } = hostPortOf(address);
+    const { port } = hostPortOf(this.options.settings.peers);
+    const rank = createReachableRank({
+      agent: this.clientOf(`${host}:${port}`),
+      runner: this.options.connectRunner(address),
+      now: () => performance.now(),
+    });
+    this.ranks.set(address, rank);
+    return rank;
+  }
+
   private clientOf(address: string): RankClient {
     const known = this.clients.get(address);
     if (known !== undefined) return known;
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -2,13 +2,18 @@
  * Plans the expert map of one group while it holds the seat: observes all
  * ranks, follows demand, and takes each better map through its switch.
  */
-import { toFailure, type Emit } from "../internal.js";
+import { raise, toFailure, type Emit } from "../internal.js";
 import type { EngineFigures } from "../routing/types.js";
 import { ExpertDemand } from "./demand.js";
 import { MapPlanner, type MapLimits, type MapPlan } from "./map-planner.js";
 import type { PlannerSeat } from "./planner-seat.js";
 import type { Observation } from "./rank-messages.js";
-import { isInForce, wholeGroup, type AddressedOrder } from "./switch-orders.js";
+import {
+  afterOrders,
+  isInForce,
+  wholeGroup,
+  type AddressedOrder,
+} from "./switch-orders.js";
 import { SwitchRun } from "./switch-run.js";
 import type {
   MapGoal,
@@ -32,8 +37,11 @@
   readonly seat: PlannerSeat;
   readonly emit: Emit;
   readonly engine: EngineFigures;
-  /** Rank of the planner's own runner. */
-  readonly ownRank: number;
+  /**
+   * Rank that holds steps. Not the planner's own: when this process freezes,
+   * the holder's agent finishes what was begun.
+   */
+  readonly holder: number;
 }
 
 /** What is known of the group in its present epoch. */
@@ -68,6 +76,8 @@
 export const SWITCH_INTERVAL_MS = 60;
 /** Between two looks while the ranks are being armed, ms. */
 const URGENT_INTERVAL_MS = 5;
+/** Hold, arm and release, with as many again for ranks that lag. */
+const MOST_ROUNDS = 6;
 
 export class GroupPlanner {
   private view: GroupView | undefined;
@@ -83,7 +93,8 @@
 
   /**
    * One look at the group and what follows from it. Resolves with the time to
-   * the next one, ms. Throws 1607 when a rank can't be reached.
+   * the next one, ms. Throws 1607 when a rank can't be reached, 1606 when they
+   * don't make up a whole group.
    */
   async step(ranks: readonly GroupRank[]): Promise<number> {
     const run = this.currentRun();
@@ -97,13 +108,37 @@
     const states = wholeGroup(seen.map(({ state }) => state));
     if (states === undefined) {
       this.forget();
-      return COUNT_INTERVAL_MS;
+      raise(1606, { ranks: seen.length });
     }
     this.takeIn(seen, states, withCounts, nowMs);
     if (run.isIdle(states)) this.goal ??= this.makeGoal(run);
-    const orders = run.nextOrders(states, this.goal);
-    await this.send(ranks, states, orders, run);
-    return this.pauseAfter(orders);
+    return this.carryOut(ranks, states, run);
+  }
+
+  /**
+   * Goes on at once while ranks confirm what was ordered: between the hold and
+   * the release the group depends on this process being alive.
+   */
+  private async carryOut(
+    ranks: readonly GroupRank[],
+    seen: readonly RankState[],
+    run: SwitchRun,
+  ): Promise<number> {
+    let states = seen;
+    for (let round = 0; round < MOST_ROUNDS; round += 1) {
+      const orders = run.nextOrders(states, this.goal);
+      if (orders.length === 0) return this.calmInterval();
+      const done = await this.send(ranks, states, orders, run);
+      const isPreparing = orders.some(({ order }) => order.kind === "prepare");
+      if (isPreparing) return SWITCH_INTERVAL_MS;
+      if (!done) return URGENT_INTERVAL_MS;
+      states = afterOrders(states, orders);
+    }
+    return URGENT_INTERVAL_MS;
+  }
+
+  private calmInterval(): number {
+    return this.goal === undefined ? COUNT_INTERVAL_MS : SWITCH_INTERVAL_MS;
   }
 
   /** One run for each generation of the seat. */
@@ -196,25 +231,29 @@
     const version = run.takeVersion();
     const { copies, skewBefore, skewAfter, sets } = plan;
     this.options.emit(220, { map: version, copies, skewBefore, skewAfter });
-    const { ownRank: holder } = this.options;
+    const { holder } = this.options;
     return { version, sets, holder, plan, startedAtMs: performance.now() };
   }
 
+  /** True when every rank confirms that it is as ordered. */
   private async send(
     ranks: readonly GroupRank[],
     states: readonly RankState[],
     orders: readonly AddressedOrder[],
     run: SwitchRun,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { epoch } = states[0];
     const fence = { epoch, fencing: run.fencing };
-    await Promise.all(
+    const confirmed = await Promise.all(
       orders.map(async ({ rank, order }) => {
         const index = states.findIndex((state) => state.rank === rank);
-        const isAccepted = await this.sendOne(ranks[index], order, fence);
-        if (isAccepted) run.onAccepted(rank, fence);
+        const result = await this.sendOne(ranks[index], order, fence);
+        if (result?.kind !== "accepted") return false;
+        run.onAccepted(rank, fence);
+        return result.isDone;
       }),
     );
+    return confirmed.every((isDone) => isDone);
   }
 
   /** An order without an answer is sent again after the next look. */
@@ -222,7 +261,7 @@
     rank: GroupRank,
     order: RankOrder,
     fence: OrderFence,
-  ): Promise<boolean> {
+  ): Promise<OrderResult | undefined> {
     const { emit, seat } = this.options;
     try {
       const result = await rank.order(order, fence);
@@ -231,11 +270,11 @@
         seat.onFenced();
       }
       if (result.kind === "refused") this.onRefused(order, result.status);
-      return result.kind === "accepted";
+      return result;
     } catch (error) {
       const { message } = toFailure(error, 1607);
       emit(222, { order: order.kind, reason: message });
-      return false;
+      return undefined;
     }
   }
 
@@ -244,12 +283,6 @@
     this.options.emit(222, { order: order.kind, reason: String(status) });
     if (order.kind === "prepare") this.goal = undefined;
   }
-
-  private pauseAfter(orders: readonly AddressedOrder[]): number {
-    const isUrgent = orders.some(({ order }) => order.kind !== "prepare");
-    if (isUrgent) return URGENT_INTERVAL_MS;
-    return this.goal === undefined ? COUNT_INTERVAL_MS : SWITCH_INTERVAL_MS;
-  }
 }
 
 function limitsOf(engine: EngineFigures): MapLimits {
--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -3,7 +3,7 @@
  * runner, whose counters are fresh and cost nothing there.
  */
 import type { sendUnaryData, ServerUnaryCall } from "@grpc/grpc-js";
-import { toFailure, type Emit } from "../internal.js";
+import { toFailure } from "../internal.js";
 import type {
   ObserveReply,
   ObserveRequest,
@@ -16,17 +16,19 @@
   writeObservation,
   type Observation,
 } from "./rank-messages.js";
-import type { OrderResult, RankCounts, RankPort } from "./types.js";
+import type { OrderFence, OrderResult, RankCounts, RankPort } from "./types.js";
 
 export interface RankAgentOptions {
   readonly port: RankPort;
-  readonly emit: Emit;
+  /** The own rank has taken an order to hold a step. */
+  readonly onHold: (step: number, fence: OrderFence) => void;
 }
 
 const REFUSED: RankOrderReply = {
   isAccepted: false,
   isFenced: false,
   status: 0,
+  isDone: false,
 };
 
 export class RankAgent {
@@ -75,7 +77,11 @@
     const order = readOrder(request);
     if (order === undefined) return REFUSED;
     const { epoch, fencing } = request;
-    const result = await this.options.port.order(order, { epoch, fencing });
+    const fence = { epoch, fencing };
+    const result = await this.options.port.order(order, fence);
+    if (order.kind === "hold" && result.kind === "accepted") {
+      this.options.onHold(order.step, fence);
+    }
     return replyOf(result);
   }
 
@@ -103,6 +109,7 @@
     isAccepted: result.kind === "accepted",
     isFenced: result.kind === "fenced",
     status: result.kind === "refused" ? result.status : 0,
+    isDone: result.kind === "accepted" && result.isDone,
   };
 }
 
--- a/src/rankmaps/rank-client.ts
+++ b/src/rankmaps/rank-client.ts
@@ -5,7 +5,9 @@
 import { failure } from "../internal.js";
 import {
   RankAgentClient,
+  type ObserveReply,
   type ObserveRequest,
+  type RankOrderReply,
 } from "../wire/generated/rankmaps.js";
 import {
   readObservation,
@@ -39,25 +41,20 @@
 
   /** Throws 1607. */
   async observe(request: ObserveRequest): Promise<Observation> {
-    const reply = await this.call<Parameters<typeof readObservation>[0]>(
-      (options, done) => {
-        this.client.observe(request, new Metadata(), options, done);
-      },
-    );
+    const reply = await this.call<ObserveReply>((options, done) => {
+      this.client.observe(request, new Metadata(), options, done);
+    });
     return readObservation(reply);
   }
 
   /** Throws 1607: the order may have been carried out, or may yet be. */
   async order(order: RankOrder, fence: OrderFence): Promise<OrderResult> {
     const message = writeOrder(order, fence);
-    const reply = await this.call<{
-      readonly isAccepted: boolean;
-      readonly isFenced: boolean;
-      readonly status: number;
-    }>((options, done) => {
+    const reply = await this.call<RankOrderReply>((options, done) => {
       this.client.order(message, new Metadata(), options, done);
     });
-    if (reply.isAccepted) return { kind: "accepted" };
+    const { isDone } = reply;
+    if (reply.isAccepted) return { kind: "accepted", isDone };
     if (reply.isFenced) return { kind: "fenced" };
     return { kind: "refused", status: reply.status };
   }
--- a/src/rankmaps/switch-orders.ts
+++ b/src/rankmaps/switch-orders.ts
@@ -58,7 +58,7 @@
   const version = armed?.version ?? commonPrepared(states);
   const step = armed?.step ?? held;
   if (version === undefined || step === undefined) return { kind: "call-off" };
-  const unarmed = states.filter((state) => !isArmed(state, version, step));
+  const unarmed = states.filter((state) => !isBound(state, version, step));
   if (unarmed.length === 0) {
     const orders = releases(states);
     return orders.length === 0
@@ -120,10 +120,48 @@
   return states.every(({ mapVersion }) => mapVersion === version);
 }
 
-function isArmed({ armed }: RankState, version: number, step: number): boolean {
+/**
+ * Armed for the step, or changed to the map already: ranks are looked at one
+ * after the other, and the step may begin in between.
+ */
+function isBound(
+  { armed, mapVersion }: RankState,
+  version: number,
+  step: number,
+): boolean {
+  if (mapVersion === version) return true;
   return armed?.version === version && armed.step === step;
 }
 
+/** The group as it is once the orders are carried out. */
+export function afterOrders(
+  states: readonly RankState[],
+  orders: readonly AddressedOrder[],
+): readonly RankState[] {
+  return states.map((state) =>
+    orders
+      .filter(({ rank }) => rank === state.rank)
+      .reduce((before, { order }) => afterOrder(before, order), state),
+  );
+}
+
+function afterOrder(state: RankState, order: RankOrder): RankState {
+  switch (order.kind) {
+    case "prepare":
+      return state;
+    case "arm": {
+      const { version, step } = order;
+      return { ...state, armed: { version, step } };
+    }
+    case "disarm":
+      return { ...state, armed: undefined };
+    case "hold":
+      return { ...state, heldStep: order.step };
+    case "release":
+      return { ...state, heldStep: undefined };
+  }
+}
+
 function releases(states: readonly RankState[]): readonly AddressedOrder[] {
   return states.flatMap(({ rank, heldStep: step }) =>
     step === undefined ? [] : [{ rank, order: { kind: "release", step } }],
--- a/src/rankmaps/types.ts
+++ b/src/rankmaps/types.ts
@@ -46,7 +46,7 @@
 export interface MapGoal {
   readonly version: number;
   readonly sets: MapSets;
-  /** Rank that holds the step; the planner's own, which it reaches fastest. */
+  /** Rank that holds the step. */
   readonly holder: number;
 }
 
@@ -68,7 +68,8 @@
 }
 
 export type OrderResult =
-  | { readonly kind: "accepted" }
+  /** `isDone`: the rank is in the ordered state, not only on its way. */
+  | { readonly kind: "accepted"; readonly isDone: boolean }
   | { readonly kind: "refused"; readonly status: number }
   /** A planner with a higher fencing number has ordered already. */
   | { readonly kind: "fenced" };
--- a/tests/rankmaps/held-engines.ts
+++ b/tests/rankmaps/held-engines.ts
@@ -69,8 +69,19 @@
     return { ...this.counted };
   }
 
+  /** Asked one after the other: passes may begin in between. */
   states(): readonly RankState[] {
-    return this.engines.map((engine, rank) => ({
+    const states: RankState[] = [];
+    for (let rank = 0; rank < this.size; rank += 1) {
+      states.push(this.stateOf(rank));
+      if (!this.isCalm && this.random() < 0.05) this.pass();
+    }
+    return states;
+  }
+
+  private stateOf(rank: number): RankState {
+    const engine = this.engines[rank];
+    return {
       group: "g",
       epoch: this.epoch,
       rank,
@@ -81,7 +92,7 @@
       preparedVersion: engine.prepared,
       armed: engine.armed,
       heldStep: engine.held,
-    }));
+    };
   }
 
   /** From here on every order is carried out at once. */
--- a/tests/rankmaps/switch-orders.test.ts
+++ b/tests/rankmaps/switch-orders.test.ts
@@ -1,8 +1,12 @@
 import * as assert from "uvu/assert";
 import { createRandom, type Random } from "../../src/internal.js";
-import { pendingSwitch, wholeGroup } from "../../src/rankmaps/switch-orders.js";
+import {
+  afterOrders,
+  pendingSwitch,
+  wholeGroup,
+} from "../../src/rankmaps/switch-orders.js";
 import { SwitchRun } from "../../src/rankmaps/switch-run.js";
-import type { MapGoal } from "../../src/rankmaps/types.js";
+import type { MapGoal, RankState } from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
 import { HeldEngines, type History } from "./held-engines.js";
 
@@ -37,19 +41,33 @@
     if (run.isIdle(states)) {
       this.goal ??= { version: run.takeVersion(), sets: [], holder: 0 };
     }
-    const fence = { epoch: engines.epoch, fencing: run.fencing };
-    for (const { rank, order } of run.nextOrders(states, this.goal)) {
-      engines.send(rank, order, { ...fence, fencing: run.fencing });
-      for (const answer of engines.deliver()) {
-        run.onAccepted(answer.rank, answer.fence);
-      }
-    }
+    this.carryOut(states);
     // Refused as not higher than what the rank has had: a new version.
     const isStuck = states.some(
       ({ preparedVersion = 0 }) => preparedVersion > (this.goal?.version ?? 0),
     );
     if (isStuck) this.goal = undefined;
   }
+
+  /** Goes on at once as long as every rank confirms. */
+  private carryOut(seen: readonly RankState[]): void {
+    const { engines, run } = this;
+    let states = seen;
+    for (;;) {
+      const orders = run.nextOrders(states, this.goal);
+      if (orders.length === 0) return;
+      const { fencing } = run;
+      const confirmed = orders.filter(({ rank, order }) => {
+        engines.send(rank, order, { epoch: engines.epoch, fencing });
+        const answers = engines.deliver();
+        for (const answer of answers) run.onAccepted(answer.rank, answer.fence);
+        return answers.some((answer) => answer.rank === rank);
+      });
+      const isPreparing = orders.some(({ order }) => order.kind === "prepare");
+      if (isPreparing || confirmed.length < orders.length) return;
+      states = afterOrders(states, orders);
+    }
+  }
 }
 
 /** Plays a history in which every order may be lost, late or both. */
@@ -128,6 +146,20 @@
     assert.equal(second, [{ rank: 2, order: { kind: "release", step: 5 } }]);
   });
 
+  it("takes a rank that has changed already for one that is armed", () => {
+    // Ranks are asked one after the other, and the step begins in between: the
+    // first still shows that it is armed, the second that it has changed.
+    const engines = HeldEngines.create(2, createRandom(1));
+    engines.calm();
+    const [first, second] = engines.states();
+    const armed = { version: 7, step: 3 };
+    const seen = [
+      { ...first, armed },
+      { ...second, mapVersion: 7 },
+    ];
+    assert.is(pendingSwitch(seen).kind, "coming");
+  });
+
   it("asks nothing of a group that is not whole", () => {
     const engines = HeldEngines.create(RANKS, createRandom(1));
     assert.is(wholeGroup(engines.states().slice(1)), undefined);
