Try the direct path against stand-ins of the users' platform

Stand-ins of the store's keyed topics and of a runner that names itself, with the wire names from the adapter, and 24 tests of what callers get. Their first run showed that an answer which was under way when the process was told to stop kept its connection open for more; it announces the close now.

--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -67,7 +67,8 @@
   private hasRegister = false;
   private isLeaving = false;
   private isClosed = false;
-  private open = 0;
+  /** Answers to the requests that are being served. */
+  private readonly open = new Set<ServerResponse>();
   private listening: Listening[] = [];
 
   private constructor(private readonly options: DirectEntryOptions) {
@@ -104,11 +105,11 @@
       isLeaving: () => this.isLeaving,
       isClosed: () => this.isClosed,
       serve: async (call, response) => {
-        this.open += 1;
+        this.open.add(response);
         try {
           await this.forwarder.serve(call, response);
         } finally {
-          this.open -= 1;
+          this.open.delete(response);
         }
       },
       fail,
@@ -125,22 +126,34 @@
     return this.routes !== undefined && this.hasRegister && !this.isLeaving;
   }
 
+  /** host:port, with the ports that the system handed out. */
+  get addresses(): { readonly callers: string; readonly readiness: string } {
+    const [callers, readiness] = this.listening;
+    return { callers: callers.address, readiness: readiness.address };
+  }
+
+  /** Runners that may get work. */
+  get runnerCount(): number {
+    return this.directory.size;
+  }
+
   /** Ends what runs, as far as the grace period allows. */
   async leave(): Promise<void> {
     if (this.isLeaving) return;
     this.isLeaving = true;
     const graceMs = this.options.settings.graceSeconds * 1000;
     this.emit(102, { graceMs });
+    for (const response of this.open) announceClose(response);
     const startedAtMs = performance.now();
     const elapsed = (): number => performance.now() - startedAtMs;
     while (elapsed() < NOTICE_MS) await sleepMs(DRAIN_POLL_MS);
     this.isClosed = true;
     this.server.close();
-    this.server.closeIdleConnections();
-    while (this.open > 0 && elapsed() < graceMs * GRACE_SHARE) {
+    while (this.open.size > 0 && elapsed() < graceMs * GRACE_SHARE) {
+      this.server.closeIdleConnections();
       await sleepMs(DRAIN_POLL_MS);
     }
-    this.emit(103, { cutRequests: this.open });
+    this.emit(103, { cutRequests: this.open.size });
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -253,6 +266,11 @@
   }
 }
 
+/** So that the caller sends nothing more on this connection. */
+function announceClose(response: ServerResponse): void {
+  if (!response.headersSent) response.setHeader("connection", "close");
+}
+
 function fail(
   response: ServerResponse,
   error: Parameters<typeof sendError>[1],
--- /dev/null
+++ b/standins/keyed-store.ts
@@ -0,0 +1,178 @@
+/**
+ * Stand-in of the users' store as far as the direct path reads it: keyed
+ * topics with their newest records and history, outages, a forgotten history,
+ * connections that fall silent, and groups with one seat.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import { paths } from "../platform/names.js";
+import { listen, type Listening } from "../src/daemon/listening.js";
+
+interface StoredRecord {
+  readonly key: string;
+  readonly value: Buffer | undefined;
+}
+
+/** How the store treats calls for the time being. */
+export type StoreMood = "well" | "refusing" | "silent";
+
+const GONE = 410;
+const UNAVAILABLE = 503;
+const LONGEST_WAIT_MS = 30_000;
+
+class Topic {
+  readonly records: StoredRecord[] = [];
+  firstOffset = 0;
+  private readonly waiting = new Set<() => void>();
+
+  append(record: StoredRecord): void {
+    this.records.push(record);
+    for (const wake of this.waiting) wake();
+  }
+
+  get nextOffset(): number {
+    return this.records.length;
+  }
+
+  async waitBeyond(offset: number, waitMs: number): Promise<void> {
+    if (this.nextOffset > offset || waitMs <= 0) return;
+    await new Promise<void>((resolve) => {
+      const done = (): void => {
+        clearTimeout(timer);
+        this.waiting.delete(done);
+        resolve();
+      };
+      const timer = setTimeout(done, waitMs);
+      this.waiting.add(done);
+    });
+  }
+}
+
+export class KeyedStore implements AsyncDisposable {
+  mood: StoreMood = "well";
+  /** Calls by path, refused ones included. */
+  readonly calls = new Map<string, number>();
+  private readonly topics = new Map<string, Topic>();
+  private listening: Listening | undefined;
+
+  private constructor() {
+    // Made by create.
+  }
+
+  static async create(): Promise<KeyedStore> {
+    const store = new KeyedStore();
+    const server = createServer((request, response) => {
+      void store.answer(request, response);
+    });
+    store.listening = await listen(server, { host: "127.0.0.1", port: 0 });
+    return store;
+  }
+
+  /** host:port */
+  get address(): string {
+    return this.listening?.address ?? "";
+  }
+
+  put(topic: string, key: string, value: unknown): void {
+    const bytes = Buffer.from(JSON.stringify(value));
+    this.topicOf(topic).append({ key, value: bytes });
+  }
+
+  drop(topic: string, key: string): void {
+    this.topicOf(topic).append({ key, value: undefined });
+  }
+
+  /** The newest record of each key stays. */
+  forgetHistory(topic: string): void {
+    const known = this.topicOf(topic);
+    known.firstOffset = known.nextOffset;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.listening?.[Symbol.asyncDispose]();
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://store");
+    this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
+    if (this.mood === "silent") return;
+    if (this.mood === "refusing") {
+      response.writeHead(UNAVAILABLE).end();
+      return;
+    }
+    const topic = this.topicOf(url.searchParams.get("topic") ?? "");
+    if (url.pathname === paths.newest) sendNewest(topic, response);
+    else if (url.pathname === paths.read) {
+      await this.sendChanges(topic, url.searchParams, response);
+    } else response.writeHead(404).end();
+  }
+
+  private async sendChanges(
+    topic: Topic,
+    query: URLSearchParams,
+    response: ServerResponse,
+  ): Promise<void> {
+    const from = Number(query.get("start_key"));
+    const waitMs = Math.min(Number(query.get("wait_ms")), LONGEST_WAIT_MS);
+    await topic.waitBeyond(from, waitMs);
+    if (from < topic.firstOffset) {
+      sendJson(response, GONE, { start_offset: topic.firstOffset });
+      return;
+    }
+    const head = Buffer.alloc(16);
+    head.writeBigUInt64BE(BigInt(topic.nextOffset), 0);
+    head.writeBigUInt64BE(BigInt(topic.firstOffset), 8);
+    const records = topic.records.slice(from).map(encodeRecord);
+    response.writeHead(200).end(Buffer.concat([head, ...records]));
+  }
+
+  private topicOf(name: string): Topic {
+    const known = this.topics.get(name);
+    if (known !== undefined) return known;
+    const topic = new Topic();
+    this.topics.set(name, topic);
+    return topic;
+  }
+}
+
+function sendNewest(topic: Topic, response: ServerResponse): void {
+  const newest = new Map<string, Buffer>();
+  for (const { key, value } of topic.records) {
+    if (value === undefined) newest.delete(key);
+    else newest.set(key, value);
+  }
+  const entries = [...newest].map(([key, value]) => ({
+    key,
+    data: value.toString("base64"),
+    offset: 0,
+  }));
+  const { nextOffset } = topic;
+  sendJson(response, 200, { entries, has_more: false, end_offset: nextOffset });
+}
+
+function encodeRecord({ key, value = Buffer.alloc(0) }: StoredRecord): Buffer {
+  const keyBytes = Buffer.from(key);
+  const record = Buffer.concat([
+    Buffer.from([keyBytes.length]),
+    keyBytes,
+    value,
+  ]);
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(record.length);
+  return Buffer.concat([length, record]);
+}
+
+function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/standins/signing-runner.ts
@@ -0,0 +1,156 @@
+/**
+ * Stand-in of a runner of the users' platform: names itself, signs what it
+ * answers, refuses what is meant for another, and misbehaves on demand.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import { headerNames } from "../platform/names.js";
+import { listen, type Listening } from "../src/daemon/listening.js";
+
+/** A request as the runner got it. */
+export interface Arrival {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+  /** Set when the connection closed before the answer was whole. */
+  isAbandoned: boolean;
+}
+
+export interface Exchange {
+  readonly arrival: Arrival;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Names the runner and the attempt. */
+  readonly signed: Readonly<Record<string, string>>;
+}
+
+export type Behaviour = (exchange: Exchange) => void | Promise<void>;
+
+const MISDIRECTED = 421;
+
+export class SigningRunner implements AsyncDisposable {
+  readonly arrivals: Arrival[] = [];
+  private listening: Listening | undefined;
+
+  private constructor(
+    readonly id: string,
+    private behave: Behaviour,
+  ) {}
+
+  static async create(id: string, behave: Behaviour): Promise<SigningRunner> {
+    const runner = new SigningRunner(id, behave);
+    const server = createServer((request, response) => {
+      void runner.answer(request, response);
+    });
+    runner.listening = await listen(server, { host: "127.0.0.1", port: 0 });
+    return runner;
+  }
+
+  /** host:port */
+  get address(): string {
+    return this.listening?.address ?? "";
+  }
+
+  set behaviour(behave: Behaviour) {
+    this.behave = behave;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.listening?.[Symbol.asyncDispose]();
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    request.on("error", () => undefined);
+    response.on("error", () => undefined);
+    const expected = request.headers[headerNames.expectedRunner];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(MISDIRECTED).end();
+      return;
+    }
+    const arrival = await readArrival(request);
+    response.once("close", () => {
+      arrival.isAbandoned = !response.writableFinished;
+    });
+    this.arrivals.push(arrival);
+    const attempt = String(request.headers[headerNames.attemptId]);
+    const signed = {
+      [headerNames.attemptId]: attempt,
+      [headerNames.signature]: `${this.id}.${attempt}`,
+    };
+    await this.behave({ arrival, request, response, signed });
+  }
+}
+
+/** A whole answer. */
+export function answerWith(body: string, status = 200): Behaviour {
+  return ({ response, signed }) => {
+    response.writeHead(status, signed).end(body);
+  };
+}
+
+/** Says that it is full; nothing was run. */
+export const refuseAsFull: Behaviour = ({ response }) => {
+  response.writeHead(503, { [headerNames.notRun]: "1" }).end();
+};
+
+/** Takes the request and resets the connection. */
+export const resetUnanswered: Behaviour = ({ request }) => {
+  request.socket.resetAndDestroy();
+};
+
+/** Never answers. */
+export const staySilent: Behaviour = () => undefined;
+
+/**
+ * A stream of events numbered on from the last one that the caller has. With
+ * `breakAfter`, the connection is reset inside the event after that one.
+ */
+export function streamEvents(total: number, breakAfter?: number): Behaviour {
+  return async ({ request, response, signed }) => {
+    const after = Number(request.headers[headerNames.lastEventId] ?? 0);
+    response.writeHead(200, {
+      ...signed,
+      "content-type": "text/event-stream",
+    });
+    for (let id = after + 1; id <= total; id += 1) {
+      if (breakAfter !== undefined && id > breakAfter) {
+        response.write(`id: ${id}\ndata: ha`);
+        await sleepMs(5);
+        request.socket.resetAndDestroy();
+        return;
+      }
+      response.write(eventOf(id));
+      await sleepMs(1);
+    }
+    response.end();
+  };
+}
+
+export function eventOf(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+async function readArrival(request: IncomingMessage): Promise<Arrival> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  return {
+    method: request.method ?? "",
+    target: request.url ?? "",
+    headers: request.headers,
+    body: Buffer.concat(parts).toString(),
+    isAbandoned: false,
+  };
+}
+
+function sleepMs(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/tests/platform/direct-path.test.ts
@@ -0,0 +1,352 @@
+import * as assert from "uvu/assert";
+import { headerNames, paths } from "../../platform/names.js";
+import {
+  answerWith,
+  eventOf,
+  refuseAsFull,
+  resetUnanswered,
+  staySilent,
+  streamEvents,
+} from "../../standins/signing-runner.js";
+import { describe, it } from "../support/describe.js";
+import { CREDENTIAL, EntrySite } from "./entry-site.js";
+
+const EVENTS = 6;
+
+function wholeStream(): string {
+  return Array.from({ length: EVENTS }, (_, index) => eventOf(index + 1)).join(
+    "",
+  );
+}
+
+function arrivalsOf(site: EntrySite): number {
+  return site.runners.reduce((sum, { arrivals }) => sum + arrivals.length, 0);
+}
+
+describe("direct path of an entry", () => {
+  describe("before it knows the site", () => {
+    it("isn't ready and says that nothing was run", async () => {
+      await using site = await EntrySite.create();
+      assert.is(await site.readiness(), 503);
+      const { status, headers } = await site.call({ path: "/often/a" });
+      assert.is(status, 503);
+      assert.ok(Number(headers["retry-after"]) > 0);
+    });
+  });
+
+  describe("passes on", () => {
+    it("method, path, query and body unchanged, and the answer as it came", async () => {
+      await using site = await EntrySite.serving(answerWith("done", 201));
+      const answer = await site.call({
+        path: "/once/a%20b?c=1&c=2",
+        method: "POST",
+        body: "text",
+        headers: { "x-other": "kept" },
+      });
+      assert.is(answer.status, 201);
+      assert.is(answer.body, "done");
+      assert.ok(answer.headers[headerNames.signature] !== undefined);
+      const [arrival] = site.runners[0].arrivals;
+      assert.is(arrival.method, "POST");
+      assert.is(arrival.target, "/once/a%20b?c=1&c=2");
+      assert.is(arrival.body, "text");
+      assert.is(arrival.headers["x-other"], "kept");
+    });
+
+    it("the account's name, never the key, whatever the caller claims", async () => {
+      await using site = await EntrySite.serving(answerWith("ok"));
+      await site.call({
+        path: "/often/a",
+        headers: {
+          [headerNames.account]: "somebody-else",
+          [headerNames.expectedRunner]: "r9",
+        },
+      });
+      const { headers } = site.runners[0].arrivals[0];
+      assert.is(headers[headerNames.account], "account-1");
+      assert.is(headers[headerNames.credential], undefined);
+      assert.is(headers[headerNames.expectedRunner], "r0");
+    });
+
+    it("what is left of the caller's time, never more", async () => {
+      await using site = await EntrySite.serving(answerWith("ok"));
+      await site.call({
+        path: "/often/a",
+        headers: { [headerNames.deadlineMs]: "900" },
+      });
+      const { headers } = site.runners[0].arrivals[0];
+      const leftMs = Number(headers[headerNames.deadlineMs]);
+      assert.ok(leftMs > 0 && leftMs <= 900, String(leftMs));
+    });
+  });
+
+  describe("refuses", () => {
+    it("unknown paths, unknown keys and bodies over the limit", async () => {
+      await using site = await EntrySite.serving(answerWith("ok"));
+      const unknown = await site.call({ path: "/nowhere/" });
+      const stranger = await site.call({
+        path: "/often/a",
+        headers: { [headerNames.credential]: "wrong" },
+      });
+      const large = await site.call({
+        path: "/once/a",
+        method: "POST",
+        body: "x".repeat(1001),
+      });
+      assert.equal(
+        [unknown.status, stranger.status, large.status],
+        [404, 401, 413],
+      );
+      assert.is(arrivalsOf(site), 0);
+    });
+
+    it("a key that was taken away, on a connection that is open", async () => {
+      await using site = await EntrySite.serving(answerWith("ok"));
+      assert.is((await site.call({ path: "/often/a" })).status, 200);
+      const tenants = [{ name: "account-1", api_keys: ["key-two"] }];
+      site.configure({ version: 2, tenants });
+      await site.until(
+        async () => (await site.call({ path: "/often/a" })).status === 401,
+      );
+      assert.not.equal(CREDENTIAL, "key-two");
+    });
+
+    it("never goes back to an older configuration", async () => {
+      await using site = await EntrySite.serving(answerWith("ok"));
+      site.configure({
+        version: 3,
+        tenants: [{ name: "a", api_keys: ["new"] }],
+      });
+      await site.until(
+        async () => (await site.call({ path: "/often/a" })).status === 401,
+      );
+      const reads = (): number => site.store.calls.get(paths.read) ?? 0;
+      const before = reads();
+      site.configure({ version: 2 });
+      await site.until(() => reads() > before + 2);
+      assert.is((await site.call({ path: "/often/a" })).status, 401);
+    });
+  });
+
+  describe("when a runner fails", () => {
+    it("runs a request that may not be repeated at most once", async () => {
+      // The runner takes the order and the connection is reset before the
+      // answer. It may have run: a second one could do it twice, so the caller
+      // learns that nobody knows.
+      await using site = await EntrySite.serving(
+        resetUnanswered,
+        resetUnanswered,
+      );
+      const { status } = await site.call({ path: "/once/a", method: "POST" });
+      assert.is(status, 504);
+      assert.is(arrivalsOf(site), 1);
+    });
+
+    it("tries another one that has not refused", async () => {
+      await using site = await EntrySite.serving(
+        refuseAsFull,
+        answerWith("ok"),
+      );
+      for (let round = 0; round < 4; round += 1) {
+        const { status, body } = await site.call({
+          path: "/once/a",
+          method: "POST",
+        });
+        assert.equal([status, body], [200, "ok"]);
+      }
+    });
+
+    it("says not run, and when to come back, when all have refused", async () => {
+      await using site = await EntrySite.serving(refuseAsFull, refuseAsFull);
+      const { status, headers } = await site.call({
+        path: "/once/a",
+        method: "POST",
+      });
+      assert.is(status, 503);
+      assert.ok(Number(headers["retry-after"]) > 0);
+    });
+
+    it("repeats an idempotent request at another runner", async () => {
+      await using site = await EntrySite.serving(
+        resetUnanswered,
+        answerWith("ok"),
+      );
+      for (let round = 0; round < 4; round += 1) {
+        assert.is((await site.call({ path: "/often/a" })).status, 200);
+      }
+    });
+
+    it("answers when the caller's time is over", async () => {
+      await using site = await EntrySite.serving(staySilent);
+      const { status } = await site.call({
+        path: "/once/a",
+        method: "POST",
+        headers: { [headerNames.deadlineMs]: "150" },
+      });
+      assert.is(status, 504);
+    });
+
+    it("lets the runner go when the caller leaves", async () => {
+      // The caller closes its connection: the runner must not go on working
+      // for nobody, and learns of it by its own connection's end.
+      await using site = await EntrySite.serving(staySilent);
+      const leaving = new AbortController();
+      const call = site.call({ path: "/often/a", signal: leaving.signal });
+      await site.until(() => arrivalsOf(site) === 1);
+      leaving.abort();
+      await call.catch(() => undefined);
+      await site.until(() => site.runners[0].arrivals[0].isAbandoned);
+    });
+  });
+
+  describe("never gives a caller", () => {
+    it("an answer to somebody else's request", async () => {
+      // The runner sends a second answer to the one before; it lies where the
+      // next request's answer is due.
+      await using site = await EntrySite.serving(({ response, signed }) => {
+        const other = { ...signed, [headerNames.attemptId]: "somebody-else" };
+        response.writeHead(200, other).end("theirs");
+      });
+      const { status, body } = await site.call({ path: "/once/a" });
+      assert.is(status, 504);
+      assert.not.ok(body.includes("theirs"));
+    });
+
+    it("half an answer as a whole one", async () => {
+      // The answer has no length and ends with its connection. The connection
+      // is reset on the way, and what came so far would pass for all of it.
+      await using site = await EntrySite.serving(
+        async ({ request, signed }) => {
+          const head = Object.entries(signed).map(
+            ([name, value]) => `${name}: ${value}\r\n`,
+          );
+          const { socket } = request;
+          socket.write(
+            `HTTP/1.1 200 OK\r\n${head.join("")}\r\nhalf of the ans`,
+          );
+          await new Promise((resolve) => {
+            setTimeout(resolve, 20);
+          });
+          socket.resetAndDestroy();
+        },
+      );
+      const { status, body } = await site.call({ path: "/once/a" });
+      assert.is(status, 504);
+      assert.not.ok(body.includes("half of"));
+    });
+
+    it("a success that no runner has signed", async () => {
+      await using site = await EntrySite.serving(({ response, signed }) => {
+        const attempt = signed[headerNames.attemptId];
+        response.writeHead(200, { [headerNames.attemptId]: attempt }).end("?");
+      });
+      assert.is((await site.call({ path: "/once/a" })).status, 504);
+    });
+  });
+
+  describe("streams", () => {
+    it("pass whole", async () => {
+      await using site = await EntrySite.serving(streamEvents(EVENTS));
+      const answer = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(answer.body, wholeStream());
+      assert.ok(answer.isWhole);
+    });
+
+    it("go on at another runner, every event once", async () => {
+      // The first runner is cut off inside its fourth event. The caller must
+      // not see that part, and gets the event whole from the next runner.
+      await using site = await EntrySite.serving(
+        streamEvents(EVENTS, 3),
+        streamEvents(EVENTS),
+      );
+      for (let round = 0; round < 4; round += 1) {
+        const answer = await site.call({ path: "/stream/a", method: "POST" });
+        assert.is(answer.body, wholeStream());
+        assert.ok(answer.isWhole);
+      }
+    });
+
+    it("end visibly broken when they can't go on", async () => {
+      await using site = await EntrySite.serving(
+        streamEvents(EVENTS, 2),
+        streamEvents(EVENTS, 2),
+      );
+      const answer = await site.call({ path: "/stream/a", method: "POST" });
+      assert.not.ok(answer.isWhole);
+      assert.is(answer.body, eventOf(1) + eventOf(2));
+    });
+
+    it("begin after the event that the caller has", async () => {
+      await using site = await EntrySite.serving(streamEvents(EVENTS));
+      const answer = await site.call({
+        path: "/stream/a",
+        method: "POST",
+        headers: { [headerNames.lastEventId]: "4" },
+      });
+      assert.is(answer.body, eventOf(5) + eventOf(6));
+    });
+
+    it("stop at events that are not theirs", async () => {
+      await using site = await EntrySite.serving(({ response, signed }) => {
+        response.writeHead(200, signed);
+        response.write(eventOf(1));
+        response.end(eventOf(3));
+      });
+      const answer = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(answer.body, eventOf(1));
+      assert.not.ok(answer.isWhole);
+    });
+  });
+
+  describe("membership", () => {
+    it("sends nothing more to a leaving runner", async () => {
+      await using site = await EntrySite.serving(
+        answerWith("a"),
+        answerWith("b"),
+      );
+      const [leaving] = site.runners;
+      site.register(leaving, "draining");
+      await site.until(() => site.entry.runnerCount === 1);
+      const before = leaving.arrivals.length;
+      for (let round = 0; round < 6; round += 1) {
+        assert.is((await site.call({ path: "/often/a" })).body, "b");
+      }
+      assert.is(leaving.arrivals.length, before);
+    });
+
+    it("goes on with what it knows while the store is away", async () => {
+      await using site = await EntrySite.serving(answerWith("ok"));
+      site.store.mood = "refusing";
+      await site.until(() => (site.store.calls.get(paths.read) ?? 0) > 6);
+      assert.is((await site.call({ path: "/often/a" })).status, 200);
+      assert.is(await site.readiness(), 200);
+    });
+  });
+
+  describe("leaving", () => {
+    it("finishes what runs, and takes no new work afterwards", async () => {
+      // A request is at a runner when the process is told to stop. Cutting it
+      // would lose an order that was drafted already.
+      await using site = await EntrySite.serving(
+        async ({ response, signed }) => {
+          await new Promise((resolve) => {
+            setTimeout(resolve, 300);
+          });
+          response.writeHead(200, signed).end("late but whole");
+        },
+      );
+      const call = site.call({ path: "/once/a", method: "POST" });
+      await site.until(() => arrivalsOf(site) === 1);
+      const left = site.entry.leave();
+      assert.is(await site.readiness(), 503);
+      const answer = await call;
+      assert.is(answer.body, "late but whole");
+      assert.is(answer.headers.connection, "close");
+      await left;
+      const refused = await site
+        .call({ path: "/often/a" })
+        .catch(() => "closed");
+      assert.is(refused, "closed");
+    });
+  });
+});
--- /dev/null
+++ b/tests/platform/entry-site.ts
@@ -0,0 +1,209 @@
+/** An entry of the direct path between stand-ins of the users' platform. */
+import { request as send } from "node:http";
+import { decodeConfiguration } from "../../platform/configuration.js";
+import { headerCodec } from "../../platform/headers.js";
+import { headerNames, paths, topics } from "../../platform/names.js";
+import { decodeRegistration } from "../../platform/register.js";
+import { StoreClient } from "../../platform/store.js";
+import { DirectEntry } from "../../src/direct/entry.js";
+import { KeyedStore } from "../../standins/keyed-store.js";
+import {
+  SigningRunner,
+  type Behaviour,
+} from "../../standins/signing-runner.js";
+
+export const CREDENTIAL = "key-one";
+const HOST = "site.example";
+
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<NodeJS.Dict<string | string[]>>;
+  readonly body: string;
+  /** False when the connection broke before the answer's end. */
+  readonly isWhole: boolean;
+}
+
+export interface CallOptions {
+  readonly path: string;
+  readonly method?: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly signal?: AbortSignal;
+}
+
+let attempts = 0;
+
+export class EntrySite implements AsyncDisposable {
+  readonly runners: SigningRunner[] = [];
+  private heartbeat = 0;
+
+  private constructor(
+    readonly store: KeyedStore,
+    private readonly client: StoreClient,
+    readonly entry: DirectEntry,
+  ) {}
+
+  /** Starts without a configuration and without runners. */
+  static async create(): Promise<EntrySite> {
+    const store = await KeyedStore.create();
+    const client = StoreClient.create(store.address);
+    const entry = await DirectEntry.create({
+      settings: {
+        role: "entry",
+        name: "entry-1",
+        dataCentre: "here",
+        store: { address: store.address, leastLeaseMs: 1000 },
+        logLevel: "error",
+        graceSeconds: 3,
+        callers: "127.0.0.1:0",
+        readiness: "127.0.0.1:0",
+      },
+      codec: headerCodec,
+      configuration: client.keyedTopic(topics.operator),
+      configurationKey: topics.configurationKey,
+      decodeConfiguration,
+      register: client.keyedTopic(topics.register),
+      decodeServer: decodeRegistration,
+      readinessPath: paths.readiness,
+    });
+    return new EntrySite(store, client, entry);
+  }
+
+  /** With a configuration in force and one runner for each behaviour. */
+  static async serving(
+    ...behaviours: readonly Behaviour[]
+  ): Promise<EntrySite> {
+    const site = await EntrySite.create();
+    site.configure({});
+    for (const behave of behaviours) await site.addRunner(behave);
+    await site.until(async () => (await site.readiness()) === 200);
+    await site.until(() => site.entry.runnerCount === behaviours.length);
+    return site;
+  }
+
+  configure(fields: Readonly<Record<string, unknown>>): void {
+    const route = {
+      hostname: HOST,
+      timeout_ms: 1500,
+      slo_ms: 400,
+      backend: "service",
+      max_attempts: 2,
+    };
+    this.store.put(topics.operator, topics.configurationKey, {
+      version: 1,
+      routes: [
+        {
+          ...route,
+          name: "often",
+          path_prefix: "/often/",
+          route_kind: "idempotent",
+        },
+        {
+          ...route,
+          name: "once",
+          path_prefix: "/once/",
+          route_kind: "non_idempotent",
+        },
+        {
+          ...route,
+          name: "stream",
+          path_prefix: "/stream/",
+          route_kind: "streaming",
+          resumable: true,
+          gap_slo_ms: 120,
+        },
+      ],
+      services: [{ name: "service", max_conns: 10 }],
+      limits: {
+        max_header_bytes: 4096,
+        max_body_bytes: 1000,
+        header_timeout_ms: 3000,
+        idle_timeout_ms: 15_000,
+      },
+      tenants: [{ name: "account-1", api_keys: [CREDENTIAL] }],
+      ...fields,
+    });
+  }
+
+  async addRunner(behave: Behaviour): Promise<SigningRunner> {
+    const runner = await SigningRunner.create(
+      `r${this.runners.length}`,
+      behave,
+    );
+    this.runners.push(runner);
+    this.register(runner, "ready");
+    return runner;
+  }
+
+  register({ id, address }: SigningRunner, state: string): void {
+    this.heartbeat += 1;
+    this.store.put(topics.register, id, {
+      backend: "service",
+      address,
+      zone: "here",
+      slots: 4,
+      state,
+      sequence: this.heartbeat,
+    });
+  }
+
+  async readiness(): Promise<number> {
+    const response = await fetch(
+      `http://${this.entry.addresses.readiness}${paths.readiness}`,
+    );
+    return response.status;
+  }
+
+  call(options: CallOptions): Promise<CallerAnswer> {
+    const { path, method = "GET", body, headers = {}, signal } = options;
+    const [host, port] = this.entry.addresses.callers.split(":");
+    attempts += 1;
+    return new Promise((resolve, reject) => {
+      const request = send({
+        host,
+        port,
+        path,
+        method,
+        ...(signal === undefined ? {} : { signal }),
+        headers: {
+          host: HOST,
+          [headerNames.attemptId]: `attempt-${attempts}`,
+          [headerNames.credential]: CREDENTIAL,
+          [headerNames.deadlineMs]: "1400",
+          ...headers,
+        },
+      });
+      request.once("error", reject);
+      request.once("response", (response) => {
+        const parts: Buffer[] = [];
+        response.on("data", (part: Buffer) => parts.push(part));
+        response.on("error", () => undefined);
+        response.once("close", () => {
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(parts).toString(),
+            isWhole: response.complete,
+          });
+        });
+      });
+      request.end(body);
+    });
+  }
+
+  /** Polls; the test's own time limit is the bound. */
+  async until(condition: () => boolean | Promise<boolean>): Promise<void> {
+    while (!(await condition())) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 5);
+      });
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.entry[Symbol.asyncDispose]();
+    await this.client[Symbol.asyncDispose]();
+    for (const runner of this.runners) await runner[Symbol.asyncDispose]();
+    await this.store[Symbol.asyncDispose]();
+  }
+}
