Write log lines without ever waiting for their reader

Cause: Node writes to a pipe synchronously, so a stalled reader of the logs stopped every request; and nothing bounded the lines of a busy process.

Change: lines are gathered and written from the thread pool, dropped and counted while the reader stalls; each event has a budget of lines a second. An entry writes one line for each answered request.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -119,6 +119,7 @@
     this.endTasks();
     this.server.forceShutdown();
     await this.operators?.[Symbol.asyncDispose]();
+    await this.options.context.events.close();
   }
 
   private configurationTasks(): readonly DaemonTask[] {
--- a/src/daemon/event-log.ts
+++ b/src/daemon/event-log.ts
@@ -13,6 +13,12 @@
   type EventNumber,
   type HybridClock,
 } from "../internal.js";
+import {
+  BoundedOutput,
+  writeStandardOutput,
+  type WriteOut,
+} from "./bounded-output.js";
+import { LineBudget } from "./line-budget.js";
 
 /** About 2 MB; some minutes of a busy entry. */
 const KEPT_EVENTS = 4096;
@@ -37,19 +43,45 @@
   private readonly kept: TimelineEvent[] = [];
   private next = 0;
 
+  private readonly budget = LineBudget.create(() => performance.now());
+  private readonly output: BoundedOutput;
+  private readonly logger: bunyan;
+
   private constructor(
     private readonly process: string,
     private readonly clock: HybridClock,
-    private readonly logger: bunyan,
-  ) {}
+    level: bunyan.LogLevel,
+    writeOut: WriteOut,
+  ) {
+    this.output = BoundedOutput.create({
+      writeOut,
+      onDropped: (lines) => {
+        this.emit(106, { event: null, lines, reason: "reader stalled" });
+      },
+    });
+    const stream = {
+      write: (line: string) => {
+        this.output.write(line);
+      },
+    };
+    this.logger = bunyan.createLogger({
+      name: process,
+      streams: [{ level, stream: stream as NodeJS.WritableStream }],
+    });
+  }
 
   static create(
     process: string,
     clock: HybridClock,
     level: bunyan.LogLevel,
+    writeOut: WriteOut = writeStandardOutput,
   ): EventLog {
-    const logger = bunyan.createLogger({ name: process, level });
-    return new EventLog(process, clock, logger);
+    return new EventLog(process, clock, level, writeOut);
+  }
+
+  /** Writes what is held, before the process ends; a stalled reader is left. */
+  async close(): Promise<void> {
+    await this.output.close();
   }
 
   readonly emit: Emit = (number, fields = {}) => {
@@ -57,9 +89,21 @@
     const clock = this.clock.read();
     const { name, level } = entry;
     this.keep({ process: this.process, clock, number, name, level, fields });
-    this.logger[level]({ event: number, clock, ...fields }, name);
+    for (const [event, lines] of this.budget.turn()) {
+      this.line(106, clock, { event, lines, reason: "budget" });
+    }
+    if (this.budget.take(number, level)) this.line(number, clock, fields);
   };
 
+  private line(
+    number: EventNumber,
+    clock: ClockReading,
+    fields: EventFields,
+  ): void {
+    const { name, level } = eventTable[number];
+    this.logger[level]({ event: number, clock, ...fields }, name);
+  }
+
   /** Kept events in the order of their clock readings. */
   select(filter: EventFilter): TimelineEvent[] {
     const { value, sinceMs = 0 } = filter;
--- a/src/direct/caller-listener.ts
+++ b/src/direct/caller-listener.ts
@@ -119,7 +119,7 @@
   const routes = options.routes() ?? raise(1103);
   const target = request.url ?? "/";
   const path = target.split("?", 1).at(0) ?? "/";
-  const route = routes.findRoute(request.headers.host ?? "", path);
+  const route = routes.findRoute(hostnameOf(request), path);
   if (route === undefined) return raise(1207, { path: path.slice(0, 100) });
   const fields = options.codec.readCall(request.headers);
   const account = accountOf(routes, route, fields);
@@ -133,6 +133,7 @@
     body,
     fields,
     route,
+    version: routes.version,
     service,
     account: account?.name,
     priority: account?.priority ?? route.priority,
@@ -141,6 +142,11 @@
   };
 }
 
+/** Without a port, as routes name it. */
+function hostnameOf({ headers }: IncomingMessage): string {
+  return (headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
+}
+
 function accountOf(
   routes: RouteTable,
   route: Route,
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -162,6 +162,7 @@
       this.listening.map((listening) => listening[Symbol.asyncDispose]()),
     );
     await this.gate.close();
+    await this.events.close();
   }
 
   private async start(): Promise<void> {
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -56,6 +56,7 @@
   private sent = 0;
   private unsent = 0;
   private mayHaveRun = false;
+  private waitedMs = 0;
   private attempt: Attempt | undefined;
   private givenUp: GiveUpReason | undefined;
   private readonly relay: EventRelay | undefined;
@@ -126,6 +127,7 @@
 
   private async carry(admitted: Admitted): Promise<void> {
     const startedAtMs = performance.now();
+    this.waitedMs = startedAtMs - this.call.arrivedAtMs;
     const isServed = await this.attempts(admitted);
     const durationMs = performance.now() - startedAtMs;
     this.options.gate.leave(admitted, isServed ? durationMs : undefined);
@@ -139,7 +141,7 @@
       this.options.gate.release(admitted, verdictOf(end));
       const step = this.stepAfter(end);
       this.note(admitted, end, step);
-      if (step.kind !== "repeat") return this.conclude(end, step);
+      if (step.kind !== "repeat") return this.conclude(admitted, end, step);
       const next = this.options.gate.moveOn(admitted, this.tried);
       if (next === undefined) {
         this.concludeUnplaced(end);
@@ -198,9 +200,14 @@
     });
   }
 
-  private conclude(end: AttemptEnd, step: NextStep): boolean {
+  private conclude(
+    admitted: Admitted,
+    end: AttemptEnd,
+    step: NextStep,
+  ): boolean {
     switch (step.kind) {
       case "deliver":
+        this.noteAnswered(admitted, end);
         this.deliver(end);
         return true;
       case "fail":
@@ -263,6 +270,20 @@
     });
   }
 
+  private noteAnswered({ runner }: Admitted, end: AttemptEnd): void {
+    const { id, route, version, arrivedAtMs } = this.call;
+    this.options.emit(216, {
+      request: id,
+      route: route.name,
+      runner: runner.server.id,
+      status: end.kind === "answered" ? end.answer.status : 200,
+      version,
+      attempts: this.sent + this.unsent,
+      waitedMs: Math.round(this.waitedMs),
+      totalMs: Math.round(performance.now() - arrivedAtMs),
+    });
+  }
+
   private giveUp(reason: GiveUpReason): void {
     if (this.givenUp !== undefined) return;
     this.givenUp = reason;
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -62,6 +62,8 @@
   readonly body: Buffer;
   readonly fields: CallFields;
   readonly route: Route;
+  /** Of the configuration that decided route, account and service. */
+  readonly version: number;
   readonly service: string;
   readonly account: string | undefined;
   readonly priority: number;
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -42,6 +42,7 @@
 const PLAIN_TRANSPORT = { allowPlaintext: true } as const;
 
 export class RankAgentProcess implements AsyncDisposable {
+  private readonly events: EventLog;
   private readonly emit: Emit;
   private readonly agent: RankAgent;
   private readonly server = new Server(channelOptions);
@@ -57,8 +58,8 @@
     const port = connectRunner(settings.runner);
     this.port = port;
     const { name, logLevel, store } = settings;
-    const events = EventLog.create(name, HybridClock.create(), logLevel);
-    this.emit = events.emit;
+    this.events = EventLog.create(name, HybridClock.create(), logLevel);
+    this.emit = this.events.emit;
     const guard = HoldGuard.create({
       port,
       emit: this.emit,
@@ -91,6 +92,7 @@
     for (const client of this.clients.values()) client[Symbol.dispose]();
     // Gives the seat's renewal the time to leave the group.
     await pause(LEAVE_MS, new AbortController().signal);
+    await this.events.close();
   }
 
   private async start(): Promise<void> {
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -42,6 +42,11 @@
     error: "error number",
     reason: "text of the failure",
   }),
+  106: entry("lines-left-out", "warn", "Lines were not written.", {
+    event: "number of the event, null when of any",
+    lines: "how many",
+    reason: "budget or reader stalled",
+  }),
 
   // 110: configuration
   111: entry("configuration-accepted", "info", "A version is in force here.", {
@@ -348,6 +353,16 @@
     next: "repeat, fail or break-off",
     attempt: "number of the attempt",
   }),
+  216: entry("request-answered", "info", "A runner's answer was passed on.", {
+    request: "attempt id of the caller",
+    route: "route",
+    runner: "id of the runner",
+    status: "status of the answer",
+    version: "configuration that decided",
+    attempts: "attempts made",
+    waitedMs: "time until it had a place, ms",
+    totalMs: "time from arrival to the end, ms",
+  }),
 
   // 220: expert maps of engines that hold a step
   220: entry("map-planned", "info", "A better expert map was planned.", {
