Serve metrics of entries and agents, and load only a role's own code

Cause: the platform fetches metrics from an address of the settings, which nobody served; an entry loaded gRPC that only agents use.

Change: counters and histograms of the direct path and of map switches; the bundle is split by role.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,14 +1,17 @@
 /**
- * Bundles the daemon of the users' platform into one file: a start then reads
- * and compiles what it uses, in place of some hundred modules.
+ * Bundles the daemon of the users' platform into a few files, one for what both
+ * roles need and one for each role: a start then reads and compiles what it
+ * uses, in place of some hundred modules.
  */
 import { build } from "esbuild";
 
 const target = process.argv[2] ?? "target";
 
 await build({
-  entryPoints: ["platform/main.ts"],
-  outfile: `${target}/apricotdeckd.mjs`,
+  entryPoints: { apricotdeckd: "platform/main.ts" },
+  outdir: target,
+  outExtension: { ".js": ".mjs" },
+  splitting: true,
   bundle: true,
   platform: "node",
   target: "node20",
--- a/src/daemon/operators-server.ts
+++ b/src/daemon/operators-server.ts
@@ -22,6 +22,9 @@
   readonly leave: () => void;
 }
 
+const METRICS_PATH = "/metrics";
+const NOT_FOUND = 404;
+
 type Handler = (
   url: URL,
   response: ServerResponse,
@@ -30,8 +33,7 @@
 
 const handlers: Readonly<Partial<Record<string, Handler>>> = {
   "GET /metrics": async (_url, response, { metrics }) => {
-    response.setHeader("content-type", metrics.contentType);
-    response.end(await metrics.metrics());
+    await sendMetrics(response, metrics);
   },
   "GET /health": (_url, response) => {
     sendJson(response, 200, { healthy: true });
@@ -80,6 +82,27 @@
   await handler(url, response, source);
 }
 
+/** Only the metrics, for processes that are operated through the platform. */
+export async function startMetricsServer(
+  settings: ListenSettings,
+  metrics: Registry,
+): Promise<Listening> {
+  collectDefaultMetrics({ register: metrics });
+  const server = createServer((request, response) => {
+    if (request.url === METRICS_PATH) void sendMetrics(response, metrics);
+    else response.writeHead(NOT_FOUND).end();
+  });
+  return listen(server, settings);
+}
+
+async function sendMetrics(
+  response: ServerResponse,
+  metrics: Registry,
+): Promise<void> {
+  response.setHeader("content-type", metrics.contentType);
+  response.end(await metrics.metrics());
+}
+
 export function sendJson(
   response: ServerResponse,
   status: number,
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -2,15 +2,24 @@
  * An entry of the direct path: callers on one side, runners on the other, and
  * the platform's store for what the operator wants and who serves.
  */
+import { randomUUID } from "node:crypto";
 import { createServer, type ServerResponse } from "node:http";
 import { sendError } from "../daemon/entry/answer-writer.js";
 import { EventLog } from "../daemon/event-log.js";
 import { listen, type Listening } from "../daemon/listening.js";
-import { HybridClock, toFailure, type Emit } from "../internal.js";
+import { registerMetrics } from "../daemon/metrics-registry.js";
+import { startMetricsServer } from "../daemon/operators-server.js";
+import {
+  HybridClock,
+  toFailure,
+  type Emit,
+  type Measurements,
+} from "../internal.js";
 import { BackendServerDirectory } from "../membership/directory.js";
 import type { RegisterChange } from "../membership/types.js";
 import type { KeyedRecord, KeyedTopic } from "../platform/keyed-topic.js";
 import { followTopic } from "../platform/topic-follower.js";
+import { RELEASE } from "../release.js";
 import { RouteTable } from "../routing/route-table.js";
 import type { SiteConfiguration } from "../routing/types.js";
 import { applyBounds, createCallerListener } from "./caller-listener.js";
@@ -34,6 +43,13 @@
   readonly readinessPath: string;
 }
 
+export interface EntryAddresses {
+  readonly callers: string;
+  readonly readiness: string;
+  /** Undefined where the settings name none. */
+  readonly metrics: string | undefined;
+}
+
 /**
  * Longest read of the configuration, ms. The store answers as soon as there is
  * a change; a connection that fell silent is noticed after this time.
@@ -58,6 +74,8 @@
 export class DirectEntry implements AsyncDisposable {
   private readonly events: EventLog;
   private readonly emit: Emit;
+  private readonly measurements: Measurements;
+  private readonly registry;
   private readonly gate: ServiceGate;
   private readonly directory: BackendServerDirectory;
   private readonly forwarder: Forwarder;
@@ -77,6 +95,10 @@
     this.events = EventLog.create(name, HybridClock.create(), logLevel);
     const { emit } = this.events;
     this.emit = emit;
+    const labels = { process: name, data_centre: dataCentre };
+    const { registry, measurements } = registerMetrics(labels);
+    this.registry = registry;
+    this.measurements = measurements;
     const now = (): number => performance.now();
     const random = Math.random;
     const gate = ServiceGate.create({
@@ -92,12 +114,20 @@
       emit,
       onServer: (server) => {
         gate.setServer(server);
+        measurements.set("runnersKnown", this.runnerCount);
       },
       onGone: (id) => {
         gate.removeServer(id);
+        measurements.set("runnersKnown", this.runnerCount);
       },
     });
-    this.forwarder = Forwarder.create({ gate, codec, emit, fail });
+    this.forwarder = Forwarder.create({
+      gate,
+      codec,
+      emit,
+      measurements,
+      fail,
+    });
     this.server = createCallerListener({
       codec,
       random,
@@ -127,9 +157,13 @@
   }
 
   /** host:port, with the ports that the system handed out. */
-  get addresses(): { readonly callers: string; readonly readiness: string } {
-    const [callers, readiness] = this.listening;
-    return { callers: callers.address, readiness: readiness.address };
+  get addresses(): EntryAddresses {
+    const [callers, readiness, metrics] = this.listening;
+    return {
+      callers: callers.address,
+      readiness: readiness.address,
+      metrics: (metrics as Listening | undefined)?.address,
+    };
   }
 
   /** Runners that may get work. */
@@ -171,8 +205,16 @@
       listen(this.server, hostPortOf(settings.callers)),
       listen(this.readinessServer(), hostPortOf(settings.readiness)),
     ]);
+    if (settings.metrics !== undefined) {
+      const metrics = hostPortOf(settings.metrics);
+      this.listening.push(await startMetricsServer(metrics, this.registry));
+    }
     this.follow();
-    this.emit(101, { role: "entry", incarnation: "", release: "" });
+    this.emit(101, {
+      role: "entry",
+      incarnation: randomUUID(),
+      release: RELEASE,
+    });
   }
 
   private follow(): void {
@@ -181,6 +223,9 @@
     const { emit } = this;
     const random = Math.random;
     const nothing = (): void => undefined;
+    const countOutage = (topic: string): void => {
+      this.measurements.count("storeOutages", { topic });
+    };
     const onConfiguration = (records: readonly KeyedRecord[]): void => {
       this.onConfiguration(records);
     };
@@ -194,7 +239,9 @@
         emit,
         onSnapshot: onConfiguration,
         onChanges: onConfiguration,
-        onLost: nothing,
+        onLost: () => {
+          countOutage("configuration");
+        },
         onRestored: nothing,
       },
       signal,
@@ -215,6 +262,7 @@
           this.directory.sweep();
         },
         onLost: () => {
+          countOutage("register");
           this.directory.onStoreLost();
         },
         onRestored: () => {
@@ -243,6 +291,7 @@
     this.routes = RouteTable.create(configuration);
     applyBounds(this.server, configuration.bounds);
     const { version, routes, accounts } = configuration;
+    this.measurements.set("configurationVersion", version);
     this.emit(201, {
       version,
       routes: routes.length,
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -9,6 +9,7 @@
   type ApricotdeckError,
   type Emit,
   type ErrorNumber,
+  type Measurements,
 } from "../internal.js";
 import { Attempt } from "./attempt.js";
 import { answerHeaders } from "./end-to-end-headers.js";
@@ -22,6 +23,7 @@
   readonly gate: ServiceGate;
   readonly codec: HeaderCodec;
   readonly emit: Emit;
+  readonly measurements: Measurements;
   /** Answers a request that got none from a runner. */
   readonly fail: (
     response: ServerResponse,
@@ -57,6 +59,7 @@
   private unsent = 0;
   private mayHaveRun = false;
   private waitedMs = 0;
+  private outcome = "broken-off";
   private attempt: Attempt | undefined;
   private givenUp: GiveUpReason | undefined;
   private readonly relay: EventRelay | undefined;
@@ -74,13 +77,15 @@
       response,
       lastEventId: fields.lastEventId,
       onEvent: (pauseMs) => {
-        // The time to the first event is no pause between two.
-        const isPause = !isFirst;
-        isFirst = false;
-        if (isPause) {
-          const running = options.gate.runningOf(service);
-          pace.onPause(pauseMs, route.pauseObjectiveMs, running);
+        const { measurements, gate } = options;
+        if (isFirst) {
+          // The time to the first event is no pause between two.
+          isFirst = false;
+          measurements.observe("firstEventDelay", this.ageMs() / 1000);
+          return;
         }
+        measurements.observe("eventPause", pauseMs / 1000);
+        pace.onPause(pauseMs, route.pauseObjectiveMs, gate.runningOf(service));
       },
     });
   }
@@ -94,7 +99,7 @@
   }
 
   async run(): Promise<void> {
-    const { call, response } = this;
+    const { call, response, options } = this;
     const onClose = (): void => {
       if (!response.writableFinished) this.giveUp("caller-gone");
     };
@@ -110,9 +115,16 @@
     } finally {
       clearTimeout(timer);
       response.off("close", onClose);
+      const { outcome } = this;
+      const seconds = this.ageMs() / 1000;
+      options.measurements.observe("requestDuration", seconds, { outcome });
     }
   }
 
+  private ageMs(): number {
+    return performance.now() - this.call.arrivedAtMs;
+  }
+
   private async forward(): Promise<void> {
     const { call, options } = this;
     const entered = await options.gate.enter(call);
@@ -180,6 +192,7 @@
     this.attempt = attempt;
     const end = await attempt.run();
     this.attempt = undefined;
+    options.measurements.count("attemptsEnded", { end: end.kind });
     if (wasSent(end)) this.sent += 1;
     else this.unsent += 1;
     this.mayHaveRun ||= wasSent(end) && end.kind !== "not-run";
@@ -247,13 +260,15 @@
   }
 
   private refuse(error: ApricotdeckError, retryAfterMs: number): void {
-    const { emit, fail } = this.options;
+    const { emit, fail, measurements } = this.options;
+    measurements.count("admissionRefused", { error: String(error.number) });
+    this.outcome = error.entry.outcome;
     emit(214, {
       request: this.call.id,
       error: error.number,
       route: this.call.route.name,
       retryAfterMs: Math.round(retryAfterMs),
-      ageMs: Math.round(performance.now() - this.call.arrivedAtMs),
+      ageMs: Math.round(this.ageMs()),
     });
     fail(this.response, error, retryAfterMs);
   }
@@ -271,7 +286,8 @@
   }
 
   private noteAnswered({ runner }: Admitted, end: AttemptEnd): void {
-    const { id, route, version, arrivedAtMs } = this.call;
+    const { id, route, version } = this.call;
+    this.outcome = "answered";
     this.options.emit(216, {
       request: id,
       route: route.name,
@@ -280,7 +296,7 @@
       version,
       attempts: this.sent + this.unsent,
       waitedMs: Math.round(this.waitedMs),
-      totalMs: Math.round(performance.now() - arrivedAtMs),
+      totalMs: Math.round(this.ageMs()),
     });
   }
 
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -24,8 +24,9 @@
   name: z.string().min(1),
   dataCentre: z.string().min(1),
   store,
-  /** host:port on which operators fetch metrics; absent for none. */
-  metrics: address.optional(),
+  metrics: address
+    .optional()
+    .describe("Where operators fetch metrics; none without it."),
   logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
   graceSeconds: z
     .number()
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -7,11 +7,20 @@
 import { pause } from "../daemon/background-task.js";
 import { EventLog } from "../daemon/event-log.js";
 import { bindServer } from "../daemon/peer-server.js";
+import type { Listening } from "../daemon/listening.js";
+import { registerMetrics } from "../daemon/metrics-registry.js";
+import { startMetricsServer } from "../daemon/operators-server.js";
 import { channelOptions } from "../daemon/transport.js";
 import { hostPortOf, type RankAgentSettings } from "../direct/settings.js";
-import { HybridClock, toFailure, type Emit } from "../internal.js";
+import {
+  HybridClock,
+  toFailure,
+  type Emit,
+  type Measurements,
+} from "../internal.js";
 import type { RegisterChange } from "../membership/types.js";
 import type { KeyedRecord, KeyedTopic } from "../platform/keyed-topic.js";
+import { RELEASE } from "../release.js";
 import type { EngineFigures, SiteConfiguration } from "../routing/types.js";
 import { RankAgentService } from "../wire/generated/rankmaps.js";
 import { GroupPlanner, type GroupRank } from "./group-planner.js";
@@ -52,12 +61,20 @@
   private group: readonly GroupRank[] = [];
   private readonly seat: PlannerSeat;
   private readonly port: RankPort;
+  private readonly incarnation = randomUUID();
+  private readonly registry;
+  private readonly measurements: Measurements;
+  private metricsServer: Listening | undefined;
 
   private constructor(private readonly options: AgentOptions) {
     const { settings, connectRunner, seats } = options;
     const port = connectRunner(settings.runner);
     this.port = port;
-    const { name, logLevel, store } = settings;
+    const { name, logLevel, store, dataCentre } = settings;
+    const labels = { process: name, data_centre: dataCentre };
+    const { registry, measurements } = registerMetrics(labels);
+    this.registry = registry;
+    this.measurements = measurements;
     this.events = EventLog.create(name, HybridClock.create(), logLevel);
     this.emit = this.events.emit;
     const guard = HoldGuard.create({
@@ -75,7 +92,7 @@
     this.seat = PlannerSeat.create({
       service: seats,
       emit: this.emit,
-      member: `${name}.${randomUUID()}`,
+      member: `${name}.${this.incarnation}`,
       leastLeaseMs: store.leastLeaseMs,
     });
   }
@@ -92,6 +109,7 @@
     for (const client of this.clients.values()) client[Symbol.dispose]();
     // Gives the seat's renewal the time to leave the group.
     await pause(LEAVE_MS, new AbortController().signal);
+    await this.metricsServer?.[Symbol.asyncDispose]();
     await this.events.close();
   }
 
@@ -100,7 +118,15 @@
     this.server.addService(RankAgentService, this.agent.service);
     const peers = hostPortOf(settings.peers);
     await bindServer(this.server, { peers, transport: PLAIN_TRANSPORT });
-    this.emit(101, { role: "agent", incarnation: "", release: "" });
+    if (settings.metrics !== undefined) {
+      const metrics = hostPortOf(settings.metrics);
+      this.metricsServer = await startMetricsServer(metrics, this.registry);
+    }
+    this.emit(101, {
+      role: "agent",
+      incarnation: this.incarnation,
+      release: RELEASE,
+    });
     void this.run(this.stop.signal);
   }
 
@@ -185,6 +211,7 @@
     return GroupPlanner.create({
       seat: this.seat,
       emit: this.emit,
+      measurements: this.measurements,
       engine,
       holder: (rank + 1) % size,
     });
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -2,7 +2,7 @@
  * Plans the expert map of one group while it holds the seat: observes all
  * ranks, follows demand, and takes each better map through its switch.
  */
-import { raise, toFailure, type Emit } from "../internal.js";
+import { raise, toFailure, type Emit, type Measurements } from "../internal.js";
 import type { EngineFigures } from "../routing/types.js";
 import { ExpertDemand } from "./demand.js";
 import { MapPlanner, type MapLimits, type MapPlan } from "./map-planner.js";
@@ -36,6 +36,7 @@
 export interface GroupPlannerOptions {
   readonly seat: PlannerSeat;
   readonly emit: Emit;
+  readonly measurements: Measurements;
   readonly engine: EngineFigures;
   /**
    * Rank that holds steps. Not the planner's own: when this process freezes,
@@ -214,11 +215,12 @@
   private finishGoal(goal: Goal): void {
     this.goal = undefined;
     const { version, plan, startedAtMs } = goal;
-    this.options.emit(221, {
-      map: version,
-      copies: plan.copies,
-      durationMs: Math.round(performance.now() - startedAtMs),
-    });
+    const { emit, measurements } = this.options;
+    const durationMs = Math.round(performance.now() - startedAtMs);
+    measurements.observe("mapSwitchDuration", durationMs / 1000);
+    measurements.set("mapVersion", version);
+    measurements.set("groupSkew", plan.skewAfter);
+    emit(221, { map: version, copies: plan.copies, durationMs });
   }
 
   private makeGoal(run: SwitchRun): Goal | undefined {
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -48,6 +48,52 @@
     meaning: "Version in force in this process; -1 before the first.",
   },
 
+  // direct path of an entry
+  firstEventDelay: {
+    name: "apricotdeck_first_event_seconds",
+    kind: "histogram",
+    unit: "s",
+    labels: [],
+    meaning: "Time from a stream's arrival to its first event.",
+    buckets: SECONDS,
+  },
+  eventPause: {
+    name: "apricotdeck_event_pause_seconds",
+    kind: "histogram",
+    unit: "s",
+    labels: [],
+    meaning: "Pause between two events of a stream.",
+    buckets: SECONDS,
+  },
+  attemptsEnded: {
+    name: "apricotdeck_attempts_ended_total",
+    kind: "counter",
+    unit: "attempts",
+    labels: ["end"],
+    meaning: "Attempts at runners by how they ended.",
+  },
+  runnersKnown: {
+    name: "apricotdeck_runners_known",
+    kind: "gauge",
+    unit: "runners",
+    labels: [],
+    meaning: "Runners that may get work as far as this process knows.",
+  },
+  storeOutages: {
+    name: "apricotdeck_store_outages_total",
+    kind: "counter",
+    unit: "outages",
+    labels: ["topic"],
+    meaning: "Times that the platform's store was lost.",
+  },
+  groupSkew: {
+    name: "apricotdeck_group_skew",
+    kind: "gauge",
+    unit: "ratio",
+    labels: [],
+    meaning: "Work of the most loaded ranks over even work, at the last plan.",
+  },
+
   // claims
   claimSteps: {
     name: "apricotdeck_claim_steps_total",
--- a/tests/platform/direct-path.test.ts
+++ b/tests/platform/direct-path.test.ts
@@ -298,6 +298,19 @@
     });
   });
 
+  describe("metrics", () => {
+    it("tell how requests and attempts ended", async () => {
+      await using site = await EntrySite.serving(refuseAsFull);
+      await site.call({ path: "/once/a", method: "POST" });
+      const response = await fetch(
+        `http://${site.entry.addresses.metrics}/metrics`,
+      );
+      const text = await response.text();
+      assert.match(text, /attempts_ended_total\{.*end="not-run".*\} 1/);
+      assert.match(text, /admission_refused_total\{.*error="1214".*\} 1/);
+    });
+  });
+
   describe("membership", () => {
     it("sends nothing more to a leaving runner", async () => {
       await using site = await EntrySite.serving(
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -55,6 +55,7 @@
         store: { address: store.address, leastLeaseMs: 1000 },
         logLevel: "error",
         graceSeconds: 3,
+        metrics: "127.0.0.1:0",
         callers: "127.0.0.1:0",
         readiness: "127.0.0.1:0",
       },
