Read settings, bodies and unreadable requests in one place each

The direct path had its own copies of the settings parser, of reading a body and of the answer to unreadable bytes; both paths share them now.

--- a/src/daemon/entry/caller-server.ts
+++ b/src/daemon/entry/caller-server.ts
@@ -8,9 +8,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
 import {
-  failure,
   raise,
   toFailure,
   type ApricotdeckError,
@@ -25,6 +23,7 @@
   readWork,
   type CallerLimits,
 } from "./request-reader.js";
+import { answerUnreadable } from "./unreadable-request.js";
 import type { AnswerWriter, Work } from "./work.js";
 
 export interface CallerServerOptions {
@@ -51,7 +50,7 @@
     },
   );
   server.maxConnections = limits.connections;
-  server.on("clientError", answerClientError);
+  server.on("clientError", answerUnreadable);
   return server;
 }
 
@@ -114,32 +113,3 @@
   }));
   sendJson(response, 200, { object: "list", data });
 }
-
-interface ClientError extends Error {
-  readonly code?: string;
-}
-
-/** Node's parser refused the bytes before there was a request. */
-function answerClientError(error: ClientError, socket: Socket): void {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const { entry, message } = clientFailure(error);
-  const body = JSON.stringify({
-    error: { message, type: entry.name, outcome: entry.outcome },
-  });
-  const head = [
-    `HTTP/1.1 ${entry.status} Refused`,
-    "connection: close",
-    "content-type: application/json",
-    `content-length: ${Buffer.byteLength(body)}`,
-  ];
-  socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
-}
-
-function clientFailure({ code }: ClientError): ApricotdeckError {
-  if (code === "HPE_HEADER_OVERFLOW") return failure(1205);
-  if (code === "ERR_HTTP_REQUEST_TIMEOUT") return failure(1206);
-  return failure(1201, { reason: code ?? "unknown" });
-}
--- a/src/daemon/entry/request-reader.ts
+++ b/src/daemon/entry/request-reader.ts
@@ -11,6 +11,7 @@
 } from "../../internal.js";
 import type { Header } from "../../wire/generated/session.js";
 import type { EntrySettings } from "../settings.js";
+import { readBody } from "./request-body.js";
 import type { Work } from "./work.js";
 
 export type CallerLimits = EntrySettings["limits"];
@@ -58,7 +59,7 @@
   }
   if (isCompletion && request.method !== "POST") raise(1208);
   const profile = resolveProfile(request, configuration, account);
-  const body = await readBody(request, limits);
+  const body = await readBody(request, limits.bodyBytes);
   const common = commonPart(request, account, profile, body);
   return isCompletion
     ? completionWork(common, path)
@@ -202,22 +203,6 @@
   return raise(1203, { profile: (wanted ?? "").slice(0, 100) });
 }
 
-async function readBody(
-  request: IncomingMessage,
-  limits: CallerLimits,
-): Promise<Buffer> {
-  const announced = Number(request.headers["content-length"] ?? 0);
-  if (announced > limits.bodyBytes) raise(1205, { limit: limits.bodyBytes });
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of request) {
-    parts.push(part as Buffer);
-    size += (part as Buffer).length;
-    if (size > limits.bodyBytes) raise(1205, { limit: limits.bodyBytes });
-  }
-  return Buffer.concat(parts);
-}
-
 /** Only what the runner needs: credentials and hop headers stay here. */
 function passedHeaders({ headers }: IncomingMessage): Header[] {
   const passed = ["content-type", "accept", "accept-language"] as const;
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -3,10 +3,9 @@
  * A wrong or unknown field stops the start, naming file, path and what was
  * expected, because nobody can log in later to notice a mistyped name.
  */
-import { readFileSync } from "node:fs";
-import { parse, printParseErrorCode, type ParseError } from "jsonc-parser";
 import { z } from "zod";
-import { DEFAULT_WINDOWS, raise } from "../internal.js";
+import { DEFAULT_WINDOWS } from "../internal.js";
+import { parseSettingsText, readSettingsText } from "./settings-file.js";
 
 const MIB = 1024 * 1024;
 
@@ -216,38 +215,9 @@
 
 /** Throws 1001 or 1002. */
 export function loadSettings(file: string): Settings {
-  return parseSettings(readText(file), file);
+  return parseSettings(readSettingsText(file), file);
 }
 
 export function parseSettings(text: string, file: string): Settings {
-  const errors: ParseError[] = [];
-  const value: unknown = parse(text, errors, { allowTrailingComma: true });
-  const syntax = errors.at(0);
-  if (syntax !== undefined) {
-    const line = text.slice(0, syntax.offset).split("\n").length;
-    raise(1002, { file, line, found: printParseErrorCode(syntax.error) });
-  }
-  const result = settingsSchema.safeParse(value, { reportInput: true });
-  if (result.success) return result.data;
-  return raise(1002, { file, ...describeIssue(result.error.issues.at(0)) });
-}
-
-function describeIssue(
-  issue: z.core.$ZodIssue | undefined,
-): Record<string, string> {
-  if (issue === undefined) return {};
-  const found = JSON.stringify(issue.input);
-  return {
-    path: issue.path.join(".") || "(top)",
-    expected: issue.message,
-    found: found.length > 200 ? `${found.slice(0, 200)}…` : found,
-  };
-}
-
-function readText(file: string): string {
-  try {
-    return readFileSync(file, "utf8");
-  } catch (error) {
-    return raise(1001, { file }, error);
-  }
+  return parseSettingsText(settingsSchema, text, file);
 }
--- a/src/direct/caller-listener.ts
+++ b/src/direct/caller-listener.ts
@@ -9,14 +9,14 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
 import {
-  failure,
   raise,
   toFailure,
   type ApricotdeckError,
   type Random,
 } from "../internal.js";
+import { readBody } from "../daemon/entry/request-body.js";
+import { answerUnreadable } from "../daemon/entry/unreadable-request.js";
 import { chooseService, type RouteTable } from "../routing/route-table.js";
 import type { CallerBounds, Route } from "../routing/types.js";
 import { endToEndHeaders } from "./end-to-end-headers.js";
@@ -104,7 +104,7 @@
   if (routes === undefined) return raise(1103);
   const { bounds } = routes.configuration;
   checkHead(request, bounds);
-  const body = await readBody(request, bounds);
+  const body = await readBody(request, bounds.bodyBytes);
   if (options.isClosed()) raise(1213);
   // The body may have taken long: what is in force now decides.
   return resolve(request, body, options, arrivedAtMs);
@@ -172,41 +172,3 @@
   );
   if (size > bounds.headBytes) raise(1205, { limit: bounds.headBytes });
 }
-
-async function readBody(
-  request: IncomingMessage,
-  { bodyBytes: limit }: CallerBounds,
-): Promise<Buffer> {
-  const announced = Number(request.headers["content-length"] ?? 0);
-  if (announced > limit) raise(1205, { limit });
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of request) {
-    parts.push(part as Buffer);
-    size += (part as Buffer).length;
-    if (size > limit) raise(1205, { limit });
-  }
-  return Buffer.concat(parts);
-}
-
-interface ParserError extends Error {
-  readonly code?: string;
-}
-
-/** Node's parser refused the bytes before there was a request. */
-function answerUnreadable(error: ParserError, socket: Socket): void {
-  if (!socket.writable || error.code === "ECONNRESET") {
-    socket.destroy();
-    return;
-  }
-  const status = statusOf(error);
-  socket.end(
-    `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
-  );
-}
-
-function statusOf({ code }: ParserError): number {
-  if (code === "HPE_HEADER_OVERFLOW") return failure(1205).entry.status;
-  if (code === "ERR_HTTP_REQUEST_TIMEOUT") return failure(1206).entry.status;
-  return failure(1201).entry.status;
-}
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { createServer, type ServerResponse } from "node:http";
 import { sendError } from "../daemon/entry/answer-writer.js";
+import { pause } from "../daemon/background-task.js";
 import { EventLog } from "../daemon/event-log.js";
 import { listen, type Listening } from "../daemon/listening.js";
 import { registerMetrics } from "../daemon/metrics-registry.js";
@@ -180,12 +181,12 @@
     for (const response of this.open) announceClose(response);
     const startedAtMs = performance.now();
     const elapsed = (): number => performance.now() - startedAtMs;
-    while (elapsed() < NOTICE_MS) await sleepMs(DRAIN_POLL_MS);
+    while (elapsed() < NOTICE_MS) await pause(DRAIN_POLL_MS, this.stop.signal);
     this.isClosed = true;
     this.server.close();
     while (this.open.size > 0 && elapsed() < graceMs * GRACE_SHARE) {
       this.server.closeIdleConnections();
-      await sleepMs(DRAIN_POLL_MS);
+      await pause(DRAIN_POLL_MS, this.stop.signal);
     }
     this.emit(103, { cutRequests: this.open.size });
   }
@@ -328,9 +329,3 @@
 ): void {
   sendError(response, error, retryAfterMs);
 }
-
-function sleepMs(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -1,8 +1,9 @@
 /** Settings of the direct path's processes: JSON with comments, checked. */
-import { readFileSync } from "node:fs";
-import { parse, printParseErrorCode, type ParseError } from "jsonc-parser";
 import { z } from "zod";
-import { raise } from "../internal.js";
+import {
+  parseSettingsText,
+  readSettingsText,
+} from "../daemon/settings-file.js";
 
 const address = z
   .string()
@@ -65,33 +66,14 @@
 
 /** Throws 1001 or 1002. */
 export function loadDirectSettings(file: string): DirectSettings {
-  return parseDirectSettings(readText(file), file);
+  return parseDirectSettings(readSettingsText(file), file);
 }
 
 export function parseDirectSettings(
   text: string,
   file: string,
 ): DirectSettings {
-  const errors: ParseError[] = [];
-  const value: unknown = parse(text, errors, { allowTrailingComma: true });
-  const syntax = errors.at(0);
-  if (syntax !== undefined) {
-    const line = text.slice(0, syntax.offset).split("\n").length;
-    raise(1002, { file, line, found: printParseErrorCode(syntax.error) });
-  }
-  const result = directSettingsSchema.safeParse(value);
-  if (result.success) return result.data;
-  const issue = result.error.issues.at(0);
-  const path = issue?.path.join(".") ?? "";
-  return raise(1002, { file, path, expected: issue?.message ?? "" });
-}
-
-function readText(file: string): string {
-  try {
-    return readFileSync(file, "utf8");
-  } catch (error) {
-    return raise(1001, { file }, error);
-  }
+  return parseSettingsText(directSettingsSchema, text, file);
 }
 
 export interface HostPort {
