Move a stream whose connection has fallen silent

Cause: something on the way may lose track of a connection; no reset comes, and the caller gave the stream up after two seconds without an event.

Change: a stream without an event for a second goes on at another runner while others of its service go on, over new connections. A service's saved-up repeats are 8 an entry, so that a dozen entries stay within what deployments allow. The test of a silent stream fails without it (the caller's time runs out).

--- a/src/admission/retry-allowance.ts
+++ b/src/admission/retry-allowance.ts
@@ -19,13 +19,19 @@
   readonly pool: string;
   readonly random: Random;
   readonly emit: Emit;
+  /** Most retries that can be saved up; by default what a rack takes. */
+  readonly mostRetries?: number;
 }
 
 export class RetryAllowance {
-  private retries = MOST_RETRIES;
+  private retries: number;
   private isExhausted = false;
+  private readonly mostRetries: number;
 
-  private constructor(private readonly inputs: RetryInputs) {}
+  private constructor(private readonly inputs: RetryInputs) {
+    this.mostRetries = inputs.mostRetries ?? MOST_RETRIES;
+    this.retries = this.mostRetries;
+  }
 
   static create(inputs: RetryInputs): RetryAllowance {
     return new RetryAllowance(inputs);
@@ -50,8 +56,9 @@
 
   /** Time doesn't refill it: during an outage nothing would be learnt. */
   onSuccess(): void {
-    this.retries = Math.min(MOST_RETRIES, this.retries + RETRIES_EACH_SUCCESS);
-    if (!this.isExhausted || this.retries < MOST_RETRIES / 2) return;
+    const { mostRetries } = this;
+    this.retries = Math.min(mostRetries, this.retries + RETRIES_EACH_SUCCESS);
+    if (!this.isExhausted || this.retries < mostRetries / 2) return;
     this.isExhausted = false;
     this.inputs.emit(156, { pool: this.inputs.pool });
   }
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -17,6 +17,7 @@
 import { nextStep, type NextStep } from "./next-step.js";
 import type { Verdict } from "./runner-pool.js";
 import type { Admitted, ServiceGate } from "./service-gate.js";
+import { STALL_LOOK_MS, isStalled } from "./stall.js";
 import type { AttemptEnd, Call, GiveUpReason, HeaderCodec } from "./types.js";
 
 export interface ForwarderOptions {
@@ -163,8 +164,9 @@
     }
   }
 
-  private async attemptAt({ runner }: Admitted): Promise<AttemptEnd> {
+  private async attemptAt(admitted: Admitted): Promise<AttemptEnd> {
     const { call, options, relay } = this;
+    const { runner } = admitted;
     this.tried.add(runner.server.id);
     if (this.givenUp !== undefined) {
       return { kind: "given-up", wasSent: false, reason: this.givenUp };
@@ -190,8 +192,11 @@
       maximumBytes: MAXIMUM_ANSWER_BYTES,
     });
     this.attempt = attempt;
-    const end = await attempt.run();
+    const end = await this.watch(attempt);
     this.attempt = undefined;
+    if (end.kind === "given-up" && end.reason === "stalled") {
+      options.gate.onSilent(admitted);
+    }
     options.measurements.count("attemptsEnded", { end: end.kind });
     if (wasSent(end)) this.sent += 1;
     else this.unsent += 1;
@@ -199,6 +204,24 @@
     return end;
   }
 
+  /** Ends an attempt whose stream has fallen silent. */
+  private async watch(attempt: Attempt): Promise<AttemptEnd> {
+    const { relay, call, options } = this;
+    if (relay === undefined) return attempt.run();
+    const pace = options.gate.paceOf(call.service);
+    const startedAtMs = performance.now();
+    const timer = setInterval(() => {
+      const lastMs = Math.max(relay.lastEventAtMs, startedAtMs);
+      if (!isStalled(performance.now(), lastMs, pace.lastEventAtMs)) return;
+      attempt.giveUp("stalled");
+    }, STALL_LOOK_MS);
+    try {
+      return await attempt.run();
+    } finally {
+      clearInterval(timer);
+    }
+  }
+
   private stepAfter(end: AttemptEnd): NextStep {
     const { route, dueAtMs, service } = this.call;
     return nextStep(end, {
--- a/src/direct/pace-limit.ts
+++ b/src/direct/pace-limit.ts
@@ -44,6 +44,7 @@
 export class PaceLimit {
   private limit: number | undefined;
   private meanPauseMs = 0;
+  private eventAtMs = Number.NEGATIVE_INFINITY;
   private changedAtMs = 0;
 
   private constructor(private readonly inputs: PaceLimitInputs) {}
@@ -57,11 +58,17 @@
     return running < Math.min(this.limit, Math.max(slots, 1));
   }
 
+  /** Monotonic time of the last event of any stream of the service, ms. */
+  get lastEventAtMs(): number {
+    return this.eventAtMs;
+  }
+
   /** A stream's event came `pauseMs` after the one before. */
   onPause(pauseMs: number, objectiveMs: number, running: number): void {
     const change = PAUSE_SHARE * (pauseMs - this.meanPauseMs);
     this.meanPauseMs += change;
     const nowMs = this.inputs.now();
+    this.eventAtMs = nowMs;
     if (nowMs - this.changedAtMs < INTERVAL_MS) return;
     if (this.meanPauseMs > objectiveMs * HIGH_SHARE) {
       this.lower(running, nowMs);
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -11,7 +11,7 @@
 export interface Runner {
   /** Its registration, as last read. */
   server: BackendServer;
-  readonly connections: Dispatcher;
+  connections: Dispatcher;
   readonly health: RunnerHealth;
   /** Attempts of this entry that run there. */
   running: number;
@@ -79,6 +79,16 @@
     });
   }
 
+  /**
+   * New connections for what comes next: when one has fallen silent, those that
+   * lie idle beside it may have as well.
+   */
+  renew(runner: Runner): void {
+    const { connections, server } = runner;
+    runner.connections = this.inputs.connect(server.address);
+    void connections.close();
+  }
+
   /** What runs there goes on to its end. */
   remove(id: string): void {
     const runner = this.runners.get(id);
--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -62,6 +62,13 @@
  */
 const QUEUE_SHARE_OF_OBJECTIVE = 1;
 
+/**
+ * Repeats that one entry can save up for a service. Deployments allow about a
+ * hundred a service and window over all entries, beside a fifth of its
+ * requests; a dozen entries stay within that.
+ */
+const SAVED_RETRIES = 8;
+
 /** Share of a new answer in the mean time of a route's answers. */
 const DURATION_SHARE = 0.1;
 
@@ -143,6 +150,11 @@
     return { ...admitted, runner };
   }
 
+  /** A connection to the runner has fallen silent. */
+  onSilent({ request, runner }: Admitted): void {
+    this.serviceOf(request.pool).pool.renew(runner);
+  }
+
   /** The attempt at the runner has ended. */
   release({ request, runner }: Admitted, verdict: Verdict): void {
     this.serviceOf(request.pool).pool.end(runner, verdict);
@@ -233,7 +245,12 @@
     const state = {
       pool: RunnerPool.create(this.inputs),
       pace: PaceLimit.create({ now, emit, service: name }),
-      retries: RetryAllowance.create({ pool: name, random, emit }),
+      retries: RetryAllowance.create({
+        pool: name,
+        random,
+        emit,
+        mostRetries: SAVED_RETRIES,
+      }),
     };
     this.services.set(name, state);
     return state;
--- a/tests/platform/direct-path.test.ts
+++ b/tests/platform/direct-path.test.ts
@@ -7,6 +7,8 @@
   resetUnanswered,
   staySilent,
   streamEvents,
+  type Behaviour,
+  type Exchange,
 } from "../../standins/signing-runner.js";
 import { describe, it } from "../support/describe.js";
 import { CREDENTIAL, EntrySite } from "./entry-site.js";
@@ -19,6 +21,18 @@
   );
 }
 
+/** A stream of two seconds, an event each 50 ms. */
+async function trickle({ response, signed }: Exchange): Promise<void> {
+  response.writeHead(200, signed);
+  for (let id = 1; id <= 40; id += 1) {
+    response.write(eventOf(id));
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+  }
+  response.end();
+}
+
 function arrivalsOf(site: EntrySite): number {
   return site.runners.reduce((sum, { arrivals }) => sum + arrivals.length, 0);
 }
@@ -298,6 +312,30 @@
       assert.is(answer.body, eventOf(1) + eventOf(2));
     });
 
+    it("go on elsewhere when their connection falls silent", async () => {
+      // Something on the way loses track of the connection after two events:
+      // no reset comes, ever. Other streams of the service go on, so it isn't
+      // the group; the caller would give up after two seconds.
+      const behave: Behaviour = (exchange) => {
+        const { request, response, signed } = exchange;
+        if (request.url === "/stream/beside") return trickle(exchange);
+        const isResumed = request.headers[headerNames.lastEventId];
+        if (isResumed !== undefined) return streamEvents(EVENTS)(exchange);
+        response.writeHead(200, signed);
+        response.write(eventOf(1));
+        response.write(eventOf(2));
+        return undefined;
+      };
+      await using site = await EntrySite.serving(behave, behave);
+      const headers = { [headerNames.deadlineMs]: "5000" };
+      const method = "POST";
+      const beside = site.call({ path: "/stream/beside", method, headers });
+      const answer = await site.call({ path: "/stream/a", method, headers });
+      assert.is(answer.body, wholeStream());
+      assert.ok(answer.isWhole);
+      assert.ok((await beside).isWhole);
+    });
+
     it("begin after the event that the caller has", async () => {
       await using site = await EntrySite.serving(streamEvents(EVENTS));
       const answer = await site.call({
