--- /dev/null
+++ b/tests/direct/service-gate.test.ts
@@ -0,0 +1,161 @@
+import type { Dispatcher } from "undici";
+import * as assert from "uvu/assert";
+import {
+  createRandom,
+  failure,
+  ignoreEvents,
+  type Refusal,
+} from "../../src/internal.js";
+import { ServiceGate, type Admitted } from "../../src/direct/service-gate.js";
+import type { Call } from "../../src/direct/types.js";
+import { describe, it } from "../support/describe.js";
+import { routeOf } from "../routing/support.js";
+
+const SLOTS = 4;
+const unused = { close: () => Promise.resolve() } as unknown as Dispatcher;
+
+function gateWith(runners: number): ServiceGate {
+  const gate = ServiceGate.create({
+    now: () => performance.now(),
+    random: createRandom(5),
+    emit: ignoreEvents,
+    dataCentre: "here",
+    connect: () => unused,
+  });
+  for (let index = 0; index < runners; index += 1) {
+    gate.setServer({
+      id: `r${index}`,
+      service: "model",
+      address: `10.0.0.${index}:80`,
+      dataCentre: index === 0 ? "here" : "there",
+      slots: SLOTS,
+      isLeaving: false,
+      heartbeat: 1,
+    });
+  }
+  return gate;
+}
+
+function callOf(id: string, fields: Partial<Call> = {}): Call {
+  const arrivedAtMs = performance.now();
+  return {
+    id,
+    method: "POST",
+    target: "/",
+    headers: [],
+    body: Buffer.alloc(0),
+    fields: {
+      attemptId: id,
+      deadlineMs: 2000,
+      credential: undefined,
+      promptTokens: 100,
+      outputTokens: 10,
+      lastEventId: 0,
+    },
+    route: routeOf({ kind: "stream", objectiveMs: 60 }),
+    version: 1,
+    service: "model",
+    account: "account",
+    priority: 1,
+    arrivedAtMs,
+    dueAtMs: arrivedAtMs + 2000,
+    ...fields,
+  };
+}
+
+type Result =
+  | { readonly kind: "admitted"; readonly admitted: Admitted }
+  | { readonly kind: "refused"; readonly refusal: Refusal };
+
+async function enter(gate: ServiceGate, call: Call): Promise<Result> {
+  const entered = await gate.enter(call);
+  return entered.caseOf<Result>({
+    Left: (refusal) => ({ kind: "refused", refusal }),
+    Right: (admitted) => ({ kind: "admitted", admitted }),
+  });
+}
+
+describe("gate of a service", () => {
+  it("gives every caller of a burst a place or a refusal, and loses none", async () => {
+    // Ten times what the runners hold arrives at once and every answer takes
+    // 20 ms. Nobody may be left without an answer, and a refusal has to say
+    // when to come back.
+    const gate = gateWith(3);
+    let most = 0;
+    let running = 0;
+    const results = await Promise.all(
+      Array.from({ length: 120 }, async (_, index) => {
+        const result = await enter(gate, callOf(`c${index}`));
+        if (result.kind === "refused") return result;
+        running += 1;
+        most = Math.max(most, running);
+        await new Promise((resolve) => {
+          setTimeout(resolve, 20);
+        });
+        running -= 1;
+        gate.release(result.admitted, "served");
+        gate.leave(result.admitted, 20);
+        return result;
+      }),
+    );
+    const refused = results.filter((result) => result.kind === "refused");
+    assert.ok(refused.length > 0 && refused.length < results.length);
+    assert.ok(refused.every(({ refusal }) => refusal.retryAfterMs > 0));
+    assert.ok(
+      refused.every(({ refusal }) => refusal.error.entry.outcome === "not-run"),
+    );
+    assert.ok(most <= 3 * SLOTS, String(most));
+    assert.is(gate.waitingCount, 0);
+    await gate.close();
+  });
+
+  it("refuses at once when the service has no runner", async () => {
+    const gate = gateWith(0);
+    const result = await enter(gate, callOf("c"));
+    assert.is(result.kind, "refused");
+    await gate.close();
+  });
+
+  it("spreads what runs over the runners", async () => {
+    const gate = gateWith(3);
+    const taken = new Map<string, number>();
+    for (let index = 0; index < 4; index += 1) {
+      const result = await enter(gate, callOf(`c${index}`));
+      if (result.kind === "refused") continue;
+      const { id } = result.admitted.runner.server;
+      taken.set(id, (taken.get(id) ?? 0) + 1);
+    }
+    assert.is(taken.size, 3);
+    assert.ok(Math.max(...taken.values()) <= 2);
+    await gate.close();
+  });
+
+  it("sends nothing to a runner that says it is full, for a while", async () => {
+    const gate = gateWith(2);
+    const first = await enter(gate, callOf("a"));
+    if (first.kind === "refused") throw new TypeError("no place");
+    const { id } = first.admitted.runner.server;
+    gate.release(first.admitted, "full");
+    gate.leave(first.admitted, undefined);
+    const second = await enter(gate, callOf("b"));
+    if (second.kind === "refused") throw new TypeError("no place");
+    assert.is.not(second.admitted.runner.server.id, id);
+    await gate.close();
+  });
+
+  it("ends the wait of a caller that leaves", async () => {
+    const gate = gateWith(1);
+    for (let index = 0; index < SLOTS; index += 1) {
+      await enter(gate, callOf(`c${index}`));
+    }
+    const route = routeOf({ kind: "stream", objectiveMs: 60_000 });
+    const waiting = enter(gate, callOf("late", { route }));
+    gate.cancel("late", {
+      error: failure(1218),
+      retryAfterMs: 1,
+    });
+    assert.is((await waiting).kind, "refused");
+    assert.is(gate.waitingCount, 0);
+    await gate.close();
+  });
+});
--- /dev/null
+++ b/tests/platform/topic-follower.test.ts
@@ -0,0 +1,111 @@
+import * as assert from "uvu/assert";
+import { StoreClient } from "../../platform/store.js";
+import { ignoreEvents } from "../../src/internal.js";
+import type { KeyedRecord } from "../../src/platform/keyed-topic.js";
+import { followTopic } from "../../src/platform/topic-follower.js";
+import { KeyedStore } from "../../standins/keyed-store.js";
+import { describe, it } from "../support/describe.js";
+
+const TOPIC = "keyed.things";
+
+class Following implements AsyncDisposable {
+  readonly seen = new Map<string, string | undefined>();
+  snapshots = 0;
+  lost = 0;
+  restored = 0;
+  private readonly stop = new AbortController();
+
+  private constructor(
+    readonly store: KeyedStore,
+    private readonly client: StoreClient,
+  ) {}
+
+  static async create(): Promise<Following> {
+    const store = await KeyedStore.create();
+    const following = new Following(store, StoreClient.create(store.address));
+    following.start();
+    return following;
+  }
+
+  async until(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 5);
+      });
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stop.abort();
+    await this.client[Symbol.asyncDispose]();
+    await this.store[Symbol.asyncDispose]();
+  }
+
+  private start(): void {
+    const take = (records: readonly KeyedRecord[]): void => {
+      for (const { key, value } of records) {
+        this.seen.set(key, value?.toString());
+      }
+    };
+    void followTopic(
+      {
+        name: TOPIC,
+        topic: this.client.keyedTopic(TOPIC),
+        waitMs: 300,
+        intervalMs: 5,
+        random: () => 0.5,
+        emit: ignoreEvents,
+        onSnapshot: (records) => {
+          this.snapshots += 1;
+          take(records);
+        },
+        onChanges: take,
+        onLost: () => {
+          this.lost += 1;
+        },
+        onRestored: () => {
+          this.restored += 1;
+        },
+      },
+      this.stop.signal,
+    );
+  }
+}
+
+describe("follower of a keyed topic", () => {
+  it("sees what is written and what is dropped", async () => {
+    await using following = await Following.create();
+    following.store.put(TOPIC, "a", 1);
+    await following.until(() => following.seen.get("a") === "1");
+    following.store.put(TOPIC, "a", 2);
+    await following.until(() => following.seen.get("a") === "2");
+    following.store.drop(TOPIC, "a");
+    await following.until(() => following.seen.get("a") === undefined);
+  });
+
+  it("reads everything anew when the history is forgotten", async () => {
+    // The store drops its history while a change is made: the follower's
+    // offset isn't there any more, and the newest records tell what it missed.
+    await using following = await Following.create();
+    await following.until(() => following.snapshots === 1);
+    following.store.mood = "refusing";
+    await following.until(() => following.lost === 1);
+    following.store.put(TOPIC, "a", 1);
+    following.store.put(TOPIC, "b", 2);
+    following.store.forgetHistory(TOPIC);
+    following.store.mood = "well";
+    await following.until(() => following.seen.get("b") === "2");
+    assert.is(following.snapshots, 2);
+    assert.is(following.restored, 1);
+  });
+
+  it("finds a connection that fell silent", async () => {
+    await using following = await Following.create();
+    await following.until(() => following.snapshots === 1);
+    following.store.mood = "silent";
+    await following.until(() => following.lost === 1);
+    following.store.mood = "well";
+    following.store.put(TOPIC, "a", 1);
+    await following.until(() => following.seen.get("a") === "1");
+  });
+});
--- /dev/null
+++ b/tests/rankmaps/planner-seat.test.ts
@@ -0,0 +1,99 @@
+import * as assert from "uvu/assert";
+import { failure, ignoreEvents } from "../../src/internal.js";
+import {
+  PlannerSeat,
+  type SeatAssignment,
+  type SeatService,
+} from "../../src/rankmaps/planner-seat.js";
+import { describe, it } from "../support/describe.js";
+
+/** Answers with what the test has set; an outage is an undefined assignment. */
+class Seats {
+  assignment: SeatAssignment | undefined = { generation: 1, isHolder: false };
+  joins = 0;
+  left = false;
+
+  readonly service: SeatService = {
+    join: () => {
+      this.joins += 1;
+      const { assignment } = this;
+      return assignment === undefined
+        ? Promise.reject(failure(1901))
+        : Promise.resolve(assignment);
+    },
+    leave: () => {
+      this.left = true;
+      return Promise.resolve();
+    },
+  };
+
+  /** Until the seat has asked again. */
+  async nextJoin(): Promise<void> {
+    const before = this.joins;
+    while (this.joins < before + 2) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 5);
+      });
+    }
+  }
+}
+
+async function withSeat(
+  body: (seats: Seats, seat: PlannerSeat) => Promise<void>,
+): Promise<Seats> {
+  const seats = new Seats();
+  const seat = PlannerSeat.create({
+    service: seats.service,
+    emit: ignoreEvents,
+    member: "agent.1",
+    leastLeaseMs: 100,
+  });
+  const stop = new AbortController();
+  const running = seat.run("group", stop.signal);
+  await body(seats, seat);
+  stop.abort();
+  await running;
+  return seats;
+}
+
+describe("planner's seat", () => {
+  it("is held while the store says so, and left at the end", async () => {
+    const seats = await withSeat(async (given, seat) => {
+      assert.is(seat.generation, undefined);
+      given.assignment = { generation: 4, isHolder: true };
+      await given.nextJoin();
+      assert.is(seat.generation, 4);
+      given.assignment = { generation: 5, isHolder: false };
+      await given.nextJoin();
+      assert.is(seat.generation, undefined);
+    });
+    assert.ok(seats.left);
+  });
+
+  it("is kept through an outage of the store", async () => {
+    // Demand goes on turning while the store is away. Nobody else can be given
+    // the seat then, and a group without a planner makes every stream late.
+    await withSeat(async (given, seat) => {
+      given.assignment = { generation: 4, isHolder: true };
+      await given.nextJoin();
+      given.assignment = undefined;
+      await given.nextJoin();
+      assert.is(seat.generation, 4);
+    });
+  });
+
+  it("is given up when an order was fenced, until a newer assignment", async () => {
+    // The store gave the seat to another agent, whose orders have reached a
+    // rank before this process heard of it.
+    await withSeat(async (given, seat) => {
+      given.assignment = { generation: 4, isHolder: true };
+      await given.nextJoin();
+      seat.onFenced();
+      await given.nextJoin();
+      assert.is(seat.generation, undefined);
+      given.assignment = { generation: 7, isHolder: true };
+      await given.nextJoin();
+      assert.is(seat.generation, 7);
+    });
+  });
+});
