Follow demand by what was counted where there is little traffic

Cause: a plan waited for a fixed number of choices, which fade in 0.6 s; a deployment with a tenth of the traffic would never have planned a map.

Change: counts don't fade below a thousand choices an expert.

--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -72,6 +72,12 @@
 /** Share of a new answer in the mean time of a route's answers. */
 const DURATION_SHARE = 0.1;
 
+/**
+ * A queue looks for room at least this often, ms: a full runner's pause ends
+ * without an event of its own.
+ */
+const LONGEST_SWEEP_MS = 50;
+
 /** Plain requests are charged by their number. */
 const LEAST_COST = 1;
 
@@ -257,12 +263,6 @@
   }
 }
 
-/**
- * A queue looks for room at least this often, ms: a full runner's pause ends
- * without an event of its own.
- */
-const LONGEST_SWEEP_MS = 50;
-
 function nobody(call: Call): Refusal {
   return {
     error: failure(1209, { pool: call.service }),
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -47,6 +47,8 @@
 const SEARCH_INTERVAL_MS = 500;
 /** Between two attempts of a planner that doesn't reach its whole group, ms. */
 const INCOMPLETE_INTERVAL_MS = 300;
+/** The seat's renewal gets this time to leave the group at the end, ms. */
+const LEAVE_MS = 100;
 /** Transport between agents lies inside the users' own network. */
 const PLAIN_TRANSPORT = { allowPlaintext: true } as const;
 
@@ -107,7 +109,6 @@
     this.stop.abort();
     this.server.forceShutdown();
     for (const client of this.clients.values()) client[Symbol.dispose]();
-    // Gives the seat's renewal the time to leave the group.
     await pause(LEAVE_MS, new AbortController().signal);
     await this.metricsServer?.[Symbol.asyncDispose]();
     await this.events.close();
@@ -285,5 +286,3 @@
     this.emit(223, { reason: message });
   }
 }
-
-const LEAVE_MS = 100;
--- a/src/rankmaps/demand.ts
+++ b/src/rankmaps/demand.ts
@@ -3,6 +3,8 @@
  * time, so that a turn of demand shows within a second.
  */
 
+import { sum } from "../balance/numbers.js";
+
 /**
  * Time after which a count has faded to 1/e, ms. Longer, and a turn of demand
  * is followed late: with 1200 ms 86% of the streams were on time on a day that
@@ -10,6 +12,13 @@
  */
 const FADE_MS = 600;
 
+/**
+ * Choices of each expert, on average, below which counts don't fade. Where
+ * there is little traffic, the experts of a few prompts would pass for the
+ * demand of all; about a tenth of what 12 ranks show under their usual load.
+ */
+const LEAST_CHOICES_EACH = 1000;
+
 export class ExpertDemand {
   readonly tokens: Float64Array;
 
@@ -23,12 +32,21 @@
   }
 
   get total(): number {
-    return this.tokens.reduce((sum, count) => sum + count, 0);
+    return sum(this.tokens);
+  }
+
+  /** Whether a map can be made of what was counted so far. */
+  get isTelling(): boolean {
+    return this.total >= this.leastTotal;
+  }
+
+  private get leastTotal(): number {
+    return this.tokens.length * LEAST_CHOICES_EACH;
   }
 
   /** What all ranks counted in the last `elapsedMs`. */
   add(counted: readonly (readonly number[])[], elapsedMs: number): void {
-    const kept = Math.exp(-elapsedMs / FADE_MS);
+    const kept = this.keptShare(counted, elapsedMs);
     for (let index = 0; index < this.tokens.length; index += 1) {
       this.tokens[index] *= kept;
     }
@@ -38,4 +56,16 @@
       });
     }
   }
+
+  private keptShare(
+    counted: readonly (readonly number[])[],
+    elapsedMs: number,
+  ): number {
+    const faded = Math.exp(-elapsedMs / FADE_MS);
+    const { total } = this;
+    if (total === 0) return faded;
+    const fresh = sum(counted.map((counts) => sum(counts)));
+    const needed = (this.leastTotal - fresh) / total;
+    return Math.max(faded, Math.min(1, needed));
+  }
 }
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -65,13 +65,6 @@
  */
 const COPY_BUDGET_MS = 450;
 
-/**
- * Choices that have to be counted before a map is made of them: with fewer, the
- * experts of a few prompts pass for the demand of all. A tenth of what 12 ranks
- * show under their usual load.
- */
-const LEAST_TOKENS = 300_000;
-
 /** Between two observations with counts, ms. */
 export const COUNT_INTERVAL_MS = 250;
 /** Between two looks at ranks that copy or wait for a step, ms. */
@@ -229,9 +222,7 @@
     states: readonly RankState[],
   ): Goal | undefined {
     const { view } = this;
-    if (view === undefined || view.demand.total < LEAST_TOKENS) {
-      return undefined;
-    }
+    if (view?.demand.isTelling !== true) return undefined;
     const plan = view.planner.plan(
       view.map,
       view.demand.tokens,
--- a/standins/keyed-store.ts
+++ b/standins/keyed-store.ts
@@ -28,6 +28,14 @@
   firstOffset = 0;
   private readonly waiting = new Set<() => void>();
 
+  private constructor() {
+    // Made by create.
+  }
+
+  static create(): Topic {
+    return new Topic();
+  }
+
   append(record: StoredRecord): void {
     this.records.push(record);
     for (const wake of this.waiting) wake();
@@ -135,7 +143,7 @@
   private topicOf(name: string): Topic {
     const known = this.topics.get(name);
     if (known !== undefined) return known;
-    const topic = new Topic();
+    const topic = Topic.create();
     this.topics.set(name, topic);
     return topic;
   }
