Read the settings again on a signal instead of ending by it

Cause: the platform tells of changed settings by SIGHUP, which ends a Node process that doesn't handle it.

Change: the signal reads the file again, takes over the grace period and tells what waits for a restart; a file that can't be read leaves the old settings. A test with a real process failed before (ended by the signal). It also showed that a missing field broke the error message of both settings files, mended.

--- a/scripts/generate-docs.ts
+++ b/scripts/generate-docs.ts
@@ -6,6 +6,7 @@
 import { metricTable, type MetricEntry } from "../src/shared/metrics.js";
 import { configurationSchema } from "../src/configuration/schema.js";
 import { settingsSchema } from "../src/daemon/settings.js";
+import { directSettingsSchema } from "../src/direct/settings.js";
 import { settingRows } from "./setting-rows.js";
 
 const NOTE =
@@ -86,6 +87,12 @@
     "The file given to `apricotdeckd`. JSON with comments; unknown fields are errors and the daemon does not start. Times end in `Ms` (milliseconds), sizes in `Bytes`.",
     "",
     ...table(head, settingRows(settingsSchema)),
+    "",
+    "## Settings on the users' platform",
+    "",
+    "The file that `APRICOTDECK_BOOT` names, made by the platform from `deploy/entry.jsonc` and `deploy/agent.jsonc`. Read again on SIGHUP: `graceSeconds` takes effect, the rest with the next start.",
+    "",
+    ...table(head, settingRows(directSettingsSchema)),
   ];
 }
 
--- a/src/daemon/settings-file.ts
+++ b/src/daemon/settings-file.ts
@@ -35,7 +35,8 @@
   issue: z.core.$ZodIssue | undefined,
 ): Record<string, string> {
   if (issue === undefined) return {};
-  const found = JSON.stringify(issue.input);
+  const { input } = issue;
+  const found = input === undefined ? "nothing" : JSON.stringify(input);
   return {
     path: issue.path.join(".") || "(top)",
     expected: issue.message,
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -27,7 +27,12 @@
 import { Forwarder } from "./forwarder.js";
 import { connectRunner } from "./runner-connections.js";
 import { ServiceGate } from "./service-gate.js";
-import { hostPortOf, type DirectEntrySettings } from "./settings.js";
+import {
+  changedFields,
+  hostPortOf,
+  type DirectEntrySettings,
+  type DirectSettings,
+} from "./settings.js";
 import type { HeaderCodec } from "./types.js";
 
 export interface DirectEntryOptions {
@@ -88,11 +93,13 @@
   private isClosed = false;
   /** Answers to the requests that are being served. */
   private readonly open = new Set<ServerResponse>();
+  private graceSeconds: number;
   private listening: Listening[] = [];
 
   private constructor(private readonly options: DirectEntryOptions) {
     const { settings, codec } = options;
     const { name, logLevel, dataCentre } = settings;
+    this.graceSeconds = settings.graceSeconds;
     this.events = EventLog.create(name, HybridClock.create(), logLevel);
     const { emit } = this.events;
     this.emit = emit;
@@ -172,11 +179,19 @@
     return this.directory.size;
   }
 
+  /** Takes over what can change while it runs; the rest needs a restart. */
+  reload(settings: DirectSettings): void {
+    const changed = changedFields(this.options.settings, settings);
+    this.graceSeconds = settings.graceSeconds;
+    const waiting = changed.filter((field) => field !== "graceSeconds");
+    this.emit(203, { changed: waiting.join(",") });
+  }
+
   /** Ends what runs, as far as the grace period allows. */
   async leave(): Promise<void> {
     if (this.isLeaving) return;
     this.isLeaving = true;
-    const graceMs = this.options.settings.graceSeconds * 1000;
+    const graceMs = this.graceSeconds * 1000;
     this.emit(102, { graceMs });
     for (const response of this.open) announceClose(response);
     const startedAtMs = performance.now();
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of the direct path's processes: JSON with comments, checked. */
+import { isDeepStrictEqual } from "node:util";
 import { z } from "zod";
 import {
   parseSettingsText,
@@ -76,6 +77,17 @@
   return parseSettingsText(directSettingsSchema, text, file);
 }
 
+/** Fields in which two readings of the settings differ. */
+export function changedFields(
+  before: DirectSettings,
+  after: DirectSettings,
+): readonly string[] {
+  const old = new Map(Object.entries(before));
+  return Object.entries(after)
+    .filter(([name, value]) => !isDeepStrictEqual(old.get(name), value))
+    .map(([name]) => name);
+}
+
 export interface HostPort {
   readonly host: string;
   readonly port: number;
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -11,7 +11,12 @@
 import { registerMetrics } from "../daemon/metrics-registry.js";
 import { startMetricsServer } from "../daemon/operators-server.js";
 import { channelOptions } from "../daemon/transport.js";
-import { hostPortOf, type RankAgentSettings } from "../direct/settings.js";
+import {
+  changedFields,
+  hostPortOf,
+  type DirectSettings,
+  type RankAgentSettings,
+} from "../direct/settings.js";
 import {
   HybridClock,
   toFailure,
@@ -105,6 +110,12 @@
     return agent;
   }
 
+  /** Nothing of an agent's settings changes while it runs. */
+  reload(settings: DirectSettings): void {
+    const changed = changedFields(this.options.settings, settings);
+    this.emit(203, { changed: changed.join(",") });
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
     this.server.forceShutdown();
--- /dev/null
+++ b/tests/platform/process.test.ts
@@ -0,0 +1,117 @@
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { createServer, type AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { fileURLToPath } from "node:url";
+import * as assert from "uvu/assert";
+import { paths } from "../../platform/names.js";
+import { KeyedStore } from "../../standins/keyed-store.js";
+import { describe, it } from "../support/describe.js";
+
+const MAIN = fileURLToPath(new URL("../../platform/main.js", import.meta.url));
+
+async function freePort(): Promise<number> {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return port;
+}
+
+interface Running {
+  readonly child: ChildProcess;
+  readonly file: string;
+  readonly settings: Readonly<Record<string, unknown>>;
+  readonly output: string[];
+  /** Status of the readiness address; 0 while nobody listens. */
+  readonly readiness: () => Promise<number>;
+}
+
+async function startEntry(store: KeyedStore): Promise<Running> {
+  const [callers, readiness] = [await freePort(), await freePort()];
+  const file = path.join(mkdtempSync(path.join(tmpdir(), "entry-")), "s.jsonc");
+  const settings = {
+    role: "entry",
+    name: "entry-1",
+    dataCentre: "here",
+    callers: `127.0.0.1:${callers}`,
+    readiness: `127.0.0.1:${readiness}`,
+    store: { address: store.address },
+    graceSeconds: 1,
+  };
+  writeFileSync(file, JSON.stringify(settings));
+  const child = spawn(process.execPath, [MAIN], {
+    env: { ...process.env, APRICOTDECK_BOOT: file },
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  const output: string[] = [];
+  child.stdout.on("data", (data: Buffer) => output.push(data.toString()));
+  child.stderr.on("data", (data: Buffer) => output.push(data.toString()));
+  const url = `http://127.0.0.1:${readiness}${paths.readiness}`;
+  return {
+    child,
+    file,
+    settings,
+    output,
+    readiness: async () => {
+      try {
+        return (await fetch(url)).status;
+      } catch {
+        return 0;
+      }
+    },
+  };
+}
+
+async function until(
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+  while (!(await condition())) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+}
+
+describe("process of the users' platform", () => {
+  it("reads its settings again on a signal, and goes on", async () => {
+    // The platform tells of changed settings by a signal that would end a
+    // process which doesn't handle it, with every request in it.
+    await using store = await KeyedStore.create();
+    const entry = await startEntry(store);
+    await until(async () => (await entry.readiness()) === 503);
+    writeFileSync(
+      entry.file,
+      JSON.stringify({ ...entry.settings, graceSeconds: 2, name: "other" }),
+    );
+    entry.child.kill("SIGHUP");
+    await until(() => entry.output.join("").includes('"changed":"name"'));
+    writeFileSync(entry.file, "{ not settings");
+    entry.child.kill("SIGHUP");
+    await until(() => entry.output.join("").includes("1002"));
+    assert.is(await entry.readiness(), 503);
+    entry.child.kill("SIGTERM");
+    const [code] = (await once(entry.child, "exit")) as [number | null];
+    assert.is(code, 0);
+  });
+
+  it("says which setting is wrong and ends", async () => {
+    await using store = await KeyedStore.create();
+    const entry = await startEntry(store);
+    entry.child.kill("SIGKILL");
+    const incomplete = { ...entry.settings, callers: undefined };
+    writeFileSync(entry.file, JSON.stringify(incomplete));
+    const child = spawn(process.execPath, [MAIN], {
+      env: { ...process.env, APRICOTDECK_BOOT: entry.file },
+      stdio: ["ignore", "ignore", "pipe"],
+    });
+    const output: string[] = [];
+    child.stderr.on("data", (data: Buffer) => output.push(data.toString()));
+    const [code] = (await once(child, "close")) as [number | null];
+    assert.is(code, 1);
+    assert.match(output.join(""), /callers/);
+  });
+});
