--- /dev/null
+++ b/tests/rankmaps/reachable-rank.test.ts
@@ -0,0 +1,99 @@
+import * as assert from "uvu/assert";
+import { failure } from "../../src/internal.js";
+import type { GroupRank } from "../../src/rankmaps/group-planner.js";
+import { createReachableRank } from "../../src/rankmaps/reachable-rank.js";
+import type { RankPort, RankState } from "../../src/rankmaps/types.js";
+import { describe, it } from "../support/describe.js";
+
+const STATE: RankState = {
+  group: "g",
+  epoch: 1,
+  rank: 2,
+  size: 4,
+  isOpen: true,
+  step: 7,
+  mapVersion: 0,
+  preparedVersion: undefined,
+  armed: undefined,
+  heldStep: 9,
+  slowness: 1,
+};
+const LOOK = { withCounts: true, withExperts: false };
+const RELEASE = { kind: "release", step: 9 } as const;
+const FENCE = { epoch: 1, fencing: 3 };
+
+class Rank {
+  nowMs = 0;
+  isAgentAlive = true;
+  readonly asked: string[] = [];
+
+  readonly reach = createReachableRank({
+    agent: this.agent,
+    runner: this.runner,
+    now: () => this.nowMs,
+  });
+
+  private get agent(): GroupRank {
+    return {
+      observe: () => {
+        this.asked.push("agent");
+        if (!this.isAgentAlive) return Promise.reject(failure(1607));
+        const observed = { state: STATE, counts: [5], countedMs: 250 };
+        return Promise.resolve({ ...observed, experts: [] });
+      },
+      order: () => {
+        this.asked.push("agent");
+        if (!this.isAgentAlive) return Promise.reject(failure(1607));
+        return Promise.resolve({ kind: "accepted", isDone: true });
+      },
+    };
+  }
+
+  private get runner(): RankPort {
+    return {
+      observe: () => {
+        this.asked.push("runner");
+        return Promise.resolve(STATE);
+      },
+      counts: () => Promise.reject(failure(1607)),
+      experts: () => Promise.resolve([]),
+      order: () => {
+        this.asked.push("runner");
+        return Promise.resolve({ kind: "accepted", isDone: true });
+      },
+    };
+  }
+}
+
+describe("rank by way of its agent", () => {
+  it("is asked over the agent while that answers", async () => {
+    const rank = new Rank();
+    const { counts } = await rank.reach.observe(LOOK);
+    assert.equal(counts, [5]);
+    assert.equal(rank.asked, ["agent"]);
+  });
+
+  it("is told at its runner when the agent is dead, without counts", async () => {
+    // The agent of the rank that holds a step is killed. The planner has to let
+    // the step go all the same, or the whole group waits for its restart.
+    const rank = new Rank();
+    rank.isAgentAlive = false;
+    const { state, counts } = await rank.reach.observe(LOOK);
+    assert.is(state.heldStep, 9);
+    assert.equal(counts, []);
+    const result = await rank.reach.order(RELEASE, FENCE);
+    assert.equal(result, { kind: "accepted", isDone: true });
+    // The second call doesn't wait for the silent agent again.
+    assert.equal(rank.asked, ["agent", "runner", "runner"]);
+  });
+
+  it("is asked over the agent again after a while", async () => {
+    const rank = new Rank();
+    rank.isAgentAlive = false;
+    await rank.reach.observe(LOOK);
+    rank.isAgentAlive = true;
+    rank.nowMs = 1000;
+    const { counts } = await rank.reach.observe(LOOK);
+    assert.equal(counts, [5]);
+  });
+});
