--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -8,7 +8,7 @@
 import { createDeferred } from "../internal.js";
 import type { AttemptEnd, GiveUpReason, HeaderCodec } from "./types.js";
 
-/** Takes a stream's bytes; `pass` is false when they are not as expected. */
+/** Takes a stream's bytes. */
 export interface StreamSink {
   /** A success has begun. */
   readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
@@ -33,7 +33,6 @@
 }
 
 const FIRST_FAILURE = 300;
-const MISDIRECTED = 421;
 /** Statuses that promise that a request has not run. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -45,6 +44,7 @@
   private status = 0;
   private headers: IncomingHttpHeaders = {};
   private isStream = false;
+  private isNotRun = false;
   private readonly parts: Buffer[] = [];
   private size = 0;
 
@@ -107,6 +107,7 @@
     }
     this.status = status;
     this.headers = headers;
+    this.isNotRun = fields.isNotRun;
     this.isStream = sink !== undefined && status < FIRST_FAILURE;
     if (this.isStream) sink?.onHead(status, headers);
   }
@@ -118,7 +119,7 @@
     headers: IncomingHttpHeaders,
     attemptId: string | undefined,
   ): string | undefined {
-    if (fields.isNotRun || status === MISDIRECTED) return undefined;
+    if (fields.isNotRun) return undefined;
     if (attemptId !== undefined && fields.attemptId !== attemptId) {
       return "answer to another attempt";
     }
@@ -155,8 +156,7 @@
       else this.end({ kind: "broken", reason: fault });
       return;
     }
-    const { isNotRun } = this.options.codec.readAnswer(status, headers);
-    if (isNotRun) {
+    if (this.isNotRun) {
       this.end({ kind: "not-run", status });
       return;
     }
--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -43,9 +43,8 @@
   readonly retries: RetryAllowance;
 }
 
-interface Pending {
-  readonly settle: Deferred<Either<Refusal, Runner>>;
-}
+/** Resolves with a place, or with why there is none. */
+type Pending = Deferred<Either<Refusal, Runner>>;
 
 const NOTHING_EXCLUDED: ReadonlySet<string> = new Set();
 
@@ -124,12 +123,12 @@
     const { pool } = this.serviceOf(call.service);
     if (pool.size === 0) return Left(nobody(call));
     const request = this.admissionOf(call);
-    const settle = createDeferred<Either<Refusal, Runner>>();
-    this.pending.set(request.id, { settle });
+    const pending: Pending = createDeferred();
+    this.pending.set(request.id, pending);
     const offer = this.admission.offer(request);
     if (offer.kind === "refused") this.settle(request.id, Left(offer));
     if (offer.kind === "queued") this.scheduleSweep();
-    const placed = await settle.promise;
+    const placed = await pending.promise;
     return placed.map((runner) => ({ request, runner }));
   }
 
@@ -200,7 +199,7 @@
   private settle(id: string, result: Either<Refusal, Runner>): void {
     const pending = this.pending.get(id);
     this.pending.delete(id);
-    pending?.settle.resolve(result);
+    pending?.resolve(result);
   }
 
   private admissionOf(call: Call): AdmissionRequest {
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -3,7 +3,6 @@
 import type {
   ClientAccount,
   Route,
-  Service,
   ServiceShare,
   SiteConfiguration,
 } from "./types.js";
@@ -11,7 +10,6 @@
 export class RouteTable {
   private readonly routesOfHost = new Map<string, Route[]>();
   private readonly accounts = new Map<string, ClientAccount>();
-  private readonly services = new Map<string, Service>();
 
   private constructor(readonly configuration: SiteConfiguration) {
     for (const route of configuration.routes) {
@@ -27,9 +25,6 @@
         this.accounts.set(credential, account);
       }
     }
-    for (const service of configuration.services) {
-      this.services.set(service.name, service);
-    }
   }
 
   static create(configuration: SiteConfiguration): RouteTable {
@@ -54,10 +49,6 @@
   findAccount(credential: string): ClientAccount | undefined {
     return this.accounts.get(credential);
   }
-
-  findService(name: string): Service | undefined {
-    return this.services.get(name);
-  }
 }
 
 /** Draws one of a route's services by weight. */
