--- /dev/null
+++ b/src/direct/answer-framing.ts
@@ -0,0 +1,31 @@
+/**
+ * How the end of an answer is marked. An answer with neither a length nor
+ * chunks ends when its connection closes, and closes just the same when the
+ * runner's process ends inside it: nobody can tell half of it from all of it.
+ * Passed on with a length or chunks of our own, half an answer would be marked
+ * as whole. So it goes out as it came in, ended by the connection, and callers
+ * know as much as we do.
+ */
+import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
+/** Whether only the end of the connection ends the runner's answer. */
+export function endsWithConnection(
+  status: number,
+  headers: IncomingHttpHeaders,
+): boolean {
+  if (status === NO_CONTENT || status === NOT_MODIFIED) return false;
+  return (
+    headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined
+  );
+}
+
+/** Sends no length and no chunks; called before the head is written. */
+export function endWithConnection(response: ServerResponse): void {
+  response.removeHeader("transfer-encoding");
+  response.removeHeader("content-length");
+  response.setHeader("connection", "close");
+}
--- a/src/direct/event-relay.ts
+++ b/src/direct/event-relay.ts
@@ -5,6 +5,7 @@
  * runner when another one goes on.
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import { endWithConnection, endsWithConnection } from "./answer-framing.js";
 import type { StreamSink } from "./attempt.js";
 import { answerHeaders } from "./end-to-end-headers.js";
 import { EventSplitter } from "./event-splitter.js";
@@ -26,6 +27,8 @@
   private lastId: number;
   private lastAtMs = performance.now();
   private head: Head | undefined;
+  /** The attempt's own end says nothing; only its connection's does. */
+  private isUnmarked = false;
 
   private constructor(private readonly options: EventRelayOptions) {
     this.lastId = options.lastEventId;
@@ -54,6 +57,7 @@
     const splitter = EventSplitter.create();
     return {
       onHead: (status, headers) => {
+        this.isUnmarked = endsWithConnection(status, headers);
         if (!this.hasStarted) this.head = { status, headers };
       },
       onData: (chunk, flow) => {
@@ -69,7 +73,7 @@
       onEnd: () => {
         if (splitter.hasRest) return "ended inside an event";
         this.sendHead();
-        this.options.response.end();
+        this.finish();
         return undefined;
       },
     };
@@ -89,10 +93,21 @@
     });
   }
 
+  /**
+   * Chunks were promised by an earlier attempt, and this one doesn't vouch for
+   * an end: the caller has every event, and resumes if it misses some.
+   */
+  private finish(): void {
+    const { response } = this.options;
+    if (this.isUnmarked && response.chunkedEncoding) response.destroy();
+    else response.end();
+  }
+
   private sendHead(): void {
     const { response } = this.options;
     if (response.headersSent || this.head === undefined) return;
     const { status, headers } = this.head;
+    if (this.isUnmarked) endWithConnection(response);
     response.writeHead(status, answerHeaders(headers));
   }
 }
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -11,6 +11,7 @@
   type ErrorNumber,
   type Measurements,
 } from "../internal.js";
+import { endWithConnection, endsWithConnection } from "./answer-framing.js";
 import { Attempt } from "./attempt.js";
 import { answerHeaders } from "./end-to-end-headers.js";
 import { EventRelay } from "./event-relay.js";
@@ -275,11 +276,11 @@
     this.options.gate.retriesOf(this.call.service).onSuccess();
     if (end.kind !== "answered" || this.response.destroyed) return;
     const { status, headers, body } = end.answer;
-    this.response.writeHead(status, {
-      ...answerHeaders(headers),
-      "content-length": body.length,
-    });
-    this.response.end(body);
+    const { response } = this;
+    if (endsWithConnection(status, headers)) endWithConnection(response);
+    else response.setHeader("content-length", body.length);
+    response.writeHead(status, answerHeaders(headers));
+    response.end(body);
   }
 
   private refuse(error: ApricotdeckError, retryAfterMs: number): void {
--- a/standins/signing-runner.ts
+++ b/standins/signing-runner.ts
@@ -95,6 +95,16 @@
   };
 }
 
+/** A success without length or chunks, which ends with its connection. */
+export function answerUntilClose(body: string): Behaviour {
+  return ({ request, signed }) => {
+    const head = Object.entries(signed).map(
+      ([name, value]) => `${name}: ${value}\r\n`,
+    );
+    request.socket.end(`HTTP/1.1 200 OK\r\n${head.join("")}\r\n${body}`);
+  };
+}
+
 /** Says that it is full; nothing was run. */
 export const refuseAsFull: Behaviour = ({ response }) => {
   response.writeHead(503, { [headerNames.notRun]: "1" }).end();
--- a/tests/platform/direct-path.test.ts
+++ b/tests/platform/direct-path.test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import { headerNames, paths } from "../../platform/names.js";
 import {
+  answerUntilClose,
   answerWith,
   eventOf,
   refuseAsFull,
@@ -33,6 +34,19 @@
   response.end();
 }
 
+/** Breaks off in the fourth event; a resumed stream has no framing. */
+function resumeUntilClose(total: number): Behaviour {
+  return (exchange) => {
+    const after = Number(exchange.request.headers[headerNames.lastEventId]);
+    if (!(after > 0)) return streamEvents(total, 3)(exchange);
+    const ids = Array.from(
+      { length: total - after },
+      (_, at) => after + at + 1,
+    );
+    return answerUntilClose(ids.map(eventOf).join(""))(exchange);
+  };
+}
+
 function arrivalsOf(site: EntrySite): number {
   return site.runners.reduce((sum, { arrivals }) => sum + arrivals.length, 0);
 }
@@ -271,6 +285,45 @@
       assert.not.ok(body.includes("half of"));
     });
 
+    it("more certainty of an answer's end than its runner gave", async () => {
+      // The answer has no length, and its runner's process ends inside it. The
+      // connection closes in good order, which is also how such an answer ends
+      // when it is whole. With a length of our own, half of it would pass for
+      // all; closed the same way, the caller knows as much as we do.
+      await using site = await EntrySite.serving(answerUntilClose("half of"));
+      const { status, headers, body } = await site.call({ path: "/once/a" });
+      assert.is(status, 200);
+      assert.is(body, "half of");
+      assert.is(headers["content-length"], undefined);
+      assert.is(headers["transfer-encoding"], undefined);
+      assert.is(headers.connection, "close");
+    });
+
+    it("a stream's end that its runner didn't mark", async () => {
+      // A stream without framing: after the last event that came the connection
+      // closes, because the stream is over or because the runner is.
+      await using site = await EntrySite.serving(
+        answerUntilClose(eventOf(1) + eventOf(2)),
+      );
+      const answer = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(answer.body, eventOf(1) + eventOf(2));
+      assert.is(answer.headers["transfer-encoding"], undefined);
+      assert.is(answer.headers.connection, "close");
+    });
+
+    it("a mark of the end when only the first part of a stream was marked", async () => {
+      // The first runner's connection breaks in its fourth event; the second
+      // one goes on without framing. The caller has been promised a marked end,
+      // and gets every event but no mark that nobody vouches for.
+      await using site = await EntrySite.serving(
+        resumeUntilClose(EVENTS),
+        resumeUntilClose(EVENTS),
+      );
+      const answer = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(answer.body, wholeStream());
+      assert.not.ok(answer.isWhole);
+    });
+
     it("a success that no runner has signed", async () => {
       await using site = await EntrySite.serving(({ response, signed }) => {
         const attempt = signed[headerNames.attemptId];
