--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -17,6 +17,7 @@
   type Measurements,
 } from "../internal.js";
 import { BackendServerDirectory } from "../membership/directory.js";
+import { SlowRunners, decodePaceNote } from "../membership/slow-runners.js";
 import type { RegisterChange } from "../membership/types.js";
 import type { KeyedRecord, KeyedTopic } from "../platform/keyed-topic.js";
 import { followTopic } from "../platform/topic-follower.js";
@@ -45,6 +46,8 @@
   readonly decodeConfiguration: (value: Buffer) => SiteConfiguration;
   readonly register: KeyedTopic;
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
+  /** Which runners are slow. */
+  readonly pace: KeyedTopic;
   /** Path that the platform's balancer asks. */
   readonly readinessPath: string;
 }
@@ -61,6 +64,11 @@
  * a change; a connection that fell silent is noticed after this time.
  */
 const CONFIGURATION_WAIT_MS = 2000;
+/**
+ * Longest read of the pace notes, ms. There are none for most of the time; a
+ * connection that fell silent costs no more than late news of a slow rank.
+ */
+const PACE_WAIT_MS = 10_000;
 /**
  * Time between two reads of the register, ms. Runners write there all the
  * time, so that waiting for a record would read without pause; a leaving one
@@ -83,6 +91,7 @@
   private readonly measurements: Measurements;
   private readonly registry;
   private readonly gate: ServiceGate;
+  private readonly slowRunners: SlowRunners;
   private readonly directory: BackendServerDirectory;
   private readonly forwarder: Forwarder;
   private readonly stop = new AbortController();
@@ -109,12 +118,15 @@
     this.measurements = measurements;
     const now = (): number => performance.now();
     const random = Math.random;
+    const slowRunners = SlowRunners.create(now, emit);
+    this.slowRunners = slowRunners;
     const gate = ServiceGate.create({
       now,
       random,
       emit,
       dataCentre,
       connect: connectRunner,
+      isSlow: (address) => slowRunners.isSlow(address),
     });
     this.gate = gate;
     this.directory = BackendServerDirectory.create({
@@ -262,6 +274,26 @@
       },
       signal,
     );
+    const onPace = (records: readonly KeyedRecord[]): void => {
+      this.onPace(records);
+    };
+    void followTopic(
+      {
+        name: "pace",
+        topic: this.options.pace,
+        waitMs: PACE_WAIT_MS,
+        intervalMs: 0,
+        random,
+        emit,
+        onSnapshot: onPace,
+        onChanges: onPace,
+        onLost: () => {
+          countOutage("pace");
+        },
+        onRestored: nothing,
+      },
+      signal,
+    );
     void followTopic(
       {
         name: "register",
@@ -315,6 +347,13 @@
     });
   }
 
+  private onPace(records: readonly KeyedRecord[]): void {
+    for (const record of records) {
+      const note = decodePaceNote(record);
+      if (note !== undefined) this.slowRunners.take(note);
+    }
+  }
+
   private onRegister(records: readonly KeyedRecord[]): void {
     const changes = records.map(this.options.decodeServer);
     const servers = changes.flatMap(({ server }) => server ?? []);
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -15,7 +15,12 @@
 import { Attempt } from "./attempt.js";
 import { answerHeaders } from "./end-to-end-headers.js";
 import { EventRelay } from "./event-relay.js";
-import { nextStep, type NextStep } from "./next-step.js";
+import {
+  mayMove,
+  nextStep,
+  type AttemptHistory,
+  type NextStep,
+} from "./next-step.js";
 import type { Verdict } from "./runner-pool.js";
 import type { Admitted, ServiceGate } from "./service-gate.js";
 import { STALL_LOOK_MS, isStalled } from "./stall.js";
@@ -43,6 +48,8 @@
  */
 const REFUSED_RETRY_MS = 300;
 
+const NOTHING_TRIED: ReadonlySet<string> = new Set();
+
 export class Forwarder {
   private constructor(private readonly options: ForwarderOptions) {}
 
@@ -156,7 +163,7 @@
       const step = this.stepAfter(end);
       this.note(admitted, end, step);
       if (step.kind !== "repeat") return this.conclude(admitted, end, step);
-      const next = this.options.gate.moveOn(admitted, this.tried);
+      const next = this.nextPlace(admitted, end);
       if (next === undefined) {
         this.concludeUnplaced(end);
         return false;
@@ -165,6 +172,15 @@
     }
   }
 
+  /** A stream that left a slow runner goes back rather than break. */
+  private nextPlace(admitted: Admitted, end: AttemptEnd): Admitted | undefined {
+    const { gate } = this.options;
+    const next = gate.moveOn(admitted, this.tried);
+    const isMoved = end.kind === "given-up" && end.reason === "slow";
+    if (next !== undefined || !isMoved) return next;
+    return gate.moveOn(admitted, NOTHING_TRIED);
+  }
+
   private async attemptAt(admitted: Admitted): Promise<AttemptEnd> {
     const { call, options, relay } = this;
     const { runner } = admitted;
@@ -193,7 +209,7 @@
       maximumBytes: MAXIMUM_ANSWER_BYTES,
     });
     this.attempt = attempt;
-    const end = await this.watch(attempt);
+    const end = await this.watch(attempt, admitted);
     this.attempt = undefined;
     if (end.kind === "given-up" && end.reason === "stalled") {
       options.gate.onSilent(admitted);
@@ -205,16 +221,22 @@
     return end;
   }
 
-  /** Ends an attempt whose stream has fallen silent. */
-  private async watch(attempt: Attempt): Promise<AttemptEnd> {
+  /** Ends an attempt whose stream has fallen silent or sits at a slow runner. */
+  private async watch(
+    attempt: Attempt,
+    admitted: Admitted,
+  ): Promise<AttemptEnd> {
     const { relay, call, options } = this;
     if (relay === undefined) return attempt.run();
     const pace = options.gate.paceOf(call.service);
     const startedAtMs = performance.now();
     const timer = setInterval(() => {
       const lastMs = Math.max(relay.lastEventAtMs, startedAtMs);
-      if (!isStalled(performance.now(), lastMs, pace.lastEventAtMs)) return;
-      attempt.giveUp("stalled");
+      if (isStalled(performance.now(), lastMs, pace.lastEventAtMs)) {
+        attempt.giveUp("stalled");
+      } else if (this.shouldMove(admitted)) {
+        attempt.giveUp("slow");
+      }
     }, STALL_LOOK_MS);
     try {
       return await attempt.run();
@@ -223,9 +245,23 @@
     }
   }
 
+  /**
+   * A slow rank holds its whole group back for as long as it has work of its
+   * own, five seconds or more for the streams it had; so they move at once.
+   */
+  private shouldMove(admitted: Admitted): boolean {
+    const { gate } = this.options;
+    if (!gate.isBetterElsewhere(admitted, this.tried)) return false;
+    return mayMove(this.history());
+  }
+
   private stepAfter(end: AttemptEnd): NextStep {
+    return nextStep(end, this.history());
+  }
+
+  private history(): AttemptHistory {
     const { route, dueAtMs, service } = this.call;
-    return nextStep(end, {
+    return {
       route,
       sent: this.sent,
       unsent: this.unsent,
@@ -234,7 +270,7 @@
       mayHaveRun: this.mayHaveRun,
       mayRepeat: () =>
         this.options.gate.retriesOf(service).spend(1) !== undefined,
-    });
+    };
   }
 
   private conclude(
--- a/src/direct/next-step.ts
+++ b/src/direct/next-step.ts
@@ -52,12 +52,23 @@
     case "broken":
       return mayRunAgain(history) ? repeatOr(history) : failOrBreak(history);
     case "given-up":
+      // Decided, and paid for, before it was given up.
+      if (end.reason === "slow") return { kind: "repeat" };
       return end.reason === "stalled" && mayRunAgain(history)
         ? repeatOr(history, 1212)
         : failOrBreak(history, 1212);
   }
 }
 
+/**
+ * Whether a running attempt may be given up so that another runner goes on.
+ * `history` doesn't count it yet. Takes the repeat out of the allowance.
+ */
+export function mayMove(history: AttemptHistory): boolean {
+  if (!mayRunAgain(history)) return false;
+  return canRepeat({ ...history, sent: history.sent + 1 });
+}
+
 /**
  * Another runner may do better where the request may run again; otherwise the
  * runner's own failure is the answer.
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -26,6 +26,8 @@
   readonly connect: (address: string) => Dispatcher;
   /** Data centre of this entry. */
   readonly dataCentre: string;
+  /** Whether the runner at host:port is known to be slow. */
+  readonly isSlow: (address: string) => boolean;
 }
 
 /** How an attempt ended, as far as it tells of the runner. */
@@ -37,6 +39,9 @@
  */
 const FULL_PAUSE_MS = 120;
 
+/** Times its slots; an entry never has as much at one runner. */
+const SLOW_PENALTY = 1000;
+
 export class RunnerPool {
   private readonly runners = new Map<string, Runner>();
 
@@ -150,10 +155,16 @@
     await Promise.all(all.map(({ connections }) => connections.close()));
   }
 
-  /** Ties go to the own data centre at even odds, else at random. */
+  /**
+   * Ties go to the own data centre at even odds, else at random. A slow runner
+   * comes after all that aren't, however much they have: with work of its own
+   * it holds back its whole group.
+   */
   private scoreOf({ server, running }: Runner): number {
-    const { random, dataCentre } = this.inputs;
+    const { random, dataCentre, isSlow } = this.inputs;
     const near = server.dataCentre === dataCentre ? 0 : 0.25;
-    return (running + near + random() * 0.5) / Math.max(1, server.slots);
+    const slow = isSlow(server.address) ? SLOW_PENALTY : 0;
+    const taken = (running + near + random() * 0.5) / Math.max(1, server.slots);
+    return taken + slow;
   }
 }
--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -29,6 +29,8 @@
   readonly emit: Emit;
   readonly dataCentre: string;
   readonly connect: (address: string) => Dispatcher;
+  /** Whether the runner at host:port is known to be slow. */
+  readonly isSlow: (address: string) => boolean;
 }
 
 /** A request that has its place at a runner. */
@@ -155,6 +157,17 @@
     return { ...admitted, runner };
   }
 
+  /** Whether a stream had better go on at another runner. */
+  isBetterElsewhere(
+    { request, runner }: Admitted,
+    tried: ReadonlySet<string>,
+  ): boolean {
+    if (!this.inputs.isSlow(runner.server.address)) return false;
+    const { pool } = this.serviceOf(request.pool);
+    const other = pool.choose(tried);
+    return other !== undefined && !this.inputs.isSlow(other.server.address);
+  }
+
   /** A connection to the runner has fallen silent. */
   onSilent({ request, runner }: Admitted): void {
     this.serviceOf(request.pool).pool.renew(runner);
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -98,4 +98,5 @@
       readonly reason: GiveUpReason;
     };
 
-export type GiveUpReason = "caller-gone" | "overdue" | "stalled";
+/** `slow`: the stream goes on at a runner that isn't. */
+export type GiveUpReason = "caller-gone" | "overdue" | "stalled" | "slow";
--- /dev/null
+++ b/src/membership/slow-runners.ts
@@ -0,0 +1,74 @@
+/**
+ * Runners that work slowly, as the planner of their group tells the entries.
+ *
+ * All ranks of a group make each step together, so an entry can't see which of
+ * them is the slow one: all of its streams pause alike. A slow rank with work
+ * of its own keeps the whole group at its pace; left without, the others go on
+ * almost as before. The planner reads every rank's pace anyway, free of cost,
+ * and writes down what is out of the ordinary.
+ */
+import { z } from "zod";
+import { raise, type Emit, type Now } from "../internal.js";
+import type { KeyedRecord } from "../platform/keyed-topic.js";
+
+/** One rank's pace. */
+export interface PaceNote {
+  /** host:port of the runner. */
+  readonly address: string;
+  /** How many times as long as usual it takes for its work. */
+  readonly slowness: number;
+}
+
+/** A rank counts as slow from here on. */
+export const SLOW_FROM = 1.5;
+
+/**
+ * A note that isn't written again counts for this time, ms: when its writer is
+ * gone and nobody says that the rank has recovered, it isn't left out for good.
+ */
+export const NOTE_LASTS_MS = 9000;
+
+const valueSchema = z.object({ slowness: z.number() });
+
+export function encodePaceNote({ slowness }: PaceNote): Buffer {
+  return Buffer.from(JSON.stringify({ slowness }));
+}
+
+/** Undefined for a key that was dropped. Throws 1903. */
+export function decodePaceNote({
+  key,
+  value,
+}: KeyedRecord): PaceNote | undefined {
+  if (value === undefined) return undefined;
+  const result = valueSchema.safeParse(JSON.parse(value.toString()));
+  if (!result.success) return raise(1903, { reason: result.error.message });
+  return { address: key, slowness: result.data.slowness };
+}
+
+export class SlowRunners {
+  /** Address to the monotonic time until which its note counts, ms. */
+  private readonly slowUntilMs = new Map<string, number>();
+
+  private constructor(
+    private readonly now: Now,
+    private readonly emit: Emit,
+  ) {}
+
+  static create(now: Now, emit: Emit): SlowRunners {
+    return new SlowRunners(now, emit);
+  }
+
+  take({ address, slowness }: PaceNote): void {
+    const isSlow = slowness >= SLOW_FROM;
+    if (isSlow !== this.isSlow(address)) {
+      this.emit(217, { address, slowness });
+    }
+    if (isSlow) this.slowUntilMs.set(address, this.now() + NOTE_LASTS_MS);
+    else this.slowUntilMs.delete(address);
+  }
+
+  isSlow(address: string): boolean {
+    const untilMs = this.slowUntilMs.get(address);
+    return untilMs !== undefined && untilMs > this.now();
+  }
+}
--- a/src/platform/keyed-topic.ts
+++ b/src/platform/keyed-topic.ts
@@ -12,6 +12,12 @@
   readonly nextOffset: number;
 }
 
+/** Writes records of a topic of our own. */
+export interface KeyedWriter {
+  /** Throws 1901: the record may have been written all the same. */
+  readonly put: (key: string, value: Buffer) => Promise<void>;
+}
+
 /** What the adapter of a platform provides. Both throw 1901 on an outage. */
 export interface KeyedTopic {
   /** The newest record of each key. */
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -24,12 +24,17 @@
   type Measurements,
 } from "../internal.js";
 import type { RegisterChange } from "../membership/types.js";
-import type { KeyedRecord, KeyedTopic } from "../platform/keyed-topic.js";
+import type {
+  KeyedRecord,
+  KeyedTopic,
+  KeyedWriter,
+} from "../platform/keyed-topic.js";
 import { RELEASE } from "../release.js";
 import type { EngineFigures, SiteConfiguration } from "../routing/types.js";
 import { RankAgentService } from "../wire/generated/rankmaps.js";
 import { GroupPlanner, type GroupRank } from "./group-planner.js";
 import { HoldGuard } from "./hold-guard.js";
+import { PaceReporter } from "./pace-reporter.js";
 import { PlannerSeat, type SeatService } from "./planner-seat.js";
 import { RankAgent } from "./rank-agent.js";
 import { RankClient } from "./rank-client.js";
@@ -46,6 +51,7 @@
   readonly decodeConfiguration: (value: Buffer) => SiteConfiguration;
   readonly register: KeyedTopic;
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
+  readonly paceNotes: KeyedWriter;
 }
 
 /** Between two looks at a runner that belongs to no group yet, ms. */
@@ -68,6 +74,7 @@
   private group: readonly GroupRank[] = [];
   private readonly seat: PlannerSeat;
   private readonly port: RankPort;
+  private readonly pace: PaceReporter;
   private readonly incarnation = randomUUID();
   private readonly registry;
   private readonly measurements: Measurements;
@@ -84,6 +91,11 @@
     this.measurements = measurements;
     this.events = EventLog.create(name, HybridClock.create(), logLevel);
     this.emit = this.events.emit;
+    this.pace = PaceReporter.create({
+      notes: options.paceNotes,
+      now: () => performance.now(),
+      emit: this.emit,
+    });
     const guard = HoldGuard.create({
       port,
       emit: this.emit,
@@ -224,6 +236,7 @@
       seat: this.seat,
       emit: this.emit,
       measurements: this.measurements,
+      pace: this.pace,
       engine,
       holder: (rank + 1) % size,
     });
@@ -276,6 +289,7 @@
     const { host } = hostPortOf(address);
     const { port } = hostPortOf(this.options.settings.peers);
     const rank = createReachableRank({
+      address,
       agent: this.clientOf(`${host}:${port}`),
       runner: this.options.connectRunner(address),
       now: () => performance.now(),
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -3,9 +3,11 @@
  * ranks, follows demand, and takes each better map through its switch.
  */
 import { raise, toFailure, type Emit, type Measurements } from "../internal.js";
+import type { PaceNote } from "../membership/slow-runners.js";
 import type { EngineFigures } from "../routing/types.js";
 import { ExpertDemand } from "./demand.js";
 import { MapPlanner, type MapLimits, type MapPlan } from "./map-planner.js";
+import type { PaceReporter } from "./pace-reporter.js";
 import type { PlannerSeat } from "./planner-seat.js";
 import type { Observation } from "./rank-messages.js";
 import {
@@ -26,6 +28,8 @@
 
 /** A rank that can be reached. */
 export interface GroupRank {
+  /** host:port of its runner. */
+  readonly address: string;
   readonly observe: (request: {
     readonly withCounts: boolean;
     readonly withExperts: boolean;
@@ -37,6 +41,7 @@
   readonly seat: PlannerSeat;
   readonly emit: Emit;
   readonly measurements: Measurements;
+  readonly pace: PaceReporter;
   readonly engine: EngineFigures;
   /**
    * Rank that holds steps. Not the planner's own: when this process freezes,
@@ -105,6 +110,7 @@
       this.forget();
       raise(1606, { ranks: seen.length });
     }
+    this.options.pace.look(paceOf(ranks, seen));
     this.takeIn(seen, states, withCounts, nowMs);
     if (run.isIdle(states)) this.goal ??= this.makeGoal(run, states);
     return this.carryOut(ranks, states, run);
@@ -288,6 +294,16 @@
   }
 }
 
+function paceOf(
+  ranks: readonly GroupRank[],
+  seen: readonly Observation[],
+): readonly PaceNote[] {
+  return ranks.map(({ address }, index) => ({
+    address,
+    slowness: seen[index].state.slowness,
+  }));
+}
+
 function speedsOf(states: readonly RankState[]): Float64Array {
   const speeds = new Float64Array(states.length);
   for (const { rank, slowness } of states) speeds[rank] = 1 / slowness;
--- a/src/rankmaps/reachable-rank.ts
+++ b/src/rankmaps/reachable-rank.ts
@@ -13,13 +13,15 @@
 const AGENT_RETRY_MS = 1000;
 
 export interface ReachableRankOptions {
-  readonly agent: GroupRank;
+  /** host:port of the runner. */
+  readonly address: string;
+  readonly agent: Omit<GroupRank, "address">;
   readonly runner: RankPort;
   readonly now: Now;
 }
 
 export function createReachableRank(options: ReachableRankOptions): GroupRank {
-  const { agent, runner, now } = options;
+  const { address, agent, runner, now } = options;
   let retryAtMs = Number.NEGATIVE_INFINITY;
   const attempt = async <T>(
     over: () => Promise<T>,
@@ -35,6 +37,7 @@
     }
   };
   return {
+    address,
     observe: (request) =>
       attempt(
         () => agent.observe(request),
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -363,6 +363,10 @@
     waitedMs: "time until it had a place, ms",
     totalMs: "time from arrival to the end, ms",
   }),
+  217: entry("runner-pace", "info", "A runner turned slow, or recovered.", {
+    address: "host:port",
+    slowness: "times as long as usual that it takes for its work",
+  }),
 
   // 220: expert maps of engines that hold a step
   220: entry("map-planned", "info", "A better expert map was planned.", {
@@ -384,6 +388,10 @@
   223: entry("group-incomplete", "warn", "Not all ranks can be reached.", {
     reason: "failure seen",
   }),
+  224: entry("rank-pace", "info", "Entries were told of a slow rank.", {
+    address: "host:port of the runner",
+    slowness: "times as long as usual that it takes; about 1 on recovery",
+  }),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- a/tests/direct/next-step.test.ts
+++ b/tests/direct/next-step.test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import {
   LEAST_TIME_LEFT_MS,
+  mayMove,
   nextStep,
   type AttemptHistory,
 } from "../../src/direct/next-step.js";
@@ -55,6 +56,26 @@
   return step.kind === "fail" ? errorTable[step.error].outcome : step.kind;
 }
 
+describe("move of a running stream", () => {
+  it("needs a stream that may go on elsewhere, and an attempt left", () => {
+    assert.ok(mayMove(historyOf({ route: resumable, sent: 0 })));
+    assert.not.ok(mayMove(historyOf({ route: resumable, sent: 1 })));
+    assert.not.ok(mayMove(historyOf({ route: once, sent: 0 })));
+  });
+
+  it("takes its repeat out of the allowance before the stream is given up", () => {
+    // Given up first and refused then, a stream that ran well would break off.
+    const mayRepeat = (): boolean => false;
+    const history = historyOf({ route: resumable, sent: 0, mayRepeat });
+    assert.not.ok(mayMove(history));
+    const end: AttemptEnd = { kind: "given-up", wasSent: true, reason: "slow" };
+    assert.is(
+      outcomeOf(end, historyOf({ route: resumable, mayRepeat })),
+      "repeat",
+    );
+  });
+});
+
 describe("next step after an attempt", () => {
   describe("of a request that may not be repeated", () => {
     it("never sends it again when its connection broke", () => {
--- a/tests/direct/service-gate.test.ts
+++ b/tests/direct/service-gate.test.ts
@@ -14,13 +14,17 @@
 const SLOTS = 4;
 const unused = { close: () => Promise.resolve() } as unknown as Dispatcher;
 
-function gateWith(runners: number): ServiceGate {
+function gateWith(
+  runners: number,
+  isSlow: (address: string) => boolean = () => false,
+): ServiceGate {
   const gate = ServiceGate.create({
     now: () => performance.now(),
     random: createRandom(5),
     emit: ignoreEvents,
     dataCentre: "here",
     connect: () => unused,
+    isSlow,
   });
   for (let index = 0; index < runners; index += 1) {
     gate.setServer({
@@ -116,6 +120,30 @@
     await gate.close();
   });
 
+  it("sends nothing to a slow runner while others have room", async () => {
+    // One of three ranks is slow. Work of its own there would slow all streams
+    // of the group, those at the other ranks as well.
+    const gate = gateWith(3, (address) => address === "10.0.0.0:80");
+    for (let index = 0; index < 4; index += 1) {
+      const result = await enter(gate, callOf(`c${index}`));
+      assert.is(result.kind, "admitted");
+      if (result.kind === "refused") continue;
+      assert.is.not(result.admitted.runner.server.id, "r0");
+      assert.not.ok(gate.isBetterElsewhere(result.admitted, new Set()));
+    }
+    await gate.close();
+  });
+
+  it("goes on with slow runners when there are no others", async () => {
+    const gate = gateWith(2, () => true);
+    const result = await enter(gate, callOf("c"));
+    assert.is(result.kind, "admitted");
+    if (result.kind === "admitted") {
+      assert.not.ok(gate.isBetterElsewhere(result.admitted, new Set()));
+    }
+    await gate.close();
+  });
+
   it("spreads what runs over the runners", async () => {
     const gate = gateWith(3);
     const taken = new Map<string, number>();
--- a/tests/platform/direct-path.test.ts
+++ b/tests/platform/direct-path.test.ts
@@ -1,5 +1,5 @@
 import * as assert from "uvu/assert";
-import { headerNames, paths } from "../../platform/names.js";
+import { headerNames, paths, topics } from "../../platform/names.js";
 import {
   answerUntilClose,
   answerWith,
@@ -389,6 +389,38 @@
       assert.ok((await beside).isWhole);
     });
 
+    it("leave a slow runner, every event once", async () => {
+      // One rank turns slow. It makes each step with its whole group, so all
+      // streams are late for as long as it has work of its own. The planner
+      // notes it, and the stream that runs there goes on at another runner.
+      const behave: Behaviour = (exchange) =>
+        exchange.request.headers[headerNames.lastEventId] === undefined
+          ? trickle(exchange)
+          : streamEvents(40)(exchange);
+      await using site = await EntrySite.serving(behave, behave);
+      const call = site.call({
+        path: "/stream/a",
+        method: "POST",
+        headers: { [headerNames.deadlineMs]: "5000" },
+      });
+      await site.until(() => arrivalsOf(site) === 1);
+      const slow = site.runners.find(({ arrivals }) => arrivals.length === 1);
+      site.store.put(topics.pace, slow?.address ?? "", { slowness: 5 });
+      const answer = await call;
+      assert.ok(answer.isWhole);
+      const ids = answer.body.matchAll(/^id: (\d+)$/gm);
+      const expected = Array.from({ length: 40 }, (_, index) => index + 1);
+      assert.equal(
+        Array.from(ids, ([, id]) => Number(id)),
+        expected,
+      );
+      assert.equal(
+        site.runners.map(({ arrivals }) => arrivals.length),
+        [1, 1],
+      );
+      assert.ok(slow?.arrivals[0].isAbandoned);
+    });
+
     it("begin after the event that the caller has", async () => {
       await using site = await EntrySite.serving(streamEvents(EVENTS));
       const answer = await site.call({
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -65,6 +65,7 @@
       decodeConfiguration,
       register: client.keyedTopic(topics.register),
       decodeServer: decodeRegistration,
+      pace: client.keyedTopic(topics.pace),
       readinessPath: paths.readiness,
     });
     return new EntrySite(store, client, entry);
--- a/tests/rankmaps/hold-guard.test.ts
+++ b/tests/rankmaps/hold-guard.test.ts
@@ -13,6 +13,7 @@
 function rankOf(engines: HeldEngines, rank: number): GroupRank & RankPort {
   const observe = () => engines.states()[rank];
   return {
+    address: `10.0.0.${rank}:1`,
     observe: () => {
       const state = observe();
       // As a rank and as a port: one gives the state with what belongs to it.
--- a/tests/rankmaps/reachable-rank.test.ts
+++ b/tests/rankmaps/reachable-rank.test.ts
@@ -28,12 +28,13 @@
   readonly asked: string[] = [];
 
   readonly reach = createReachableRank({
+    address: "10.0.0.2:1",
     agent: this.agent,
     runner: this.runner,
     now: () => this.nowMs,
   });
 
-  private get agent(): GroupRank {
+  private get agent(): Omit<GroupRank, "address"> {
     return {
       observe: () => {
         this.asked.push("agent");
