--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -48,6 +48,9 @@
  */
 const REFUSED_RETRY_MS = 300;
 
+/** Another runner than the one that was named answers at the address. */
+const MISDIRECTED = 421;
+
 const NOTHING_TRIED: ReadonlySet<string> = new Set();
 
 export class Forwarder {
@@ -386,7 +389,7 @@
     case "answered":
       return end.answer.status < 500 ? "served" : "none";
     case "not-run":
-      return "full";
+      return end.status === MISDIRECTED ? "replaced" : "full";
     case "unsent":
     case "broken":
       return "failed";
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -15,7 +15,7 @@
   readonly health: RunnerHealth;
   /** Attempts of this entry that run there. */
   running: number;
-  /** The engine said that it was full; nothing is sent before then, ms. */
+  /** It refused the last request; nothing is sent before then, ms. */
   fullUntilMs: number;
 }
 
@@ -31,7 +31,7 @@
 }
 
 /** How an attempt ended, as far as it tells of the runner. */
-export type Verdict = "served" | "failed" | "full" | "none";
+export type Verdict = "served" | "failed" | "full" | "replaced" | "none";
 
 /**
  * A runner that was full is tried again after this time, ms: about the time
@@ -42,6 +42,13 @@
 /** Times its slots; an entry never has as much at one runner. */
 const SLOW_PENALTY = 1000;
 
+/**
+ * An address at which another runner answers, ms. The one that was meant is
+ * gone; its registration lapses after three heartbeats, and every request sent
+ * there until then costs its caller an attempt.
+ */
+const REPLACED_PAUSE_MS = 2000;
+
 export class RunnerPool {
   private readonly runners = new Map<string, Runner>();
 
@@ -144,6 +151,10 @@
         runner.fullUntilMs = nowMs + FULL_PAUSE_MS;
         health.onNoVerdict();
         return;
+      case "replaced":
+        runner.fullUntilMs = nowMs + REPLACED_PAUSE_MS;
+        health.onNoVerdict();
+        return;
       case "none":
         health.onNoVerdict();
     }
--- a/src/platform/keyed-topic.ts
+++ b/src/platform/keyed-topic.ts
@@ -20,7 +20,7 @@
 
 /** What the adapter of a platform provides. Both throw 1901 on an outage. */
 export interface KeyedTopic {
-  /** The newest record of each key. */
+  /** The newest record of each key, in the order in which they were written. */
   readonly newest: (signal: AbortSignal) => Promise<KeyedPage>;
   /**
    * What was written since the offset, waiting up to `waitMs` for a record.
--- a/standins/keyed-store.ts
+++ b/standins/keyed-store.ts
@@ -150,16 +150,19 @@
 }
 
 function sendNewest(topic: Topic, response: ServerResponse): void {
-  const newest = new Map<string, Buffer>();
-  for (const { key, value } of topic.records) {
+  const newest = new Map<string, { offset: number; value: Buffer }>();
+  topic.records.forEach(({ key, value }, offset) => {
     if (value === undefined) newest.delete(key);
-    else newest.set(key, value);
-  }
-  const entries = [...newest].map(([key, value]) => ({
-    key,
-    data: value.toString("base64"),
-    offset: 0,
-  }));
+    else newest.set(key, { offset, value });
+  });
+  // By key: a page says nothing of the order in which records were written.
+  const entries = [...newest]
+    .sort(([one], [other]) => (one < other ? -1 : 1))
+    .map(([key, { offset, value }]) => ({
+      key,
+      data: value.toString("base64"),
+      offset,
+    }));
   const { nextOffset } = topic;
   sendJson(response, 200, { entries, has_more: false, end_offset: nextOffset });
 }
--- a/standins/signing-runner.ts
+++ b/standins/signing-runner.ts
@@ -34,6 +34,8 @@
 
 export class SigningRunner implements AsyncDisposable {
   readonly arrivals: Arrival[] = [];
+  /** Requests meant for another runner. */
+  misdirected = 0;
   private listening: Listening | undefined;
 
   private constructor(
@@ -71,6 +73,7 @@
     response.on("error", () => undefined);
     const expected = request.headers[headerNames.expectedRunner];
     if (expected !== undefined && expected !== this.id) {
+      this.misdirected += 1;
       response.writeHead(MISDIRECTED).end();
       return;
     }
--- a/tests/platform/direct-path.test.ts
+++ b/tests/platform/direct-path.test.ts
@@ -472,6 +472,42 @@
       assert.is(leaving.arrivals.length, before);
     });
 
+    it("takes the runner that registered last for the one at an address", async () => {
+      // A runner's VM lost power. It is back under a new id at its old address,
+      // and its old registration hasn't lapsed yet. A new entry reads both in
+      // one page, ordered by id; sent to the old one, a request is refused as
+      // misdirected and its caller has lost an attempt.
+      await using site = await EntrySite.serving(answerWith("ok"));
+      const [runner] = site.runners;
+      const { address } = runner;
+      site.register({ id: "z-before", address }, "ready");
+      site.register({ id: runner.id, address }, "ready");
+      site.store.forgetHistory(topics.register);
+      const pages = (): number => site.store.calls.get(paths.newest) ?? 0;
+      const before = pages();
+      await site.until(() => pages() > before);
+      await site.until(() => site.entry.runnerCount === 1);
+      const answer = await site.call({ path: "/once/a" });
+      assert.is(answer.status, 200);
+      assert.is(runner.misdirected, 0);
+    });
+
+    it("asks a runner no more that another one has replaced", async () => {
+      // The runner at the address has changed and isn't registered yet. Each
+      // request that goes there costs its caller one of two attempts.
+      await using site = await EntrySite.serving(answerWith("ok"));
+      const [runner] = site.runners;
+      site.register({ id: "r9", address: runner.address }, "ready");
+      await site.until(() => site.entry.runnerCount === 1);
+      const other = await site.addRunner(answerWith("ok"));
+      await site.until(() => site.entry.runnerCount === 2);
+      for (let round = 0; round < 6; round += 1) {
+        assert.is((await site.call({ path: "/once/a" })).status, 200);
+      }
+      assert.ok(runner.misdirected <= 1);
+      assert.is(other.arrivals.length, 6);
+    });
+
     it("goes on with what it knows while the store is away", async () => {
       await using site = await EntrySite.serving(answerWith("ok"));
       site.store.mood = "refusing";
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -137,7 +137,10 @@
     return runner;
   }
 
-  register({ id, address }: SigningRunner, state: string): void {
+  register(
+    { id, address }: Pick<SigningRunner, "id" | "address">,
+    state: string,
+  ): void {
     this.heartbeat += 1;
     this.store.put(topics.register, id, {
       backend: "service",
