--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -72,6 +72,8 @@
   private readonly clients = new Map<string, RankClient>();
   private readonly ranks = new Map<string, GroupRank>();
   private group: readonly GroupRank[] = [];
+  private isGroupStale = true;
+  private engine: EngineFigures | undefined;
   private readonly seat: PlannerSeat;
   private readonly port: RankPort;
   private readonly pace: PaceReporter;
@@ -101,11 +103,12 @@
       emit: this.emit,
       group: () => this.knownGroup(),
       signal: this.stop.signal,
+      isFencingChecked: settings.isFencingChecked,
     });
     this.agent = RankAgent.create({
       port,
-      onHold: (step, fence) => {
-        guard.watch(step, fence);
+      onHold: (hold) => {
+        guard.watch(hold);
       },
     });
     this.seat = PlannerSeat.create({
@@ -163,16 +166,17 @@
     while (!signal.aborted) {
       if (this.seat.generation === undefined) {
         planner = undefined;
+        const { turn } = this.seat;
         await this.prepareForHolds(own);
-        await pause(SEARCH_INTERVAL_MS / 2, signal);
+        await Promise.race([turn, pause(SEARCH_INTERVAL_MS, signal)]);
         continue;
       }
-      planner = await this.plan(planner, own, signal);
+      planner = await this.plan(planner, signal);
     }
   }
 
   private async prepareForHolds({ size }: RankState): Promise<void> {
-    if (this.group.length === size) return;
+    if (this.group.length === size && !this.isGroupStale) return;
     try {
       await this.knownGroup();
     } catch (error) {
@@ -183,8 +187,15 @@
   /** Found before it is needed: the store may be away by then. */
   private async knownGroup(): Promise<readonly GroupRank[]> {
     const own = await this.port.observe();
-    if (this.group.length !== own.size) {
+    const isWhole = this.group.length === own.size;
+    if (isWhole && !this.isGroupStale) return this.group;
+    try {
       this.group = await this.findGroup(own, this.stop.signal);
+      this.isGroupStale = false;
+    } catch (error) {
+      // While the store is away the ranks known last are the best guess.
+      if (!isWhole) throw error;
+      this.noteUnreachable(error);
     }
     return this.group;
   }
@@ -205,11 +216,10 @@
 
   private async plan(
     known: GroupPlanner | undefined,
-    own: RankState,
     signal: AbortSignal,
   ): Promise<GroupPlanner | undefined> {
     try {
-      const planner = known ?? (await this.createPlanner(own, signal));
+      const planner = known ?? (await this.createPlanner(signal));
       if (planner === undefined) {
         await pause(SEARCH_INTERVAL_MS, signal);
         return undefined;
@@ -218,6 +228,8 @@
       return planner;
     } catch (error) {
       this.noteUnreachable(error);
+      // Whichever rank is missing may have come back at another address.
+      this.isGroupStale = true;
       await pause(INCOMPLETE_INTERVAL_MS, signal);
       return undefined;
     }
@@ -225,12 +237,11 @@
 
   /** Undefined where the service's engines have no expert maps. */
   private async createPlanner(
-    own: RankState,
     signal: AbortSignal,
   ): Promise<GroupPlanner | undefined> {
     const engine = await this.engineFigures(signal);
     if (engine === undefined || engine.expertSets === 0) return undefined;
-    this.group = await this.findGroup(own, signal);
+    await this.knownGroup();
     const { rank, size } = await this.port.observe();
     return GroupPlanner.create({
       seat: this.seat,
@@ -238,21 +249,30 @@
       measurements: this.measurements,
       pace: this.pace,
       engine,
+      planner: rank,
       holder: (rank + 1) % size,
     });
   }
 
+  /** Throws 1901 while the store is away and they aren't known yet. */
   private async engineFigures(
     signal: AbortSignal,
   ): Promise<EngineFigures | undefined> {
     const { configuration, configurationKey, decodeConfiguration } =
       this.options;
-    const { records } = await configuration.newest(signal);
-    const newest = records.findLast(({ key }) => key === configurationKey);
-    if (newest?.value === undefined) return undefined;
-    const { services } = decodeConfiguration(newest.value);
-    const { service } = this.options.settings;
-    return services.find(({ name }) => name === service)?.engine;
+    try {
+      const { records } = await configuration.newest(signal);
+      const newest = records.findLast(({ key }) => key === configurationKey);
+      if (newest?.value === undefined) return undefined;
+      const { services } = decodeConfiguration(newest.value);
+      const { service } = this.options.settings;
+      this.engine = services.find(({ name }) => name === service)?.engine;
+    } catch (error) {
+      // An engine's figures hardly ever change; its group does need a planner.
+      if (this.engine === undefined) throw error;
+      this.noteUnreachable(error);
+    }
+    return this.engine;
   }
 
   /** The ranks of the own group among the registered runners. */
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -12,12 +12,16 @@
 import type { Observation } from "./rank-messages.js";
 import {
   afterOrders,
+  beforeThePlanner,
   isInForce,
   wholeGroup,
   type AddressedOrder,
 } from "./switch-orders.js";
 import { SwitchRun } from "./switch-run.js";
+import type { WatchedHold } from "./hold-guard.js";
 import type {
+  AgentOrder,
+  HoldOrder,
   MapGoal,
   MapSets,
   OrderFence,
@@ -34,15 +38,22 @@
     readonly withCounts: boolean;
     readonly withExperts: boolean;
   }) => Promise<Observation>;
-  readonly order: (order: RankOrder, fence: OrderFence) => Promise<OrderResult>;
+  readonly order: (
+    order: AgentOrder,
+    fence: OrderFence,
+  ) => Promise<OrderResult>;
+  /** Has the rank hold a step, with its agent watching over it. */
+  readonly hold: (hold: WatchedHold) => Promise<OrderResult>;
 }
 
 export interface GroupPlannerOptions {
-  readonly seat: PlannerSeat;
+  readonly seat: Pick<PlannerSeat, "generation" | "onFenced">;
   readonly emit: Emit;
   readonly measurements: Measurements;
-  readonly pace: PaceReporter;
+  readonly pace: Pick<PaceReporter, "look">;
   readonly engine: EngineFigures;
+  /** The own rank, armed after all others. */
+  readonly planner: number;
   /**
    * Rank that holds steps. Not the planner's own: when this process freezes,
    * the holder's agent finishes what was begun.
@@ -76,8 +87,8 @@
 export const SWITCH_INTERVAL_MS = 60;
 /** Between two looks while the ranks are being armed, ms. */
 const URGENT_INTERVAL_MS = 5;
-/** Hold, arm and release, with as many again for ranks that lag. */
-const MOST_ROUNDS = 6;
+/** Hold, arms, own arm and release, with as many again for ranks that lag. */
+const MOST_ROUNDS = 8;
 
 export class GroupPlanner {
   private view: GroupView | undefined;
@@ -108,7 +119,7 @@
     const states = wholeGroup(seen.map(({ state }) => state));
     if (states === undefined) {
       this.forget();
-      raise(1606, { ranks: seen.length });
+      return raise(1606, { ranks: seen.length });
     }
     this.options.pace.look(paceOf(ranks, seen));
     this.takeIn(seen, states, withCounts, nowMs);
@@ -127,17 +138,50 @@
   ): Promise<number> {
     let states = seen;
     for (let round = 0; round < MOST_ROUNDS; round += 1) {
-      const orders = run.nextOrders(states, this.goal);
-      if (orders.length === 0) return this.calmInterval();
+      const due = run.nextOrders(states, this.goal);
+      if (due.length === 0) return this.calmInterval();
+      const orders = isArming(due)
+        ? beforeThePlanner(due, this.options.planner)
+        : due;
       const done = await this.send(ranks, states, orders, run);
       const isPreparing = orders.some(({ order }) => order.kind === "prepare");
       if (isPreparing) return SWITCH_INTERVAL_MS;
       if (!done) return URGENT_INTERVAL_MS;
-      states = afterOrders(states, orders);
+      const hold = orders.map(({ order }) => order).find(isHold);
+      states =
+        hold === undefined
+          ? afterOrders(states, orders)
+          : await this.lookAtHeld(ranks, states, hold, run);
     }
     return URGENT_INTERVAL_MS;
   }
 
+  /**
+   * Looks at all ranks once more before the first is armed. From then on a rank
+   * that falls silent keeps the whole group at the held step until it answers
+   * again; up to here the step can be let go. Throws 1607 then.
+   */
+  private async lookAtHeld(
+    ranks: readonly GroupRank[],
+    known: readonly RankState[],
+    { step }: HoldOrder,
+    run: SwitchRun,
+  ): Promise<readonly RankState[]> {
+    const request = { withCounts: false, withExperts: false };
+    try {
+      const seen = await Promise.all(
+        ranks.map((rank) => rank.observe(request)),
+      );
+      const states = wholeGroup(seen.map(({ state }) => state));
+      return states ?? raise(1606, { ranks: seen.length });
+    } catch (error) {
+      const { holder } = this.options;
+      const order = { kind: "release", step } as const;
+      await this.send(ranks, known, [{ rank: holder, order }], run);
+      throw error;
+    }
+  }
+
   private calmInterval(): number {
     return this.goal === undefined ? COUNT_INTERVAL_MS : SWITCH_INTERVAL_MS;
   }
@@ -271,9 +315,12 @@
     order: RankOrder,
     fence: OrderFence,
   ): Promise<OrderResult | undefined> {
-    const { emit, seat } = this.options;
+    const { emit, seat, planner } = this.options;
     try {
-      const result = await rank.order(order, fence);
+      const result =
+        order.kind === "hold"
+          ? await rank.hold({ step: order.step, fence, planner })
+          : await rank.order(order, fence);
       if (result.kind === "fenced") {
         emit(171, { fencing: fence.fencing, highest: null, error: 1701 });
         seat.onFenced();
@@ -294,6 +341,14 @@
   }
 }
 
+function isHold(order: RankOrder): order is HoldOrder {
+  return order.kind === "hold";
+}
+
+function isArming(orders: readonly AddressedOrder[]): boolean {
+  return orders.every(({ order }) => order.kind === "arm");
+}
+
 function paceOf(
   ranks: readonly GroupRank[],
   seen: readonly Observation[],
--- a/src/rankmaps/hold-guard.ts
+++ b/src/rankmaps/hold-guard.ts
@@ -1,18 +1,26 @@
 /**
  * Watches over a step that this agent's rank holds for the planner. A planner
- * that freezes between hold and release would keep the whole group waiting
- * until another one has the seat, seconds later; callers give their streams up
- * by then. The holder finishes the switch in its place.
+ * that dies or freezes between hold and release would keep the whole group
+ * waiting until another one has the seat, seconds later; callers give their
+ * streams up by then. The holder finishes the switch in its place, or gives it
+ * up when the planner's rank can't be reached.
  *
- * That is safe without the seat: it only arms ranks for the step that is held
- * already, and releases it once all are armed, which is what any planner would
- * do. It never calls a switch off.
+ * Finishing is safe without the seat: it only arms ranks for the step that is
+ * held already, and releases it once all are armed, which is what any planner
+ * would do. Giving up needs engines that check fencing numbers.
  */
 import { pause } from "../daemon/background-task.js";
 import { toFailure, type Emit } from "../internal.js";
+import { backOutOrders } from "./back-out.js";
 import type { GroupRank } from "./group-planner.js";
-import { pendingSwitch, wholeGroup } from "./switch-orders.js";
-import type { OrderFence, RankPort } from "./types.js";
+import {
+  beforeThePlanner,
+  pendingSwitch,
+  wholeGroup,
+  type AddressedOrder,
+} from "./switch-orders.js";
+import { EACH_GENERATION } from "./switch-run.js";
+import type { AgentOrder, OrderFence, RankPort, RankState } from "./types.js";
 
 export interface HoldGuardOptions {
   readonly port: RankPort;
@@ -20,20 +28,36 @@
   /** All ranks of the group. Throws 1901 or 1607. */
   readonly group: () => Promise<readonly GroupRank[]>;
   readonly signal: AbortSignal;
+  /** Whether the engines refuse orders with an old fencing number. */
+  readonly isFencingChecked: boolean;
+}
+
+/** A hold that the planner is about to order. */
+export interface WatchedHold {
+  readonly step: number;
+  readonly fence: OrderFence;
+  /** The planner's own rank. */
+  readonly planner: number;
 }
 
 /**
  * From hold to release a planner takes about 20 ms; an order that got no answer
  * adds some 100 ms. Later than this it is taken for frozen, ms.
  */
-const PATIENCE_MS = 250;
+const PATIENCE_MS = 150;
 /** Between two looks, ms. */
-const LOOK_INTERVAL_MS = 50;
+const LOOK_INTERVAL_MS = 25;
+/**
+ * A rank whose agent takes longer to answer counts as out of reach for this
+ * look, ms: an agent answers in under ten, and the group is waiting.
+ */
+const LOOK_TIMEOUT_MS = 80;
 /** A group that can't be finished by then needs a planner, ms. */
 const GIVE_UP_MS = 6000;
 
 export class HoldGuard {
   private isWatching = false;
+  private readonly voided = new Set<number>();
 
   private constructor(private readonly options: HoldGuardOptions) {}
 
@@ -41,15 +65,17 @@
     return new HoldGuard(options);
   }
 
-  /** The own rank has just been told to hold the step, under this fence. */
-  watch(step: number, fence: OrderFence): void {
+  /** The own rank is about to be told to hold the step. */
+  watch(hold: WatchedHold): void {
     if (this.isWatching) return;
     this.isWatching = true;
-    void this.run(step, fence);
+    this.voided.clear();
+    void this.run(hold);
   }
 
-  private async run(step: number, fence: OrderFence): Promise<void> {
+  private async run(hold: WatchedHold): Promise<void> {
     const { signal, emit } = this.options;
+    const { step } = hold;
     const startedAtMs = performance.now();
     const elapsedMs = (): number => performance.now() - startedAtMs;
     await pause(PATIENCE_MS, signal);
@@ -58,7 +84,7 @@
       if (!(await this.isHeld(step))) break;
       if (!isTold) emit(164, { step, heldMs: Math.round(elapsedMs()) });
       isTold = true;
-      await this.finish(fence);
+      await this.act(hold);
       await pause(LOOK_INTERVAL_MS, signal);
     }
     this.isWatching = false;
@@ -74,25 +100,85 @@
     }
   }
 
-  private async finish(fence: OrderFence): Promise<void> {
+  private async act(hold: WatchedHold): Promise<void> {
     try {
       const ranks = await this.options.group();
-      const request = { withCounts: false, withExperts: false };
+      const timeout = pause(LOOK_TIMEOUT_MS, this.options.signal);
       const seen = await Promise.all(
-        ranks.map((rank) => rank.observe(request)),
-      );
-      const states = wholeGroup(seen.map(({ state }) => state));
-      if (states === undefined) return;
-      const pending = pendingSwitch(states);
-      if (pending.kind !== "orders") return;
-      await Promise.all(
-        pending.orders.map(({ rank, order }) => {
-          const index = states.findIndex((state) => state.rank === rank);
-          return ranks[index].order(order, fence);
-        }),
+        ranks.map((rank) => this.stateOf(rank, timeout)),
       );
+      const reached = seen.filter((state) => state !== undefined);
+      const states = wholeGroup(reached);
+      const isWhole = states !== undefined && reached.length === ranks.length;
+      if (isWhole) await this.finish(ranks, seen, states, hold);
+      else await this.backOut(ranks, seen, reached, hold);
+    } catch (error) {
+      this.note(error);
+    }
+  }
+
+  private async finish(
+    ranks: readonly GroupRank[],
+    seen: readonly (RankState | undefined)[],
+    states: readonly RankState[],
+    { fence, planner }: WatchedHold,
+  ): Promise<void> {
+    const pending = pendingSwitch(states);
+    if (pending.kind !== "orders") return;
+    const orders = beforeThePlanner(pending.orders, planner);
+    await this.send(ranks, seen, orders, fence);
+  }
+
+  private async backOut(
+    ranks: readonly GroupRank[],
+    seen: readonly (RankState | undefined)[],
+    reached: readonly RankState[],
+    { step, fence, planner }: WatchedHold,
+  ): Promise<void> {
+    if (!this.options.isFencingChecked) return;
+    const { voided } = this;
+    const generation = Math.floor(fence.fencing / EACH_GENERATION);
+    const unusedVersion = (generation + 1) * EACH_GENERATION - 1;
+    const inputs = { reached, planner, step, voided, unusedVersion };
+    const orders = backOutOrders(inputs);
+    const higher = { ...fence, fencing: fence.fencing + 1 };
+    const accepted = await this.send(ranks, seen, orders, higher);
+    for (const rank of accepted) voided.add(rank);
+  }
+
+  /** Resolves with the ranks that have taken their order. */
+  private async send(
+    ranks: readonly GroupRank[],
+    seen: readonly (RankState | undefined)[],
+    orders: readonly AddressedOrder<AgentOrder>[],
+    fence: OrderFence,
+  ): Promise<readonly number[]> {
+    const accepted: number[] = [];
+    await Promise.all(
+      orders.map(async ({ rank, order }) => {
+        const index = seen.findIndex((state) => state?.rank === rank);
+        try {
+          const result = await ranks[index].order(order, fence);
+          if (result.kind === "accepted") accepted.push(rank);
+        } catch (error) {
+          this.note(error);
+        }
+      }),
+    );
+    return accepted;
+  }
+
+  private async stateOf(
+    rank: GroupRank,
+    timeout: Promise<void>,
+  ): Promise<RankState | undefined> {
+    const request = { withCounts: false, withExperts: false };
+    try {
+      const seen = await Promise.race([rank.observe(request), timeout]);
+      return seen?.state;
     } catch (error) {
       this.note(error);
+      return undefined;
     }
   }
 
--- a/src/rankmaps/planner-seat.ts
+++ b/src/rankmaps/planner-seat.ts
@@ -8,7 +8,12 @@
  * overtake ours.
  */
 import { pause } from "../daemon/background-task.js";
-import { toFailure, type Emit } from "../internal.js";
+import {
+  createDeferred,
+  toFailure,
+  type Deferred,
+  type Emit,
+} from "../internal.js";
 
 export interface SeatAssignment {
   readonly generation: number;
@@ -41,11 +46,29 @@
 const LEASE_MS = 1600;
 /** Several renewals fit a lease, so that one lost answer costs nothing. */
 const RENEWALS_EACH_LEASE = 3;
+/**
+ * Renewals while assignments change, ms. When all agents of a group start
+ * together, the seat moves with most joins: its holder hears of that with its
+ * next renewal, and the one after it with its own. At the usual pace a group of
+ * 12 had no planner for 1.3 s after its agents had started.
+ */
+const UNSETTLED_INTERVAL_MS = 120;
+/** Assignments that haven't changed for so long are settled, ms. */
+const SETTLED_AFTER_MS = 700;
+
+/** Time to the next renewal, ms. */
+export function renewalPauseMs(leaseMs: number, sinceChangeMs: number): number {
+  const settledMs = leaseMs / RENEWALS_EACH_LEASE;
+  if (sinceChangeMs >= SETTLED_AFTER_MS) return settledMs;
+  return Math.min(settledMs, UNSETTLED_INTERVAL_MS);
+}
 
 export class PlannerSeat {
   private assignment: SeatAssignment = { generation: 0, isHolder: false };
   private fencedGeneration = -1;
   private isLost = false;
+  private changedAtMs = performance.now();
+  private nextTurn: Deferred<undefined> = createDeferred();
 
   private constructor(private readonly options: PlannerSeatOptions) {}
 
@@ -60,6 +83,11 @@
     return generation;
   }
 
+  /** Resolves when the seat next comes or goes. */
+  get turn(): Promise<undefined> {
+    return this.nextTurn.promise;
+  }
+
   /** An order was refused: somebody with a higher number has the seat. */
   onFenced(): void {
     this.fencedGeneration = this.assignment.generation;
@@ -71,15 +99,17 @@
     const leaseMs = Math.max(leastLeaseMs, LEASE_MS);
     while (!signal.aborted) {
       await this.renew(group, leaseMs);
-      await pause(leaseMs / RENEWALS_EACH_LEASE, signal);
+      const sinceChangeMs = performance.now() - this.changedAtMs;
+      await pause(renewalPauseMs(leaseMs, sinceChangeMs), signal);
     }
     await this.leave(group);
   }
 
   private async renew(group: string, leaseMs: number): Promise<void> {
     const { service, member, emit } = this.options;
-    const { generation } = this.assignment;
     try {
+      if (this.isFenced) await this.giveBack(group);
+      const { generation } = this.assignment;
       const next = await service.join(group, member, generation, leaseMs);
       if (this.isLost) emit(192, { stream: "seats", outageMs: 0 });
       this.isLost = false;
@@ -92,10 +122,30 @@
     }
   }
 
+  private get isFenced(): boolean {
+    const { generation, isHolder } = this.assignment;
+    return isHolder && generation <= this.fencedGeneration;
+  }
+
+  /**
+   * The seat is ours and its orders are refused: another agent has given up a
+   * switch of ours. Nobody plans until the seat has a new generation.
+   */
+  private async giveBack(group: string): Promise<void> {
+    const { service, member } = this.options;
+    await service.leave(group, member);
+    this.take({ generation: 0, isHolder: false });
+  }
+
   private take(next: SeatAssignment): void {
     const before = this.assignment;
     this.assignment = next;
+    if (before.generation !== next.generation) {
+      this.changedAtMs = performance.now();
+    }
     if (before.isHolder === next.isHolder) return;
+    this.nextTurn.resolve(undefined);
+    this.nextTurn = createDeferred();
     const { emit } = this.options;
     if (next.isHolder) emit(173, { fencing: next.generation });
     else emit(174, { fencing: before.generation, reason: "superseded" });
--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -5,23 +5,26 @@
 import type { sendUnaryData, ServerUnaryCall } from "@grpc/grpc-js";
 import { toFailure } from "../internal.js";
 import type {
+  GuardReply,
+  GuardRequest,
   ObserveReply,
   ObserveRequest,
   RankAgentServer,
   RankOrderReply,
   RankOrderRequest,
 } from "../wire/generated/rankmaps.js";
+import type { WatchedHold } from "./hold-guard.js";
 import {
   readOrder,
   writeObservation,
   type Observation,
 } from "./rank-messages.js";
-import type { OrderFence, OrderResult, RankCounts, RankPort } from "./types.js";
+import type { OrderResult, RankCounts, RankPort } from "./types.js";
 
 export interface RankAgentOptions {
   readonly port: RankPort;
-  /** The own rank has taken an order to hold a step. */
-  readonly onHold: (step: number, fence: OrderFence) => void;
+  /** The planner is about to have a step held at the own rank. */
+  readonly onHold: (hold: WatchedHold) => void;
 }
 
 const REFUSED: RankOrderReply = {
@@ -57,6 +60,14 @@
       ) => {
         void answer(reply, () => this.order(call.request));
       },
+      guard: (
+        call: ServerUnaryCall<GuardRequest, GuardReply>,
+        reply: sendUnaryData<GuardReply>,
+      ) => {
+        const { epoch, fencing, step, planner } = call.request;
+        this.options.onHold({ step, planner, fence: { epoch, fencing } });
+        reply(null, {});
+      },
     };
   }
 
@@ -78,11 +89,7 @@
     if (order === undefined) return REFUSED;
     const { epoch, fencing } = request;
     const fence = { epoch, fencing };
-    const result = await this.options.port.order(order, fence);
-    if (order.kind === "hold" && result.kind === "accepted") {
-      this.options.onHold(order.step, fence);
-    }
-    return replyOf(result);
+    return replyOf(await this.options.port.order(order, fence));
   }
 
   /** A restarted rank counts from zero again. */
--- a/src/rankmaps/rank-client.ts
+++ b/src/rankmaps/rank-client.ts
@@ -5,6 +5,7 @@
 import { failure } from "../internal.js";
 import {
   RankAgentClient,
+  type GuardReply,
   type ObserveReply,
   type ObserveRequest,
   type RankOrderReply,
@@ -14,7 +15,8 @@
   writeOrder,
   type Observation,
 } from "./rank-messages.js";
-import type { OrderFence, OrderResult, RankOrder } from "./types.js";
+import type { WatchedHold } from "./hold-guard.js";
+import type { AgentOrder, OrderFence, OrderResult } from "./types.js";
 
 /**
  * An agent answers in a few milliseconds; a rank whose answer takes longer is
@@ -48,7 +50,7 @@
   }
 
   /** Throws 1607: the order may have been carried out, or may yet be. */
-  async order(order: RankOrder, fence: OrderFence): Promise<OrderResult> {
+  async order(order: AgentOrder, fence: OrderFence): Promise<OrderResult> {
     const message = writeOrder(order, fence);
     const reply = await this.call<RankOrderReply>((options, done) => {
       this.client.order(message, new Metadata(), options, done);
@@ -59,6 +61,14 @@
     return { kind: "refused", status: reply.status };
   }
 
+  /** Throws 1607. */
+  async guard({ step, planner, fence }: WatchedHold): Promise<void> {
+    await this.call<GuardReply>((options, done) => {
+      const request = { ...fence, step, planner };
+      this.client.guard(request, new Metadata(), options, done);
+    });
+  }
+
   [Symbol.dispose](): void {
     this.client.close();
   }
--- a/src/rankmaps/rank-messages.ts
+++ b/src/rankmaps/rank-messages.ts
@@ -4,10 +4,10 @@
   RankOrderRequest,
 } from "../wire/generated/rankmaps.js";
 import type {
+  AgentOrder,
   MapSets,
   OrderFence,
   RankExperts,
-  RankOrder,
   RankState,
 } from "./types.js";
 
@@ -47,14 +47,14 @@
 }
 
 export function writeOrder(
-  order: RankOrder,
+  order: AgentOrder,
   fence: OrderFence,
 ): RankOrderRequest {
   return { ...fence, order: orderMessage(order) };
 }
 
 /** Undefined for an order that this release doesn't know. */
-export function readOrder(request: RankOrderRequest): RankOrder | undefined {
+export function readOrder(request: RankOrderRequest): AgentOrder | undefined {
   const { order } = request;
   switch (order?.$case) {
     case "prepare": {
@@ -65,8 +65,6 @@
       return { kind: "arm", ...order.value };
     case "disarm":
       return { kind: "disarm", version: order.value };
-    case "hold":
-      return { kind: "hold", step: order.value };
     case "release":
       return { kind: "release", step: order.value };
     case undefined:
@@ -74,7 +72,7 @@
   }
 }
 
-function orderMessage(order: RankOrder): RankOrderRequest["order"] {
+function orderMessage(order: AgentOrder): RankOrderRequest["order"] {
   switch (order.kind) {
     case "prepare": {
       const { version } = order;
@@ -87,8 +85,6 @@
     }
     case "disarm":
       return { $case: "disarm", value: order.version };
-    case "hold":
-      return { $case: "hold", value: order.step };
     case "release":
       return { $case: "release", value: order.step };
   }
--- a/src/rankmaps/reachable-rank.ts
+++ b/src/rankmaps/reachable-rank.ts
@@ -6,16 +6,38 @@
  */
 import type { Now } from "../internal.js";
 import type { GroupRank } from "./group-planner.js";
+import type { WatchedHold } from "./hold-guard.js";
 import type { Observation } from "./rank-messages.js";
-import type { RankPort } from "./types.js";
+import type { AgentOrder, OrderFence, OrderResult, RankPort } from "./types.js";
 
-/** An agent that didn't answer is asked again after this time, ms. */
-const AGENT_RETRY_MS = 1000;
+/**
+ * An agent that didn't answer is asked again after this time, ms: every such
+ * call takes a quarter of a second from the planner.
+ */
+const SILENT_RETRY_MS = 1000;
+/**
+ * An agent that isn't there, which shows at once, is asked again after this
+ * time, ms. Only agents give counts: after a restart of all VMs the planner had
+ * none for the second that it waited for the agents it had been ahead of.
+ */
+const ABSENT_RETRY_MS = 100;
+/** A failure within this time comes from a VM without an agent, ms. */
+const AT_ONCE_MS = 50;
+
+/** A rank by way of its agent alone. */
+export interface AgentRank {
+  readonly observe: GroupRank["observe"];
+  readonly order: (
+    order: AgentOrder,
+    fence: OrderFence,
+  ) => Promise<OrderResult>;
+  readonly guard: (hold: WatchedHold) => Promise<void>;
+}
 
 export interface ReachableRankOptions {
   /** host:port of the runner. */
   readonly address: string;
-  readonly agent: Omit<GroupRank, "address">;
+  readonly agent: AgentRank;
   readonly runner: RankPort;
   readonly now: Now;
 }
@@ -28,11 +50,13 @@
     otherwise: () => Promise<T>,
   ): Promise<T> => {
     if (now() < retryAtMs) return otherwise();
+    const startedAtMs = now();
     try {
       return await over();
     } catch {
       // Whatever kept the agent from answering: the runner itself may.
-      retryAtMs = now() + AGENT_RETRY_MS;
+      const isAbsent = now() - startedAtMs < AT_ONCE_MS;
+      retryAtMs = now() + (isAbsent ? ABSENT_RETRY_MS : SILENT_RETRY_MS);
       return otherwise();
     }
   };
@@ -48,6 +72,13 @@
         () => agent.order(order, fence),
         () => runner.order(order, fence),
       ),
+    // Given straight to the runner: the agent's VM only has to let the step go.
+    // The VM that orders a hold may stand still right after it, and then the
+    // one that can let the step go must not be the same.
+    hold: async (hold) => {
+      await agent.guard(hold);
+      return runner.order({ kind: "hold", step: hold.step }, hold.fence);
+    },
   };
 }
 
--- a/src/rankmaps/switch-orders.ts
+++ b/src/rankmaps/switch-orders.ts
@@ -12,11 +12,11 @@
  * released. A hold costs the group a pause at worst, two maps in one step a
  * wrong answer.
  */
-import type { MapGoal, RankOrder, RankState } from "./types.js";
+import type { AgentOrder, MapGoal, RankOrder, RankState } from "./types.js";
 
-export interface AddressedOrder {
+export interface AddressedOrder<Order extends RankOrder = RankOrder> {
   readonly rank: number;
-  readonly order: RankOrder;
+  readonly order: Order;
 }
 
 /**
@@ -47,7 +47,10 @@
   | { readonly kind: "none" }
   /** All ranks are armed and let go: the step comes by itself. */
   | { readonly kind: "coming" }
-  | { readonly kind: "orders"; readonly orders: readonly AddressedOrder[] }
+  | {
+      readonly kind: "orders";
+      readonly orders: readonly AddressedOrder<AgentOrder>[];
+    }
   /** It can't be finished any more. */
   | { readonly kind: "call-off" };
 
@@ -113,6 +116,15 @@
   return [{ rank: holder, order }];
 }
 
+/** The planner's own rank comes last, so that a switch can be given up. */
+export function beforeThePlanner<Order extends RankOrder>(
+  orders: readonly AddressedOrder<Order>[],
+  planner: number,
+): readonly AddressedOrder<Order>[] {
+  const others = orders.filter(({ rank }) => rank !== planner);
+  return others.length > 0 ? others : orders;
+}
+
 export function isInForce(
   states: readonly RankState[],
   version: number,
@@ -162,7 +174,9 @@
   }
 }
 
-function releases(states: readonly RankState[]): readonly AddressedOrder[] {
+function releases(
+  states: readonly RankState[],
+): readonly AddressedOrder<AgentOrder>[] {
   return states.flatMap(({ rank, heldStep: step }) =>
     step === undefined ? [] : [{ rank, order: { kind: "release", step } }],
   );
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -12,7 +12,7 @@
 import type { MapGoal, OrderFence, RankState } from "./types.js";
 
 /** Versions, and fencing numbers, that one generation of the seat can use. */
-const EACH_GENERATION = 1_000_000;
+export const EACH_GENERATION = 1_000_000;
 
 export class SwitchRun {
   private versions = 0;
--- a/src/rankmaps/types.ts
+++ b/src/rankmaps/types.ts
@@ -60,9 +60,18 @@
     }
   | { readonly kind: "arm"; readonly version: number; readonly step: number }
   | { readonly kind: "disarm"; readonly version: number }
-  | { readonly kind: "hold"; readonly step: number }
+  | HoldOrder
   | { readonly kind: "release"; readonly step: number };
 
+/** The step isn't begun before it is released. */
+export interface HoldOrder {
+  readonly kind: "hold";
+  readonly step: number;
+}
+
+/** What is ordered over the agent beside a rank. */
+export type AgentOrder = Exclude<RankOrder, HoldOrder>;
+
 /** Makes an order harmless once it is out of date. */
 export interface OrderFence {
   readonly epoch: number;
--- /dev/null
+++ b/tests/rankmaps/group-planner.test.ts
@@ -0,0 +1,129 @@
+import * as assert from "uvu/assert";
+import { createRandom, failure, ignoreEvents } from "../../src/internal.js";
+import { ignoreMeasurements } from "../../src/shared/metrics.js";
+import {
+  GroupPlanner,
+  type GroupRank,
+} from "../../src/rankmaps/group-planner.js";
+import type { RankOrder } from "../../src/rankmaps/types.js";
+import { describe, it } from "../support/describe.js";
+import { HeldEngines } from "./held-engines.js";
+
+const RANKS = 4;
+const PLANNER = 0;
+const HOLDER = 1;
+const ENGINE = {
+  slots: 8,
+  stepsPerPass: 6,
+  expertSets: 1,
+  experts: 8,
+  slotsPerRank: 3,
+  maximumNewExperts: 1,
+  expertCopyMs: 400,
+};
+/** The first expert is wanted far more than the others. */
+const COUNTS = [40_000, 1000, 1000, 1000, 1000, 1000, 1000, 1000];
+
+class Group {
+  readonly engines = HeldEngines.create(RANKS, createRandom(1));
+  readonly ordered: { readonly rank: number; readonly kind: string }[] = [];
+  /** Ranks that don't answer any more. */
+  readonly silent = new Set<number>();
+  onOrder: (rank: number, order: RankOrder) => void = () => undefined;
+
+  readonly ranks: readonly GroupRank[] = Array.from(
+    { length: RANKS },
+    (_, rank) => this.rankOf(rank),
+  );
+
+  readonly planner = GroupPlanner.create({
+    seat: { generation: 1, onFenced: () => undefined },
+    emit: ignoreEvents,
+    measurements: ignoreMeasurements,
+    pace: { look: () => undefined },
+    engine: ENGINE,
+    planner: PLANNER,
+    holder: HOLDER,
+  });
+
+  constructor() {
+    this.engines.calm();
+  }
+
+  kindsAt(rank: number): readonly string[] {
+    return this.ordered
+      .filter((one) => one.rank === rank)
+      .map(({ kind }) => kind);
+  }
+
+  private rankOf(rank: number): GroupRank {
+    const order = (ordered: RankOrder, fencing: number): void => {
+      this.ordered.push({ rank, kind: ordered.kind });
+      this.engines.send(rank, ordered, { epoch: 1, fencing });
+      this.engines.deliver();
+      this.onOrder(rank, ordered);
+    };
+    const accepted = { kind: "accepted", isDone: true } as const;
+    return {
+      address: `10.0.0.${rank}:1`,
+      observe: () => {
+        if (this.silent.has(rank)) return Promise.reject(failure(1607));
+        const state = this.engines.states()[rank];
+        const experts = [[rank, rank + RANKS]];
+        const counts = rank === 0 ? COUNTS : [];
+        return Promise.resolve({ state, counts, countedMs: 250, experts });
+      },
+      order: (ordered, { fencing }) => {
+        if (this.silent.has(rank)) return Promise.reject(failure(1607));
+        order(ordered, fencing);
+        return Promise.resolve(accepted);
+      },
+      hold: ({ step, fence }) => {
+        order({ kind: "hold", step }, fence.fencing);
+        return Promise.resolve(accepted);
+      },
+    };
+  }
+}
+
+describe("planner of a group", () => {
+  it("arms its own rank after all others, under a held step", async () => {
+    const group = new Group();
+    for (let step = 0; step < 4; step += 1) {
+      await group.planner.step(group.ranks);
+      group.engines.pass();
+    }
+    for (let pass = 0; pass < 4; pass += 1) group.engines.pass();
+    const arms = group.ordered.filter(({ kind }) => kind === "arm");
+    assert.is(arms.length, RANKS);
+    assert.is(arms.at(-1)?.rank, PLANNER);
+    assert.equal(group.kindsAt(HOLDER).slice(0, 4), [
+      "prepare",
+      "hold",
+      "arm",
+      "release",
+    ]);
+    assert.is(group.engines.history.mixedPasses, 0);
+    assert.ok(group.engines.states().every(({ mapVersion }) => mapVersion > 0));
+  });
+
+  it("lets the step go when a rank falls silent before any is armed", async () => {
+    // The VM of a rank stands still right after the hold. Armed or not, nobody
+    // could tell, and the group would wait at the step for as long as the VM.
+    const group = new Group();
+    group.onOrder = (_, { kind }) => {
+      if (kind === "hold") group.silent.add(3);
+    };
+    await group.planner.step(group.ranks);
+    const failed = await group.planner
+      .step(group.ranks)
+      .catch((error: unknown) => error);
+    assert.ok(failed instanceof Error);
+    assert.equal(group.kindsAt(HOLDER), ["prepare", "hold", "release"]);
+    assert.not.ok(group.ordered.some(({ kind }) => kind === "arm"));
+    const before = group.engines.history.passes;
+    for (let pass = 0; pass < 10; pass += 1) group.engines.pass();
+    assert.is(group.engines.history.passes, before + 10);
+    assert.is(group.engines.history.mixedPasses, 0);
+  });
+});
--- a/tests/rankmaps/hold-guard.test.ts
+++ b/tests/rankmaps/hold-guard.test.ts
@@ -1,5 +1,5 @@
 import * as assert from "uvu/assert";
-import { createRandom, ignoreEvents } from "../../src/internal.js";
+import { createRandom, failure, ignoreEvents } from "../../src/internal.js";
 import type { GroupRank } from "../../src/rankmaps/group-planner.js";
 import { HoldGuard } from "../../src/rankmaps/hold-guard.js";
 import type { RankPort } from "../../src/rankmaps/types.js";
@@ -7,6 +7,7 @@
 import { HeldEngines } from "./held-engines.js";
 
 const RANKS = 4;
+const PLANNER = 0;
 const HOLDER = 1;
 const FENCE = { epoch: 1, fencing: 9 };
 
@@ -24,9 +25,12 @@
     experts: () => Promise.resolve([]),
     order: (order, fence) => {
       engines.send(rank, order, fence);
-      engines.deliver();
-      return Promise.resolve({ kind: "accepted", isDone: true });
+      const isAccepted = engines.deliver().some((one) => one.rank === rank);
+      return Promise.resolve(
+        isAccepted ? { kind: "accepted", isDone: true } : { kind: "fenced" },
+      );
     },
+    hold: () => Promise.reject(failure(1607)),
   };
 }
 
@@ -41,21 +45,30 @@
   return engines;
 }
 
+/** A rank on a VM that stands still: it never answers. */
+function frozen(rank: GroupRank & RankPort): GroupRank & RankPort {
+  const never = new Promise<never>(() => undefined);
+  return { ...rank, observe: () => never, order: () => never };
+}
+
 async function watchUntil(
   engines: HeldEngines,
   isDone: () => boolean,
+  isPlannerFrozen = false,
 ): Promise<void> {
   const stop = new AbortController();
-  const ranks = Array.from({ length: RANKS }, (_, rank) =>
-    rankOf(engines, rank),
-  );
+  const ranks = Array.from({ length: RANKS }, (_, index) => {
+    const rank = rankOf(engines, index);
+    return isPlannerFrozen && index === PLANNER ? frozen(rank) : rank;
+  });
   const guard = HoldGuard.create({
     port: ranks[HOLDER],
     emit: ignoreEvents,
     group: () => Promise.resolve(ranks),
     signal: stop.signal,
+    isFencingChecked: true,
   });
-  guard.watch(3, FENCE);
+  guard.watch({ step: 3, fence: FENCE, planner: PLANNER });
   while (!isDone()) {
     engines.pass();
     await new Promise((resolve) => {
@@ -75,6 +88,46 @@
     assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 5));
   });
 
+  it("gives a step up whose planner's VM stands still, before any arm", async () => {
+    // The VM freezes right after the hold, its own rank unarmed and out of
+    // reach. Without the guard the group stands still until the VM wakes; with
+    // it, passes go on with the old map, and what the planner sends when it
+    // wakes is refused.
+    const engines = prepared();
+    await watchUntil(engines, () => engines.history.passes > 6, true);
+    for (let rank = 0; rank < RANKS; rank += 1) {
+      if (rank === PLANNER) continue;
+      engines.send(rank, { kind: "arm", version: 5, step: 9 }, FENCE);
+    }
+    assert.equal(engines.deliver(), []);
+    for (let pass = 0; pass < 10; pass += 1) engines.pass();
+    assert.is(engines.history.mixedPasses, 0);
+    assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 0));
+  });
+
+  it("gives one up between two arms", async () => {
+    const engines = prepared();
+    engines.send(2, { kind: "arm", version: 5, step: 3 }, FENCE);
+    engines.deliver();
+    await watchUntil(engines, () => engines.history.passes > 6, true);
+    assert.is(engines.history.mixedPasses, 0);
+    assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 0));
+  });
+
+  it("keeps the step when the planner's own rank may be armed", async () => {
+    // All others are armed, so the planner may have come to its own rank. Let
+    // go without it, a pass would run with two maps.
+    const engines = prepared();
+    for (const rank of [1, 2, 3]) {
+      engines.send(rank, { kind: "arm", version: 5, step: 3 }, FENCE);
+    }
+    engines.deliver();
+    const until = performance.now() + 600;
+    await watchUntil(engines, () => performance.now() > until, true);
+    assert.is(engines.states()[HOLDER].heldStep, 3);
+    assert.is(engines.history.mixedPasses, 0);
+  });
+
   it("finishes one whose planner died between two arms", async () => {
     const engines = prepared();
     engines.send(0, { kind: "arm", version: 5, step: 3 }, FENCE);
--- a/tests/rankmaps/planner-seat.test.ts
+++ b/tests/rankmaps/planner-seat.test.ts
@@ -2,6 +2,7 @@
 import { failure, ignoreEvents } from "../../src/internal.js";
 import {
   PlannerSeat,
+  renewalPauseMs,
   type SeatAssignment,
   type SeatService,
 } from "../../src/rankmaps/planner-seat.js";
@@ -56,6 +57,21 @@
   return seats;
 }
 
+describe("renewal of a seat", () => {
+  it("comes soon while assignments change, so that the seat finds its holder", () => {
+    // All agents start together. The seat moves with most joins, and nobody
+    // plans until its last holder has asked again.
+    assert.ok(renewalPauseMs(1600, 0) <= 150);
+    assert.ok(renewalPauseMs(1600, 500) <= 150);
+  });
+
+  it("comes a few times a lease once they have settled", () => {
+    const pauseMs = renewalPauseMs(1600, 5000);
+    assert.ok(pauseMs > 400 && pauseMs < 1600 / 2, String(pauseMs));
+    assert.ok(renewalPauseMs(90, 0) < 90 / 2);
+  });
+});
+
 describe("planner's seat", () => {
   it("is held while the store says so, and left at the end", async () => {
     const seats = await withSeat(async (given, seat) => {
--- a/tests/rankmaps/reachable-rank.test.ts
+++ b/tests/rankmaps/reachable-rank.test.ts
@@ -1,7 +1,9 @@
 import * as assert from "uvu/assert";
 import { failure } from "../../src/internal.js";
-import type { GroupRank } from "../../src/rankmaps/group-planner.js";
-import { createReachableRank } from "../../src/rankmaps/reachable-rank.js";
+import {
+  createReachableRank,
+  type AgentRank,
+} from "../../src/rankmaps/reachable-rank.js";
 import type { RankPort, RankState } from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
 
@@ -34,7 +36,7 @@
     now: () => this.nowMs,
   });
 
-  private get agent(): Omit<GroupRank, "address"> {
+  private get agent(): AgentRank {
     return {
       observe: () => {
         this.asked.push("agent");
@@ -47,6 +49,11 @@
         if (!this.isAgentAlive) return Promise.reject(failure(1607));
         return Promise.resolve({ kind: "accepted", isDone: true });
       },
+      guard: () => {
+        this.asked.push("guard");
+        if (!this.isAgentAlive) return Promise.reject(failure(1607));
+        return Promise.resolve();
+      },
     };
   }
 
@@ -88,6 +95,21 @@
     assert.equal(rank.asked, ["agent", "runner", "runner"]);
   });
 
+  it("holds a step only with its agent on watch", async () => {
+    // The planner's VM may stand still right after the hold, and then the agent
+    // at the holder lets the group go on. Without one nobody would.
+    const rank = new Rank();
+    const hold = { step: 9, fence: FENCE, planner: 0 };
+    await rank.reach.hold(hold);
+    assert.equal(rank.asked, ["guard", "runner"]);
+    rank.isAgentAlive = false;
+    const error = await rank.reach
+      .hold(hold)
+      .catch((reason: unknown) => reason);
+    assert.ok(error instanceof Error);
+    assert.equal(rank.asked, ["guard", "runner", "guard"]);
+  });
+
   it("is asked over the agent again after a while", async () => {
     const rank = new Rank();
     rank.isAgentAlive = false;
@@ -97,4 +119,17 @@
     const { counts } = await rank.reach.observe(LOOK);
     assert.equal(counts, [5]);
   });
+
+  it("is asked again soon when its agent wasn't there yet", async () => {
+    // All VMs restart, and the planner is up before the other agents: calls to
+    // them fail at once. Until they are asked again there are no counts, and
+    // the group runs on its first map.
+    const rank = new Rank();
+    rank.isAgentAlive = false;
+    await rank.reach.observe(LOOK);
+    rank.isAgentAlive = true;
+    rank.nowMs = 100;
+    const { counts } = await rank.reach.observe(LOOK);
+    assert.equal(counts, [5]);
+  });
 });
