--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -26,6 +26,7 @@
 import type { SiteConfiguration } from "../routing/types.js";
 import { applyBounds, createCallerListener } from "./caller-listener.js";
 import { Forwarder } from "./forwarder.js";
+import { PaceInquiry } from "./pace-inquiry.js";
 import { connectRunner } from "./runner-connections.js";
 import { ServiceGate } from "./service-gate.js";
 import {
@@ -48,6 +49,8 @@
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
   /** Which runners are slow. */
   readonly pace: KeyedTopic;
+  /** How many times as long as usual a runner takes. Throws 1607. */
+  readonly slownessOf: (address: string) => Promise<number>;
   /** Path that the platform's balancer asks. */
   readonly readinessPath: string;
 }
@@ -92,6 +95,7 @@
   private readonly registry;
   private readonly gate: ServiceGate;
   private readonly slowRunners: SlowRunners;
+  private readonly paceInquiry: PaceInquiry;
   private readonly directory: BackendServerDirectory;
   private readonly forwarder: Forwarder;
   private readonly stop = new AbortController();
@@ -129,6 +133,15 @@
       isSlow: (address) => slowRunners.isSlow(address),
     });
     this.gate = gate;
+    this.paceInquiry = PaceInquiry.create({
+      now,
+      emit,
+      lateServices: () => gate.lateServices(),
+      slownessOf: options.slownessOf,
+      take: (note) => {
+        slowRunners.take(note);
+      },
+    });
     this.directory = BackendServerDirectory.create({
       now,
       emit,
@@ -220,6 +233,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
+    this.paceInquiry[Symbol.dispose]();
     await Promise.all(
       this.listening.map((listening) => listening[Symbol.asyncDispose]()),
     );
@@ -269,8 +283,11 @@
         onChanges: onConfiguration,
         onLost: () => {
           countOutage("configuration");
+          this.paceInquiry.onStoreLost();
+        },
+        onRestored: () => {
+          this.paceInquiry.onStoreRestored();
         },
-        onRestored: nothing,
       },
       signal,
     );
--- a/src/direct/pace-limit.ts
+++ b/src/direct/pace-limit.ts
@@ -44,6 +44,7 @@
 export class PaceLimit {
   private limit: number | undefined;
   private meanPauseMs = 0;
+  private objectiveMs = Number.POSITIVE_INFINITY;
   private eventAtMs = Number.NEGATIVE_INFINITY;
   private changedAtMs = 0;
 
@@ -58,6 +59,11 @@
     return running < Math.min(this.limit, Math.max(slots, 1));
   }
 
+  /** Whether the mean pause has come close to the objective or passed it. */
+  get isLate(): boolean {
+    return this.meanPauseMs > this.objectiveMs * HIGH_SHARE;
+  }
+
   /** Monotonic time of the last event of any stream of the service, ms. */
   get lastEventAtMs(): number {
     return this.eventAtMs;
@@ -67,10 +73,11 @@
   onPause(pauseMs: number, objectiveMs: number, running: number): void {
     const change = PAUSE_SHARE * (pauseMs - this.meanPauseMs);
     this.meanPauseMs += change;
+    this.objectiveMs = objectiveMs;
     const nowMs = this.inputs.now();
     this.eventAtMs = nowMs;
     if (nowMs - this.changedAtMs < INTERVAL_MS) return;
-    if (this.meanPauseMs > objectiveMs * HIGH_SHARE) {
+    if (this.isLate) {
       this.lower(running, nowMs);
     } else if (this.meanPauseMs < objectiveMs * LOW_SHARE) {
       this.raise(running, nowMs);
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -62,6 +62,11 @@
     return this.runners.size;
   }
 
+  /** host:port of all runners. */
+  get addresses(): readonly string[] {
+    return Array.from(this.runners.values(), ({ server }) => server.address);
+  }
+
   /** Slots of all runners together. */
   get slots(): number {
     let slots = 0;
--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -19,6 +19,7 @@
 import type { BackendServer } from "../membership/types.js";
 import type { Route } from "../routing/types.js";
 import { CircuitBreaker } from "./circuit-breaker.js";
+import type { LateService } from "./pace-inquiry.js";
 import { PaceLimit } from "./pace-limit.js";
 import { RunnerPool, type Runner, type Verdict } from "./runner-pool.js";
 import type { Call } from "./types.js";
@@ -161,6 +162,13 @@
     this.settle(id, Left(refusal));
   }
 
+  /** Services whose streams of this entry are late. */
+  lateServices(): readonly LateService[] {
+    return [...this.services]
+      .filter(([, { pace }]) => pace.isLate)
+      .map(([name, { pool }]) => ({ name, runners: pool.addresses }));
+  }
+
   /** Attempts of this entry that run at the service. */
   runningOf(service: string): number {
     return this.serviceOf(service).pool.running;
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -367,6 +367,10 @@
     address: "host:port",
     slowness: "times as long as usual that it takes for its work",
   }),
+  218: entry("pace-unknown", "warn", "A runner's pace couldn't be read.", {
+    address: "host:port",
+    reason: "failure seen",
+  }),
 
   // 220: expert maps of engines that hold a step
   220: entry("map-planned", "info", "A better expert map was planned.", {
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -4,6 +4,7 @@
 import { headerCodec } from "../../platform/headers.js";
 import { headerNames, paths, topics } from "../../platform/names.js";
 import { decodeRegistration } from "../../platform/register.js";
+import { readSlowness } from "../../platform/runner.js";
 import { StoreClient } from "../../platform/store.js";
 import { DirectEntry } from "../../src/direct/entry.js";
 import { KeyedStore } from "../../standins/keyed-store.js";
@@ -67,6 +68,7 @@
       decodeServer: decodeRegistration,
       pace: client.keyedTopic(topics.pace),
       readinessPath: paths.readiness,
+      slownessOf: readSlowness,
     });
     return new EntrySite(store, client, entry);
   }
