--- a/src/direct/pace-limit.ts
+++ b/src/direct/pace-limit.ts
@@ -16,10 +16,14 @@
   readonly service: string;
 }
 
-/** Part of the pause objective that the mean pause may take. */
-const HIGH_SHARE = 0.8;
+/**
+ * Part of the pause objective that the mean pause may take. With 0.7 (and 0.5
+ * below) 8.6% of the callers were refused on a day of high load, with 0.8 2.2%,
+ * with 0.9 0.7%, and more of the rest were on time (12 ranks, one day each).
+ */
+const HIGH_SHARE = 0.9;
 /** Below this part of the objective more is let in. */
-const LOW_SHARE = 0.6;
+const LOW_SHARE = 0.7;
 /** Share of a new pause in the mean. */
 const PAUSE_SHARE = 0.05;
 const DECREASE = 0.85;
