--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -73,18 +73,6 @@
  */
 const OUTAGE_QUEUE_MS = 1200;
 
-/**
- * The same for a caller that has come back, in objectives. Its answer is late
- * already, so waiting costs it nothing more, and a refusal most likely all.
- */
-const RETURNED_QUEUE_SHARE = 3;
-
-/**
- * A caller that gives less of the route's time than this has spent the rest on
- * an earlier attempt.
- */
-const FRESH_SHARE_OF_TIME = 0.95;
-
 /**
  * Repeats that one entry can save up for a service. Deployments allow about a
  * hundred a service and window over all entries, beside a fifth of its
@@ -251,12 +239,8 @@
     return true;
   }
 
-  private longestWaitMs({ route, fields, service }: Call): number {
-    const { timeoutMs, objectiveMs } = route;
-    const { deadlineMs = timeoutMs } = fields;
-    const isFresh = deadlineMs >= timeoutMs * FRESH_SHARE_OF_TIME;
-    const share = isFresh ? QUEUE_SHARE_OF_OBJECTIVE : RETURNED_QUEUE_SHARE;
-    const waitMs = objectiveMs * share;
+  private longestWaitMs({ route, service }: Call): number {
+    const waitMs = route.objectiveMs * QUEUE_SHARE_OF_OBJECTIVE;
     const { isOpen } = this.serviceOf(service).breaker;
     return isOpen ? Math.max(OUTAGE_QUEUE_MS, waitMs) : waitMs;
   }
