--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -173,6 +173,8 @@
     for (;;) {
       const end = await this.attemptAt(admitted);
       gate.release(admitted, verdictOf(end));
+      // A failure of its own is an answer too: the runner did take the request.
+      if (end.kind === "answered") gate.onAccepted(this.call.service);
       const step = this.stepAfter(end);
       this.note(admitted, end, step);
       if (step.kind !== "repeat") {
