--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -12,7 +12,7 @@
 import type { Observation } from "./rank-messages.js";
 import {
   afterOrders,
-  beforeThePlanner,
+  armingWave,
   isInForce,
   wholeGroup,
   type AddressedOrder,
@@ -21,7 +21,6 @@
 import type { WatchedHold } from "./hold-guard.js";
 import type {
   AgentOrder,
-  HoldOrder,
   MapGoal,
   MapSets,
   OrderFence,
@@ -87,8 +86,8 @@
 export const SWITCH_INTERVAL_MS = 60;
 /** Between two looks while the ranks are being armed, ms. */
 const URGENT_INTERVAL_MS = 5;
-/** Hold, arms, own arm and release, with as many again for ranks that lag. */
-const MOST_ROUNDS = 8;
+/** Hold, three waves of arms, and release, with as many for ranks that lag. */
+const MOST_ROUNDS = 10;
 
 export class GroupPlanner {
   private view: GroupView | undefined;
@@ -140,18 +139,15 @@
     for (let round = 0; round < MOST_ROUNDS; round += 1) {
       const due = run.nextOrders(states, this.goal);
       if (due.length === 0) return this.calmInterval();
-      const orders = isArming(due)
-        ? beforeThePlanner(due, this.options.planner)
-        : due;
+      const orders = isArming(due) ? armingWave(due, this.options) : due;
       const done = await this.send(ranks, states, orders, run);
       const isPreparing = orders.some(({ order }) => order.kind === "prepare");
       if (isPreparing) return SWITCH_INTERVAL_MS;
       if (!done) return URGENT_INTERVAL_MS;
-      const hold = orders.map(({ order }) => order).find(isHold);
-      states =
-        hold === undefined
-          ? afterOrders(states, orders)
-          : await this.lookAtHeld(ranks, states, hold, run);
+      const isHold = orders.some(({ order }) => order.kind === "hold");
+      states = isHold
+        ? await this.lookAgain(ranks)
+        : afterOrders(states, orders);
     }
     return URGENT_INTERVAL_MS;
   }
@@ -159,27 +155,17 @@
   /**
    * Looks at all ranks once more before the first is armed. From then on a rank
    * that falls silent keeps the whole group at the held step until it answers
-   * again; up to here the step can be let go. Throws 1607 then.
+   * again; up to here the holder's agent can give the step up. Throws 1607 when
+   * a rank is silent. The step isn't let go from here: by the time that this
+   * order arrives the agent may have begun to arm ranks.
    */
-  private async lookAtHeld(
+  private async lookAgain(
     ranks: readonly GroupRank[],
-    known: readonly RankState[],
-    { step }: HoldOrder,
-    run: SwitchRun,
   ): Promise<readonly RankState[]> {
     const request = { withCounts: false, withExperts: false };
-    try {
-      const seen = await Promise.all(
-        ranks.map((rank) => rank.observe(request)),
-      );
-      const states = wholeGroup(seen.map(({ state }) => state));
-      return states ?? raise(1606, { ranks: seen.length });
-    } catch (error) {
-      const { holder } = this.options;
-      const order = { kind: "release", step } as const;
-      await this.send(ranks, known, [{ rank: holder, order }], run);
-      throw error;
-    }
+    const seen = await Promise.all(ranks.map((rank) => rank.observe(request)));
+    const states = wholeGroup(seen.map(({ state }) => state));
+    return states ?? raise(1606, { ranks: seen.length });
   }
 
   private calmInterval(): number {
@@ -341,10 +327,6 @@
   }
 }
 
-function isHold(order: RankOrder): order is HoldOrder {
-  return order.kind === "hold";
-}
-
 function isArming(orders: readonly AddressedOrder[]): boolean {
   return orders.every(({ order }) => order.kind === "arm");
 }
--- a/src/rankmaps/hold-guard.ts
+++ b/src/rankmaps/hold-guard.ts
@@ -14,7 +14,7 @@
 import { backOutOrders } from "./back-out.js";
 import type { GroupRank } from "./group-planner.js";
 import {
-  beforeThePlanner,
+  armingWave,
   pendingSwitch,
   wholeGroup,
   type AddressedOrder,
@@ -121,12 +121,16 @@
     ranks: readonly GroupRank[],
     seen: readonly (RankState | undefined)[],
     states: readonly RankState[],
-    { fence, planner }: WatchedHold,
+    { step, fence, planner }: WatchedHold,
   ): Promise<void> {
     const pending = pendingSwitch(states);
     if (pending.kind !== "orders") return;
-    const orders = beforeThePlanner(pending.orders, planner);
-    await this.send(ranks, seen, orders, fence);
+    const holder = states.find(({ heldStep }) => heldStep === step)?.rank;
+    if (holder === undefined) return;
+    const orders = armingWave(pending.orders, { planner, holder });
+    // Ranks that were to give the step up refuse the planner's own number.
+    const isRaised = this.voided.size > 0;
+    await this.send(ranks, seen, orders, isRaised ? raised(fence) : fence);
   }
 
   private async backOut(
@@ -141,8 +145,7 @@
     const unusedVersion = (generation + 1) * EACH_GENERATION - 1;
     const inputs = { reached, planner, step, voided, unusedVersion };
     const orders = backOutOrders(inputs);
-    const higher = { ...fence, fencing: fence.fencing + 1 };
-    const accepted = await this.send(ranks, seen, orders, higher);
+    const accepted = await this.send(ranks, seen, orders, raised(fence));
     for (const rank of accepted) voided.add(rank);
   }
 
@@ -187,3 +190,8 @@
     this.options.emit(223, { reason: message });
   }
 }
+
+/** Makes all orders under the fence void where it is accepted. */
+function raised(fence: OrderFence): OrderFence {
+  return { ...fence, fencing: fence.fencing + 1 };
+}
--- a/src/rankmaps/switch-orders.ts
+++ b/src/rankmaps/switch-orders.ts
@@ -116,11 +116,25 @@
   return [{ rank: holder, order }];
 }
 
-/** The planner's own rank comes last, so that a switch can be given up. */
-export function beforeThePlanner<Order extends RankOrder>(
+/** Ranks with a part of their own in a switch. */
+export interface SwitchRanks {
+  readonly planner: number;
+  readonly holder: number;
+}
+
+/**
+ * Which of the due arms go out now. The holder comes first: once it has taken
+ * an order of this planner, a release that an earlier one has sent, and that is
+ * carried out late, is refused there and can't let the step begin half armed.
+ * The planner's own rank comes last, so that a switch can be given up while one
+ * of the others is unarmed.
+ */
+export function armingWave<Order extends RankOrder>(
   orders: readonly AddressedOrder<Order>[],
-  planner: number,
+  { planner, holder }: SwitchRanks,
 ): readonly AddressedOrder<Order>[] {
+  const first = orders.filter(({ rank }) => rank === holder);
+  if (first.length > 0) return first;
   const others = orders.filter(({ rank }) => rank !== planner);
   return others.length > 0 ? others : orders;
 }
--- a/tests/rankmaps/switch-orders.test.ts
+++ b/tests/rankmaps/switch-orders.test.ts
@@ -2,6 +2,7 @@
 import { createRandom, type Random } from "../../src/internal.js";
 import {
   afterOrders,
+  armingWave,
   pendingSwitch,
   wholeGroup,
 } from "../../src/rankmaps/switch-orders.js";
@@ -146,6 +147,36 @@
     assert.equal(second, [{ rank: 2, order: { kind: "release", step: 5 } }]);
   });
 
+  it("arms the holder first and the planner's own rank last", () => {
+    // Another planner gave a step up, and its release is carried out late. If
+    // others were armed by then and the holder not, the step would begin with
+    // two maps; an armed holder has a newer fencing number and refuses it.
+    const engines = HeldEngines.create(RANKS, createRandom(1));
+    engines.calm();
+    for (let rank = 0; rank < RANKS; rank += 1) {
+      const order = { kind: "prepare", version: 5, sets: [] } as const;
+      engines.send(rank, order, { epoch: 1, fencing: 1 });
+    }
+    engines.send(1, { kind: "hold", step: 3 }, { epoch: 1, fencing: 1 });
+    engines.deliver();
+    const waves: (readonly number[])[] = [];
+    for (let wave = 0; wave < 3; wave += 1) {
+      const pending = pendingSwitch(engines.states());
+      if (pending.kind !== "orders") break;
+      const orders = armingWave(pending.orders, { planner: 0, holder: 1 });
+      waves.push(orders.map(({ rank }) => rank));
+      for (const { rank, order } of orders) {
+        engines.send(rank, order, { epoch: 1, fencing: 2 });
+      }
+      engines.deliver();
+      engines.send(1, { kind: "release", step: 3 }, { epoch: 1, fencing: 1 });
+      engines.deliver();
+      for (let pass = 0; pass < 4; pass += 1) engines.pass();
+    }
+    assert.equal(waves, [[1], [2, 3], [0]]);
+    assert.is(engines.history.mixedPasses, 0);
+  });
+
   it("takes a rank that has changed already for one that is armed", () => {
     // Ranks are asked one after the other, and the step begins in between: the
     // first still shows that it is armed, the second that it has changed.
