--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -4,7 +4,7 @@
  * smallest part of its slots taken by this entry.
  */
 import type { Dispatcher } from "undici";
-import type { Emit, Now, Random } from "../internal.js";
+import { toFailure, type Emit, type Now, type Random } from "../internal.js";
 import type { BackendServer } from "../membership/types.js";
 import { RunnerHealth } from "../placement/health.js";
 
@@ -98,12 +98,14 @@
 
   /**
    * New connections for what comes next: when one has fallen silent, those that
-   * lie idle beside it may have as well.
+   * lie idle beside it may have as well. A runner that has left meanwhile needs
+   * none, and its old ones are closed already.
    */
   renew(runner: Runner): void {
     const { connections, server } = runner;
+    if (this.runners.get(server.id) !== runner) return;
     runner.connections = this.inputs.connect(server.address);
-    void connections.close();
+    void this.closeConnections(connections);
   }
 
   /** What runs there goes on to its end. */
@@ -111,7 +113,7 @@
     const runner = this.runners.get(id);
     if (runner === undefined) return;
     this.runners.delete(id);
-    void runner.connections.close();
+    void this.closeConnections(runner.connections);
   }
 
   /** The least taken runner outside `excluded` that may take work. */
@@ -168,7 +170,23 @@
   async close(): Promise<void> {
     const all = [...this.runners.values()];
     this.runners.clear();
-    await Promise.all(all.map(({ connections }) => connections.close()));
+    await Promise.all(
+      all.map((runner) => this.closeConnections(runner.connections)),
+    );
+  }
+
+  /** A failure here is worth a line, never the process. */
+  private async closeConnections(connections: Dispatcher): Promise<void> {
+    try {
+      await connections.close();
+    } catch (error) {
+      const { number, message } = toFailure(error, 1215);
+      this.inputs.emit(105, {
+        task: "close connections",
+        error: number,
+        reason: message,
+      });
+    }
   }
 
   /**
