--- a/src/daemon/transport.ts
+++ b/src/daemon/transport.ts
@@ -18,12 +18,6 @@
 const MAXIMUM_MESSAGE_BYTES = 32 * 1024 * 1024;
 const PING_INTERVAL_MS = 2000;
 const PING_TIMEOUT_MS = 2000;
-/**
- * Between two attempts to connect, ms. The library begins with a second, which
- * a group that restarts as a whole would have to wait for its last agent.
- */
-const FIRST_RECONNECT_MS = 100;
-const LONGEST_RECONNECT_MS = 1000;
 
 export const channelOptions: ChannelOptions = {
   "grpc.max_receive_message_length": MAXIMUM_MESSAGE_BYTES,
@@ -38,9 +32,6 @@
   "grpc.keepalive_time_ms": PING_INTERVAL_MS,
   "grpc.keepalive_timeout_ms": PING_TIMEOUT_MS,
   "grpc.keepalive_permit_without_calls": 1,
-  "grpc.initial_reconnect_backoff_ms": FIRST_RECONNECT_MS,
-  "grpc.min_reconnect_backoff_ms": FIRST_RECONNECT_MS,
-  "grpc.max_reconnect_backoff_ms": LONGEST_RECONNECT_MS,
 };
 
 export function clientCredentials(
--- a/src/rankmaps/rank-client.ts
+++ b/src/rankmaps/rank-client.ts
@@ -1,5 +1,9 @@
 /** A rank of the group as its planner reaches it: over the agent beside it. */
-import { Metadata, type ServiceError } from "@grpc/grpc-js";
+import {
+  Metadata,
+  type ChannelOptions,
+  type ServiceError,
+} from "@grpc/grpc-js";
 import { channelOptions, clientCredentials } from "../daemon/transport.js";
 import type { TransportSettings } from "../daemon/settings.js";
 import { failure } from "../internal.js";
@@ -24,6 +28,20 @@
  */
 const CALL_TIMEOUT_MS = 250;
 
+/**
+ * Between two attempts to connect, ms. The library begins with a second, which
+ * a group that restarts as a whole would have to wait for its last agent.
+ */
+const FIRST_RECONNECT_MS = 100;
+const LONGEST_RECONNECT_MS = 1000;
+
+const rankChannelOptions: ChannelOptions = {
+  ...channelOptions,
+  "grpc.initial_reconnect_backoff_ms": FIRST_RECONNECT_MS,
+  "grpc.min_reconnect_backoff_ms": FIRST_RECONNECT_MS,
+  "grpc.max_reconnect_backoff_ms": LONGEST_RECONNECT_MS,
+};
+
 type Reply<T> = (error: ServiceError | null, value: T) => void;
 
 export class RankClient implements Disposable {
@@ -34,7 +52,7 @@
     transport: TransportSettings,
   ) {
     const credentials = clientCredentials(transport, address);
-    this.client = new RankAgentClient(address, credentials, channelOptions);
+    this.client = new RankAgentClient(address, credentials, rankChannelOptions);
   }
 
   static create(address: string, transport: TransportSettings): RankClient {
