Show that half an answer can still pass for a whole one

A failing test, listed. An answer whose transfer coding isn't chunks ends with its connection, as one without length does, and closes in good order when its runner's process ends inside it. Seen on the code as it is: such an answer goes out with a content-length of our own, such a stream with closed chunks.

The stand-in writes an answer by hand in one place for both kinds of test.

--- a/standins/signing-runner.ts
+++ b/standins/signing-runner.ts
@@ -98,16 +98,39 @@
   };
 }
 
-/** A success without length or chunks, which ends with its connection. */
-export function answerUntilClose(body: string): Behaviour {
-  return ({ request, signed }) => {
-    const head = Object.entries(signed).map(
+/** How the connection of an answer that was written by hand goes on. */
+export type RawEnd = "end" | "reset" | "open";
+
+/** Between the bytes of an answer and the reset of its connection, ms. */
+const RESET_AFTER_MS = 20;
+
+/**
+ * A success as bytes: `head` holds whole header lines, and nothing marks the
+ * body's end unless they do.
+ */
+export function answerRaw(
+  head: string,
+  body: string,
+  end: RawEnd = "open",
+): (exchange: Pick<Exchange, "request" | "signed">) => void {
+  return ({ request: { socket }, signed }) => {
+    const lines = Object.entries(signed).map(
       ([name, value]) => `${name}: ${value}\r\n`,
     );
-    request.socket.end(`HTTP/1.1 200 OK\r\n${head.join("")}\r\n${body}`);
+    socket.write(`HTTP/1.1 200 OK\r\n${lines.join("")}${head}\r\n${body}`);
+    if (end === "end") socket.end();
+    if (end !== "reset") return;
+    setTimeout(() => {
+      socket.resetAndDestroy();
+    }, RESET_AFTER_MS);
   };
 }
 
+/** A success without length or chunks, which ends with its connection. */
+export function answerUntilClose(body: string): Behaviour {
+  return answerRaw("", body, "end");
+}
+
 /** Says that it is full; nothing was run. */
 export const refuseAsFull: Behaviour = ({ response }) => {
   response.writeHead(503, { [headerNames.notRun]: "1" }).end();
--- /dev/null
+++ b/tests/platform/answer-ends.test.ts
@@ -0,0 +1,39 @@
+/** What a caller is told of the end of an answer, whatever ends it early. */
+import * as assert from "uvu/assert";
+import { answerRaw, eventOf } from "../../standins/signing-runner.js";
+import { describe, it } from "../support/describe.js";
+import { EntrySite } from "./entry-site.js";
+
+const OTHER_CODING = "transfer-encoding: identity\r\n";
+const EVENTS_STREAM = "content-type: text/event-stream\r\n";
+
+describe("the end of an answer", () => {
+  describe("that no length and no chunks mark", () => {
+    it("gets no mark from us where another coding is named", async () => {
+      // Caller: a success with a length of its own, and half of the body. The
+      // runner named a transfer coding that isn't chunks, so that only the end
+      // of its connection ended the answer, and its process ended inside. The
+      // header's presence alone was taken for a mark.
+      await using site = await EntrySite.serving(
+        answerRaw(OTHER_CODING, "half of", "end"),
+      );
+      const answer = await site.call({ path: "/once/a" });
+      assert.is(answer.status, 200);
+      assert.is(answer.headers["content-length"], undefined);
+      assert.is(answer.headers["transfer-encoding"], undefined);
+      assert.is(answer.headers.connection, "close");
+    });
+
+    it("gets no mark from us in such a stream", async () => {
+      // As above; the stream's chunks of our own were closed behind the last
+      // event that came, as if there had been no more.
+      await using site = await EntrySite.serving(
+        answerRaw(OTHER_CODING + EVENTS_STREAM, eventOf(1), "end"),
+      );
+      const answer = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(answer.body, eventOf(1));
+      assert.is(answer.headers["transfer-encoding"], undefined);
+      assert.is(answer.headers.connection, "close");
+    });
+  });
+});
