Take only chunks for a mark of the end, not any transfer coding

Cause: whether an answer's end is marked was told by the presence of a transfer-encoding header. With any other coding in it the answer ends with its connection, and half of one went out with a length or closed chunks of our own.

Ruled out by the same matrix: answers with a length or with chunks that close in good order or are reset at any place; all end as failures.

Change: of several codings the last one decides, and only chunks count.

--- a/src/direct/answer-framing.ts
+++ b/src/direct/answer-framing.ts
@@ -11,16 +11,23 @@
 
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
+const CHUNKED_LAST = /(^|,)[ \t]*chunked[ \t]*$/i;
 
-/** What ends an answer with this head. */
+/**
+ * What ends an answer with this head. Of several transfer codings the last one
+ * decides, and only chunks have an end of their own; with any other one the
+ * length doesn't count either (RFC 9112, 6.3).
+ */
 export function endMarkOf(
   status: number,
   headers: IncomingHttpHeaders,
 ): EndMark {
   if (status === NO_CONTENT || status === NOT_MODIFIED) return "head";
-  if (headers["transfer-encoding"] !== undefined) return "chunks";
-  if (headers["content-length"] !== undefined) return "length";
-  return "connection";
+  const codings = headers["transfer-encoding"];
+  if (codings !== undefined) {
+    return CHUNKED_LAST.test(codings) ? "chunks" : "connection";
+  }
+  return headers["content-length"] === undefined ? "connection" : "length";
 }
 
 /** Sends no length and no chunks; called before the head is written. */
