Show that a broken answer without length can end in good order

Failing tests, listed: a stream without length or chunks ends with its connection, so a broken one has to end otherwise. The entry closes the caller's connection in good order when the runner's was reset, when the caller's time is over, and when it stops itself.

--- a/tests/platform/answer-ends.test.ts
+++ b/tests/platform/answer-ends.test.ts
@@ -1,12 +1,32 @@
 /** What a caller is told of the end of an answer, whatever ends it early. */
 import * as assert from "uvu/assert";
-import { answerRaw, eventOf } from "../../standins/signing-runner.js";
+import {
+  answerRaw,
+  eventOf,
+  type Behaviour,
+} from "../../standins/signing-runner.js";
 import { describe, it } from "../support/describe.js";
 import { EntrySite } from "./entry-site.js";
 
 const OTHER_CODING = "transfer-encoding: identity\r\n";
 const EVENTS_STREAM = "content-type: text/event-stream\r\n";
 
+/** An event every few ms until the caller's connection is gone. */
+const trickleWithoutEnd: Behaviour = async ({ request, signed }) => {
+  const { socket } = request;
+  answerRaw(EVENTS_STREAM, eventOf(1))({ request, signed });
+  for (let id = 2; !socket.destroyed; id += 1) {
+    socket.write(eventOf(id));
+    await sleepMs(10);
+  }
+};
+
+function sleepMs(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
 describe("the end of an answer", () => {
   it("is counted by what marked it", async () => {
     // Two answers that look alike to their callers but for the mark: an on-call
@@ -55,4 +75,48 @@
       assert.is(answer.headers.connection, "close");
     });
   });
+
+  describe("that is known to be broken", () => {
+    it("is a reset where nothing else would show it", async () => {
+      // Caller: a stream without length or chunks that ends in good order,
+      // which is how a whole one ends. The runner's connection was reset after
+      // the first event and no other runner could go on: we knew that the rest
+      // was missing, and closed the caller's connection as if it weren't.
+      await using site = await EntrySite.serving(
+        answerRaw(EVENTS_STREAM, eventOf(1), "reset"),
+      );
+      const answer = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(answer.body, eventOf(1));
+      assert.not.ok(answer.isWhole);
+    });
+
+    it("is a reset when the caller's time is over", async () => {
+      // The stream still runs when the caller's deadline passes.
+      await using site = await EntrySite.serving(trickleWithoutEnd);
+      const answer = await site.call({
+        path: "/stream/a",
+        method: "POST",
+        headers: { "apricotdeck-deadline-ms": "150" },
+      });
+      assert.is(answer.status, 200);
+      assert.not.ok(answer.isWhole);
+    });
+
+    it("is a reset when the entry stops", async () => {
+      // The stream still runs when the entry's grace period ends: its exit
+      // closes the connection, in good order unless the entry resets it.
+      const site = await EntrySite.serving(trickleWithoutEnd);
+      const call = site.call({
+        path: "/stream/a",
+        method: "POST",
+        headers: { "apricotdeck-deadline-ms": "5000" },
+      });
+      await site.until(() => site.runners[0].arrivals.length === 1);
+      await sleepMs(50);
+      await site[Symbol.asyncDispose]();
+      const answer = await call;
+      assert.is(answer.status, 200);
+      assert.not.ok(answer.isWhole);
+    });
+  });
 });
