Reset a caller's connection where nothing else shows a broken answer

Cause: an answer without length or chunks ends with its connection. When such a stream broke off, and we knew it, the caller's connection was closed in good order, which is how a whole one ends.

Change: such an answer ends in a reset: after a failed runner, when the caller's time is over, and when the entry stops. With chunks the connection is closed as before, because the missing last chunk shows.

The stand-in for callers now sees a reset as a broken answer: the library's client calls such an answer complete and only reports the reset beside it.

Left: an entry that is killed has its connections closed by the kernel, in good order unless it had unread bytes. Nothing in the process can change that.

--- a/src/daemon/entry/answer-writer.ts
+++ b/src/daemon/entry/answer-writer.ts
@@ -7,6 +7,7 @@
 import type { ApricotdeckError } from "../../internal.js";
 import type { Header } from "../../wire/generated/session.js";
 import type { CallerLimits } from "./request-reader.js";
+import { breakOff } from "./break-off.js";
 import type { AnswerWriter } from "./work.js";
 
 export const OUTCOME_HEADER = "apricotdeck-outcome";
@@ -172,7 +173,7 @@
   retryAfterMs = NO_RETRY_AFTER,
 ): void {
   if (response.headersSent || response.destroyed) {
-    response.destroy();
+    breakOff(response);
     return;
   }
   const { entry } = error;
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { createServer, type ServerResponse } from "node:http";
 import { sendError } from "../daemon/entry/answer-writer.js";
+import { breakOff } from "../daemon/entry/break-off.js";
 import { pause } from "../daemon/background-task.js";
 import { EventLog } from "../daemon/event-log.js";
 import { listen, type Listening } from "../daemon/listening.js";
@@ -233,6 +234,8 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
+    // Closed with the process, an answer without length would pass for whole.
+    for (const response of this.open) breakOff(response);
     this.paceInquiry[Symbol.dispose]();
     await Promise.all(
       this.listening.map((listening) => listening[Symbol.asyncDispose]()),
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -11,6 +11,7 @@
   type ErrorNumber,
   type Measurements,
 } from "../internal.js";
+import { breakOff } from "../daemon/entry/break-off.js";
 import { endWithConnection } from "./answer-framing.js";
 import { Attempt } from "./attempt.js";
 import { answerHeaders } from "./end-to-end-headers.js";
@@ -334,7 +335,7 @@
         this.refuse(failure(step.error), retryAfterOf(step.error));
         return false;
       case "break-off":
-        this.response.destroy();
+        breakOff(this.response);
         return false;
       case "repeat":
         return false;
@@ -344,7 +345,7 @@
   /** No runner is left to repeat at: what the last one said is the answer. */
   private concludeUnplaced(admitted: Admitted, end: AttemptEnd): void {
     if (this.relay?.hasStarted === true) {
-      this.response.destroy();
+      breakOff(this.response);
       return;
     }
     if (end.kind === "answered") {
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -182,6 +182,13 @@
       });
       request.once("error", reject);
       request.once("response", (response) => {
+        // A reset shows here only: the library calls the answer complete where
+        // nothing but the connection's end marks it.
+        let isReset = false;
+        request.off("error", reject);
+        request.on("error", () => {
+          isReset = true;
+        });
         const parts: Buffer[] = [];
         response.on("data", (part: Buffer) => parts.push(part));
         response.on("error", () => undefined);
@@ -190,7 +197,7 @@
             status: response.statusCode ?? 0,
             headers: response.headers,
             body: Buffer.concat(parts).toString(),
-            isWhole: response.complete,
+            isWhole: response.complete && !isReset,
           });
         });
       });
