Show half an answer passed off as whole by an agent

A plain service answers with neither length nor chunks and its process ends inside the answer. The caller gets the half with status 200, a content-length that fits it and the outcome "answered"; a reset in place of the orderly close gives the same.

--- a/standins/plain-service.ts
+++ b/standins/plain-service.ts
@@ -2,6 +2,7 @@
  * Stand-in of a plain service, such as valve records: one JSON answer a call,
  * with a record of what ran.
  */
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   answerJson,
@@ -15,7 +16,14 @@
   readonly ran: readonly string[];
   /** Bodies in the same order. */
   readonly bodies: readonly string[];
-  readonly faults: { delayMs: number; cutAnswers: number };
+  readonly faults: PlainServiceFaults;
+}
+
+export interface PlainServiceFaults {
+  delayMs: number;
+  cutAnswers: number;
+  /** Answers in place of the service, byte by byte. */
+  answerRaw: ((socket: Socket) => void) | undefined;
 }
 
 export async function startPlainService(
@@ -23,7 +31,11 @@
 ): Promise<PlainServiceStandIn> {
   const ran: string[] = [];
   const bodies: string[] = [];
-  const faults = { delayMs: 0, cutAnswers: 0 };
+  const faults: PlainServiceFaults = {
+    delayMs: 0,
+    cutAnswers: 0,
+    answerRaw: undefined,
+  };
   const server = await startServer(
     async ({ method, url, request, response }) => {
       const body = await readBody(request);
@@ -36,6 +48,10 @@
         response.destroy();
         return;
       }
+      if (faults.answerRaw !== undefined) {
+        faults.answerRaw(request.socket);
+        return;
+      }
       const path = url.pathname;
       answerJson(response, { id, method, path, echo: body.toString() });
     },
--- /dev/null
+++ b/tests/support/http-call.ts
@@ -0,0 +1,41 @@
+/** One call over a connection of its own, with all that its caller sees. */
+import { request as send } from "node:http";
+
+export interface SeenAnswer {
+  readonly status: number;
+  readonly headers: Readonly<NodeJS.Dict<string | string[]>>;
+  readonly body: string;
+  /** How the connection ended under the answer; undefined when in order. */
+  readonly fault: string | undefined;
+}
+
+export interface HttpCall {
+  /** host:port */
+  readonly address: string;
+  readonly path: string;
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+export function callHttp(call: HttpCall): Promise<SeenAnswer> {
+  const { address, path, method = "GET", headers = {} } = call;
+  const [host, port] = address.split(":");
+  return new Promise((resolve, reject) => {
+    const request = send({ host, port, path, method, headers, agent: false });
+    request.once("error", reject);
+    request.once("response", (response) => {
+      const parts: Buffer[] = [];
+      let fault: string | undefined;
+      response.on("data", (part: Buffer) => parts.push(part));
+      response.on("error", (error: NodeJS.ErrnoException) => {
+        fault = error.code ?? error.message;
+      });
+      response.once("close", () => {
+        const { statusCode: status = 0, headers: seen } = response;
+        const body = Buffer.concat(parts).toString();
+        resolve({ status, headers: seen, body, fault });
+      });
+    });
+    request.end();
+  });
+}
