--- a/src/direct/answer-framing.ts
+++ b/src/direct/answer-framing.ts
@@ -6,29 +6,9 @@
  * as whole. So it goes out as it came in, ended by the connection, and callers
  * know as much as we do.
  */
-import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import type { EndMark } from "./types.js";
+import type { ServerResponse } from "node:http";
 
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
-const CHUNKED_LAST = /(^|,)[ \t]*chunked[ \t]*$/i;
-
-/**
- * What ends an answer with this head. Of several transfer codings the last one
- * decides, and only chunks have an end of their own; with any other one the
- * length doesn't count either (RFC 9112, 6.3).
- */
-export function endMarkOf(
-  status: number,
-  headers: IncomingHttpHeaders,
-): EndMark {
-  if (status === NO_CONTENT || status === NOT_MODIFIED) return "head";
-  const codings = headers["transfer-encoding"];
-  if (codings !== undefined) {
-    return CHUNKED_LAST.test(codings) ? "chunks" : "connection";
-  }
-  return headers["content-length"] === undefined ? "connection" : "length";
-}
+export { endMarkOf } from "../shared/answer-end.js";
 
 /** Sends no length and no chunks; called before the head is written. */
 export function endWithConnection(response: ServerResponse): void {
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -1,6 +1,9 @@
 /** Types of the direct path: from the caller over one entry to a runner. */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Route } from "../routing/types.js";
+import type { EndMark } from "../shared/answer-end.js";
+
+export type { EndMark };
 
 /** Header names and values, in the order in which they are sent. */
 export type HeaderPairs = readonly (readonly [name: string, value: string])[];
@@ -73,12 +76,6 @@
   readonly dueAtMs: number;
 }
 
-/**
- * What ends an answer: its head, where no body follows; a length; the last
- * chunk; or nothing but the end of its connection, whole or not.
- */
-export type EndMark = "head" | "length" | "chunks" | "connection";
-
 /** A whole answer of a runner, as far as its end was marked. */
 export interface WholeAnswer {
   readonly status: number;
