Vouch for an answer's end only where it was marked

Cause: the agent took the end of a connection for the end of an answer that has neither length nor chunks, and vouched for it with count and checksum, which cover only what it had read. The entry then gave the answer a length. A reset inside such an answer was taken for its end as well, since the client library does so.

Change: head and end frame say whether the backend server marks the end, by the rule that the direct path has. An unmarked answer goes out as it came in, ended by the connection, under the outcome "unmarked", counted apart from "answered" in the ledger, the status and the metric. Where it has gone out in part and breaks off, the caller's connection is reset; so is that of a caller of HTTP/1.0, whose large answers were closed in good order when they broke off. An older agent sends neither field, which counts as not vouched for; streams are vouched for by their closing event in any release. The agent's connections tell a reset from an end.

The fuzz target of requests has half of its answers unmarked and notices an entry that doesn't look. Two tests of callers pass the new arguments; nothing else in them changed.

--- a/fuzz/requests.ts
+++ b/fuzz/requests.ts
@@ -3,7 +3,7 @@
  * run of what may not be repeated, under every fault of the network and of
  * the processes.
  */
-import type { Safeguard } from "../src/internal.js";
+import type { Call, Safeguard } from "../src/internal.js";
 import { checkHistories } from "./requests/check.js";
 import { requestCommands } from "./requests/commands.js";
 import { settle, violations } from "./requests/oracle.js";
@@ -24,8 +24,14 @@
   "dispatch-once": 3_000,
   "started-marks": 3_000,
   "remember-starts": 10_000,
+  "end-mark": 100,
 } as const satisfies Partial<Record<Safeguard, number>>;
 
+/** About half of the answers end with their connection only. */
+function marksEndOf({ request }: Call): boolean {
+  return Number(request.split("-").at(-1)) % 2 === 0;
+}
+
 export const requestsTarget: FuzzTarget = {
   name: "requests",
   mutations,
@@ -34,7 +40,8 @@
     const result = checkHistories(
       {
         commands: requestCommands,
-        createWorld: () => World.create(without ? { without } : {}),
+        createWorld: () =>
+          World.create({ marksEndOf, ...(without ? { without } : {}) }),
         judge: (world) => {
           settle(world);
           return violations(world);
--- a/fuzz/requests/engine.ts
+++ b/fuzz/requests/engine.ts
@@ -9,6 +9,8 @@
   readonly call: Call;
   /** Full answer of each generation; another one after a regeneration. */
   readonly versions: string[][];
+  /** Its end can be told from a break inside it. */
+  readonly isEndMarked: boolean;
   /** Incarnation of the agent and stream that get the answer now. */
   reader: { readonly incarnation: string; readonly stream: number };
   sent: number;
@@ -39,10 +41,16 @@
   /** Refuses connections: nothing starts, and its agent knows it. */
   refusing = false;
 
-  private constructor(private readonly runner: string) {}
+  private constructor(
+    private readonly runner: string,
+    private readonly marksEndOf: (call: Call) => boolean,
+  ) {}
 
-  static create(runner: string): Engine {
-    return new Engine(runner);
+  static create(
+    runner: string,
+    marksEndOf: (call: Call) => boolean = () => true,
+  ): Engine {
+    return new Engine(runner, marksEndOf);
   }
 
   start(name: string, call: Call, reader: EngineRun["reader"], at: number) {
@@ -53,6 +61,7 @@
       name,
       call,
       versions: [],
+      isEndMarked: this.marksEndOf(call),
       reader,
       sent: 0,
       headSent: false,
--- a/fuzz/requests/oracle.ts
+++ b/fuzz/requests/oracle.ts
@@ -65,6 +65,13 @@
   );
 }
 
+/** What may be said of an answer's end; the runs of a request are alike. */
+function endOf(world: World, { call }: CallerView): "answered" | "unmarked" {
+  const runs = world.agents.flatMap(({ engine }) => [...engine.runs.values()]);
+  const own = runs.filter((run) => run.call.request === call.request);
+  return own.every((run) => run.isEndMarked) ? "answered" : "unmarked";
+}
+
 function callerViolations(world: World, view: CallerView): string[] {
   const { call, outcomes, pieces, entryIncarnation } = view;
   const { request } = call;
@@ -86,7 +93,11 @@
   if (final?.outcome === "broken-off" && starts === 0) {
     found.push(`${request} was said to have started`);
   }
-  const isWhole = final?.outcome === "answered";
+  const isWhole =
+    final?.outcome === "answered" || final?.outcome === "unmarked";
+  if (isWhole && final.outcome !== endOf(world, view)) {
+    found.push(`${request} was said to be ${final.outcome}`);
+  }
   if (isWhole && !view.headSeen) found.push(`${request} has no head`);
   if (pieces.length > 0 || isWhole) {
     if (!isOwnAnswer(world, view, isWhole)) {
--- a/fuzz/requests/world.ts
+++ b/fuzz/requests/world.ts
@@ -82,6 +82,8 @@
   readonly mayRetry?: MayRetry;
   readonly deadlineMs?: number;
   readonly engineResumes?: boolean;
+  /** Answers without a mark of their end; all have one if absent. */
+  readonly marksEndOf?: (call: Call) => boolean;
 }
 
 const ENTRIES = 2;
@@ -193,7 +195,15 @@
       run.reader.incarnation === incarnation;
     agent.engine.step({
       head: (run) => {
-        if (isHeard(run)) machine.runHead(run.name, run.reader.stream, 200, []);
+        if (isHeard(run)) {
+          machine.runHead(
+            run.name,
+            run.reader.stream,
+            200,
+            [],
+            run.isEndMarked,
+          );
+        }
       },
       piece: (run, text) => {
         const data = Buffer.from(text);
@@ -411,7 +421,7 @@
   private createAgent(runner: string): AgentNode {
     const node = {
       runner,
-      engine: Engine.create(runner),
+      engine: Engine.create(runner, this.options.marksEndOf),
       incarnation: this.name("agent"),
       paused: false,
       leftAt: NOT_LEFT,
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -8,6 +8,8 @@
 const conservationSchema = z.object({
   accepted: z.number(),
   answered: z.number(),
+  /** Absent at processes of older releases. */
+  unmarked: z.number().default(0),
   "not-run": z.number(),
   unknown: z.number(),
   "broken-off": z.number(),
@@ -27,6 +29,7 @@
 const NO_REQUESTS: Conservation = {
   accepted: 0,
   answered: 0,
+  unmarked: 0,
   "not-run": 0,
   unknown: 0,
   "broken-off": 0,
@@ -106,6 +109,7 @@
   return {
     accepted: a.accepted + b.accepted,
     answered: a.answered + b.answered,
+    unmarked: a.unmarked + b.unmarked,
     "not-run": a["not-run"] + b["not-run"],
     unknown: a.unknown + b.unknown,
     "broken-off": a["broken-off"] + b["broken-off"],
--- a/src/daemon/agent/run-tasks.ts
+++ b/src/daemon/agent/run-tasks.ts
@@ -5,7 +5,7 @@
   type AgentEffect,
   type AgentGate,
 } from "../../internal.js";
-import type { RunnerClient } from "./runner-client.js";
+import type { AnswerSink, RunnerClient } from "./runner-client.js";
 
 type RunEffect = Extract<AgentEffect, { kind: "start-run" | "resume-run" }>;
 
@@ -50,11 +50,11 @@
   private async read(effect: RunEffect, signal: AbortSignal): Promise<void> {
     const { gate, runner } = this;
     const { run, stream } = effect;
-    const sink = {
-      head: (status: number, headers: Parameters<AgentGate["runHead"]>[3]) => {
-        gate.runHead(run, stream, status, headers);
+    const sink: AnswerSink = {
+      head: (status, headers, isEndMarked) => {
+        gate.runHead(run, stream, status, headers, isEndMarked);
       },
-      piece: (data: Buffer) => {
+      piece: (data) => {
         gate.runPiece(run, stream, data);
       },
     };
--- a/src/daemon/agent/runner-client.ts
+++ b/src/daemon/agent/runner-client.ts
@@ -6,9 +6,17 @@
 import { createParser } from "eventsource-parser";
 import { Agent as HttpPool, type Dispatcher } from "undici";
 import { raise, toFailure, type Call, type Header } from "../../internal.js";
+import { isClosedByEvent } from "../../session/closing-event.js";
+import { isEndMarked } from "../../shared/answer-end.js";
+import { createConnector } from "../../shared/connector.js";
 
 export interface AnswerSink {
-  readonly head: (status: number, headers: readonly Header[]) => void;
+  /** `isEndMarked`: an end that follows is the answer's own, not a break. */
+  readonly head: (
+    status: number,
+    headers: readonly Header[],
+    isEndMarked: boolean,
+  ) => void;
   readonly piece: (data: Buffer) => void;
 }
 
@@ -50,6 +58,7 @@
     const pool = new HttpPool({
       connections: CONNECTIONS,
       pipelining: 1,
+      connect: createConnector({}),
       bodyTimeout: LONGEST_SILENCE_MS,
       headersTimeout: LONGEST_SILENCE_MS,
     });
@@ -58,7 +67,8 @@
   }
 
   /**
-   * Resolves when the answer is whole. Throws 1214 when the work was never
+   * Resolves when the answer has ended: whole if its head says that the end is
+   * marked, else as far as can be known. Throws 1214 when the work was never
    * started, 1216 when it may have been and the answer broke off.
    */
   async start(
@@ -71,7 +81,7 @@
       await response.body.dump();
       raise(1214, { status: response.statusCode });
     }
-    await readWhole(response, sink);
+    await readToEnd(response, work.call.method, sink);
   }
 
   /** As above; throws 1405 when the engine knows no run of this name. */
@@ -86,7 +96,7 @@
       await response.body.dump();
       raise(1405, { run });
     }
-    await readWhole(response, sink);
+    await readToEnd(response, "GET", sink);
   }
 
   async cancel(attempt: string): Promise<void> {
@@ -135,12 +145,13 @@
   );
 }
 
-async function readWhole(
+async function readToEnd(
   response: Dispatcher.ResponseData,
+  method: string,
   sink: AnswerSink,
 ): Promise<void> {
   try {
-    await readAnswer(response, sink);
+    await readAnswer(response, method, sink);
   } catch (error) {
     throw toFailure(error, 1216);
   }
@@ -162,14 +173,15 @@
 
 async function readAnswer(
   response: Dispatcher.ResponseData,
+  method: string,
   sink: AnswerSink,
 ): Promise<void> {
   const headers = headersOf(response);
-  sink.head(response.statusCode, headers);
-  const isStream = headers.some(
-    ({ name, value }) =>
-      name === "content-type" && value.startsWith("text/event-stream"),
-  );
+  const { statusCode } = response;
+  const isStream = isClosedByEvent(headers);
+  const isMarked =
+    isStream || isEndMarked(statusCode, response.headers, method);
+  sink.head(statusCode, headers, isMarked);
   if (isStream) await readEvents(response, sink);
   else await readParts(response, sink);
 }
--- a/src/daemon/entry/answer-writer.ts
+++ b/src/daemon/entry/answer-writer.ts
@@ -5,6 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { ApricotdeckError } from "../../internal.js";
+import { endWithConnection } from "../../direct/answer-framing.js";
 import type { Header } from "../../wire/generated/session.js";
 import type { CallerLimits } from "./request-reader.js";
 import { breakOff } from "./break-off.js";
@@ -22,6 +23,12 @@
   readonly limits: CallerLimits;
 }
 
+interface Head {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly isEndMarked: boolean;
+}
+
 export function createAnswerWriter(
   response: ServerResponse,
   options: AnswerOptions,
@@ -42,7 +49,7 @@
   { limits }: AnswerOptions,
   signal: AbortSignal,
 ): AnswerWriter {
-  let head: { status: number; headers: readonly Header[] } | undefined;
+  let head: Head | undefined;
   let waiting: string[] = [];
   let lastWriteMs = Date.now();
   const onStall = createStallGuard(response, limits);
@@ -64,8 +71,8 @@
   });
   return {
     signal,
-    head: (status, headers) => {
-      head = { status, headers };
+    head: (status, headers, isEndMarked) => {
+      head = { status, headers, isEndMarked };
     },
     piece: (data) => {
       if (!response.headersSent) startStream(response, head);
@@ -76,11 +83,12 @@
     discard: () => {
       head = undefined;
     },
-    end: () => {
+    end: (isVouched) => {
       if (!response.headersSent) startStream(response, head);
-      waiting.push(END_OF_STREAM);
+      if (isVouched) waiting.push(END_OF_STREAM);
       flush();
-      response.end();
+      if (mayEnd(response, isVouched)) response.end();
+      else breakOffAfter(response, KEEP_ALIVE_COMMENT);
     },
     fail: (error, retryAfterMs = NO_RETRY_AFTER) => {
       flush();
@@ -96,23 +104,27 @@
   signal: AbortSignal,
 ): AnswerWriter {
   let status = 200;
+  let isEndMarked = false;
   let parts: Buffer[] = [];
   let size = 0;
   const onStall = createStallGuard(response, limits);
-  const passHead = (code: number, headers: readonly Header[]): void => {
-    status = code;
-    for (const { name, value } of headers) response.setHeader(name, value);
-  };
   return {
     signal,
-    head: passHead,
+    head: (code, headers, isMarked) => {
+      status = code;
+      isEndMarked = isMarked;
+      for (const { name, value } of headers) response.setHeader(name, value);
+    },
     piece: (data) => {
       size += data.length;
       if (size <= limits.answerBytes) {
         parts.push(data);
         return;
       }
-      if (!response.headersSent) response.writeHead(status);
+      if (!response.headersSent) {
+        if (!isEndMarked) endWithConnection(response);
+        response.writeHead(status);
+      }
       for (const part of parts) response.write(part);
       parts = [];
       if (!response.write(data)) onStall();
@@ -120,31 +132,48 @@
     discard: () => {
       // A part too large to hold back is with the caller already: the answer
       // is cut, which the request sees as a caller that is gone.
-      if (response.headersSent) response.destroy();
+      if (response.headersSent) breakOff(response);
       parts = [];
       size = 0;
     },
-    end: () => {
-      if (response.headersSent) response.end();
-      else {
-        const body = Buffer.concat(parts);
-        response.setHeader(OUTCOME_HEADER, "answered");
-        response.writeHead(status, { "content-length": body.length });
-        response.end(body);
+    end: (isVouched) => {
+      if (response.headersSent) {
+        if (mayEnd(response, isVouched)) response.end();
+        else breakOff(response);
+        return;
       }
+      const body = Buffer.concat(parts);
+      if (isVouched) response.setHeader("content-length", body.length);
+      else endWithConnection(response);
+      response.setHeader(OUTCOME_HEADER, isVouched ? "answered" : "unmarked");
+      response.writeHead(status);
+      response.end(body);
     },
     fail: (error, retryAfterMs = NO_RETRY_AFTER) => {
       // Closing without the end of the body: never looks complete.
-      if (response.headersSent) response.destroy();
+      if (response.headersSent) breakOff(response);
       else sendError(response, error, retryAfterMs);
     },
   };
 }
 
-function startStream(
-  response: ServerResponse,
-  head: { status: number; headers: readonly Header[] } | undefined,
-): void {
+/**
+ * Ending in good order marks the end of what went out in chunks, so it takes
+ * somebody who vouches for it. Without chunks it says nothing, which is right.
+ */
+function mayEnd(response: ServerResponse, isVouched: boolean): boolean {
+  return isVouched || !response.chunkedEncoding;
+}
+
+/** Breaks the answer off once the text and all before it have left. */
+function breakOffAfter(response: ServerResponse, text: string): void {
+  response.write(text, () => {
+    breakOff(response);
+  });
+}
+
+function startStream(response: ServerResponse, head: Head | undefined): void {
+  if (head?.isEndMarked !== true) endWithConnection(response);
   for (const { name, value } of head?.headers ?? []) {
     response.setHeader(name, value);
   }
@@ -162,9 +191,7 @@
   retryAfterMs: number,
 ): void {
   const body = JSON.stringify(errorBody(error, retryAfterMs));
-  response.write(`event: error\ndata: ${body}\n\n`, () => {
-    response.destroy();
-  });
+  breakOffAfter(response, `event: error\ndata: ${body}\n\n`);
 }
 
 export function sendError(
@@ -221,7 +248,7 @@
   response.once("close", release);
   return () => {
     timer ??= setTimeout(() => {
-      response.destroy();
+      breakOff(response);
     }, writeStallMs);
   };
 }
--- a/src/daemon/entry/request-dispatcher.ts
+++ b/src/daemon/entry/request-dispatcher.ts
@@ -8,6 +8,7 @@
   Placement,
   RetryAllowance,
   failure,
+  isAnswer,
   type AdmissionRequest,
   type Call,
   type Choice,
@@ -130,7 +131,7 @@
     if (effect.kind === "piece") item.pieces += 1;
     if (effect.kind === "run-over") this.onRunOver(item, effect.result);
     if (effect.kind === "finish") {
-      this.finish(item, effect.outcome === "answered");
+      this.finish(item, isAnswer(effect.outcome));
     }
   }
 
--- a/src/daemon/entry/request-task.ts
+++ b/src/daemon/entry/request-task.ts
@@ -81,13 +81,13 @@
       writer.piece(effect.data as Buffer);
       return;
     case "head":
-      writer.head(effect.status, effect.headers);
+      writer.head(effect.status, effect.headers, effect.isEndMarked);
       return;
     case "discard":
       writer.discard();
       return;
     case "finish":
-      if (effect.error === 0) writer.end();
+      if (effect.error === 0) writer.end(effect.outcome === "answered");
       else writer.fail(failure(effect.error), retryAfterMs(effect));
       return;
     case "place":
--- a/src/daemon/entry/work.ts
+++ b/src/daemon/entry/work.ts
@@ -26,12 +26,17 @@
 
 /** Takes the answer of one request towards its caller. */
 export interface AnswerWriter {
-  readonly head: (status: number, headers: readonly Header[]) => void;
+  /** `isEndMarked`: the caller may be promised a mark of the answer's end. */
+  readonly head: (
+    status: number,
+    headers: readonly Header[],
+    isEndMarked: boolean,
+  ) => void;
   readonly piece: (data: Buffer) => void;
   /** Forgets what it has so far: the answer begins anew. */
   readonly discard: () => void;
-  /** The answer is whole. */
-  readonly end: () => void;
+  /** The answer has ended; if not vouched for, it may be a part of a whole. */
+  readonly end: (isVouched: boolean) => void;
   /** The final answer is a failure; goes out at once. */
   readonly fail: (error: ApricotdeckError, retryAfterMs?: number) => void;
   /** Aborts when the caller is gone. */
--- a/src/daemon/session-frames.ts
+++ b/src/daemon/session-frames.ts
@@ -74,10 +74,14 @@
       return { $case: "opened", value: frame };
     case "started":
       return { $case: "started", value: frame };
-    case "head":
-      return { $case: "head", value: frame };
-    case "end":
-      return { $case: "end", value: frame };
+    case "head": {
+      const { isEndMarked: endMarked, ...value } = frame;
+      return { $case: "head", value: { ...value, endMarked } };
+    }
+    case "end": {
+      const { isVouched: vouched, ...value } = frame;
+      return { $case: "end", value: { ...value, vouched } };
+    }
     case "refused":
       return { $case: "refused", value: frame };
     case "broken":
@@ -108,10 +112,14 @@
     }
     case "started":
       return { kind: "started", ...body.value };
-    case "head":
-      return { kind: "head", ...body.value };
-    case "end":
-      return { kind: "end", ...body.value };
+    case "head": {
+      const { endMarked: isEndMarked, ...value } = body.value;
+      return { kind: "head", ...value, isEndMarked };
+    }
+    case "end": {
+      const { vouched: isVouched, ...value } = body.value;
+      return { kind: "end", ...value, isVouched };
+    }
     case "refused":
       return { kind: "refused", ...body.value, error: errorOf(body.value) };
     case "broken":
--- a/src/session/agent-gate.ts
+++ b/src/session/agent-gate.ts
@@ -182,8 +182,9 @@
     stream: number,
     status: number,
     headers: readonly Header[],
+    isEndMarked: boolean,
   ): void {
-    this.runs.head(run, stream, status, headers);
+    this.runs.head(run, stream, status, headers, isEndMarked);
   }
 
   runPiece(run: string, stream: number, data: Uint8Array): void {
--- a/src/session/agent-run.ts
+++ b/src/session/agent-run.ts
@@ -20,7 +20,12 @@
   endedAt: number;
   error: ErrorNumber;
   head:
-    | { readonly status: number; readonly headers: readonly Header[] }
+    | {
+        readonly status: number;
+        readonly headers: readonly Header[];
+        /** The backend server marks where this answer ends. */
+        readonly isEndMarked: boolean;
+      }
     | undefined;
   /** Pieces from `base` on; the ones before it were dropped. */
   pieces: Uint8Array[];
--- a/src/session/agent-runs.ts
+++ b/src/session/agent-runs.ts
@@ -143,13 +143,14 @@
     stream: number,
     status: number,
     headers: readonly Header[],
+    isEndMarked: boolean,
   ): void {
     const run = this.current(name, stream);
     if (run === undefined) return;
     this.noteStart(run);
-    run.head = { status, headers };
+    run.head = { status, headers, isEndMarked };
     const { attempt } = run;
-    this.send(run, { kind: "head", attempt, status, headers });
+    this.send(run, { kind: "head", attempt, ...run.head });
   }
 
   piece(name: string, stream: number, data: Uint8Array): void {
@@ -278,7 +279,9 @@
 
   private sendEnd(run: Run): void {
     const { attempt, count, checksum } = run;
-    this.send(run, { kind: "end", attempt, count, checksum });
+    // The head of the answer that came to its end, not of one before it.
+    const isVouched = run.head?.isEndMarked ?? false;
+    this.send(run, { kind: "end", attempt, count, checksum, isVouched });
   }
 
   /**
--- a/src/session/entry-answers.ts
+++ b/src/session/entry-answers.ts
@@ -2,6 +2,7 @@
 import { crc32 } from "node:zlib";
 import type { Emit } from "../shared/events.js";
 import { unreachable } from "../shared/exhaustive.js";
+import { isClosedByEvent } from "./closing-event.js";
 import type { EntryLink } from "./entry-link.js";
 import type { EntryRequests } from "./entry-requests.js";
 import type { RequestState } from "./entry-request.js";
@@ -16,6 +17,7 @@
   readonly resume: (request: RequestState, now: number) => void;
   readonly checksIndex: boolean;
   readonly checksChecksum: boolean;
+  readonly checksEndMark: boolean;
 }
 
 type Frame<K extends AttemptFrame["kind"]> = Extract<AttemptFrame, { kind: K }>;
@@ -71,11 +73,13 @@
   frame: Frame<"head">,
 ): void {
   noteStart(tools, request);
+  const { status, headers } = frame;
+  request.isClosedByEvent = isClosedByEvent(headers);
   if (request.headTaken) return;
   request.headTaken = true;
-  const { status, headers } = frame;
+  const isEndMarked = frame.isEndMarked || request.isClosedByEvent;
   const { request: id } = request.call;
-  tools.perform({ kind: "head", request: id, status, headers });
+  tools.perform({ kind: "head", request: id, status, headers, isEndMarked });
 }
 
 /**
@@ -124,12 +128,27 @@
   const isWhole =
     frame.count === request.nextIndex && frame.checksum === request.checksum;
   if (isWhole || !tools.checksChecksum) {
-    tools.requests.finish(request, "answered", 0, now);
+    const outcome = isVouched(tools, request, frame) ? "answered" : "unmarked";
+    tools.requests.finish(request, outcome, 0, now);
   } else {
     tools.requests.abandon(request, 1217, "broken", now);
   }
 }
 
+/**
+ * Count and checksum say that the entry has all that the agent read, not that
+ * the agent read all there was. An older agent vouches for nothing here: it
+ * takes the end of a connection for the end of an answer.
+ */
+function isVouched(
+  tools: AnswerTools,
+  request: RequestState,
+  frame: Frame<"end">,
+): boolean {
+  if (!tools.checksEndMark) return true;
+  return frame.isVouched || request.isClosedByEvent;
+}
+
 /**
  * A refusal of new work proves that it never starts. A refused resumption
  * proves nothing about the run that it asked for.
--- a/src/session/entry-request.ts
+++ b/src/session/entry-request.ts
@@ -29,6 +29,8 @@
   /** CRC-32 over the pieces taken. */
   checksum: number;
   headTaken: boolean;
+  /** The answer is a stream that only its own closing event ends. */
+  isClosedByEvent: boolean;
   placements: number;
   resumes: number;
   /** A request without session gives up at this time. */
@@ -55,6 +57,7 @@
     nextIndex: 0,
     checksum: 0,
     headTaken: false,
+    isClosedByEvent: false,
     placements: 0,
     resumes: 0,
     giveUpAt: Number.POSITIVE_INFINITY,
@@ -78,7 +81,7 @@
  */
 export function truthfulOutcome(
   request: RequestState,
-): Exclude<FinalOutcome, "answered"> {
+): Exclude<FinalOutcome, "answered" | "unmarked"> {
   switch (strongerEvidence(request.evidence, request.earlier)) {
     case "none":
       return "not-run";
@@ -109,4 +112,5 @@
   request.nextIndex = 0;
   request.checksum = 0;
   request.headTaken = false;
+  request.isClosedByEvent = false;
 }
--- a/src/session/entry-requests.ts
+++ b/src/session/entry-requests.ts
@@ -18,7 +18,7 @@
   RunResult,
 } from "./entry-types.js";
 import type { SessionLimits } from "./limits.js";
-import type { Call, FinalOutcome } from "./types.js";
+import { isAnswer, type Call, type FinalOutcome } from "./types.js";
 
 type Tools = Pick<EntrySessionsOptions, "perform" | "mayRetry" | "emit">;
 
@@ -148,7 +148,7 @@
       return;
     }
     const pieces = request.nextIndex;
-    this.leave(request, outcome === "answered" ? "answered" : "lost", false);
+    this.leave(request, isAnswer(outcome) ? "answered" : "lost", false);
     request.phase = "final";
     this.byId.delete(id);
     this.ledger.finish(outcome);
--- a/src/session/entry-sessions.ts
+++ b/src/session/entry-sessions.ts
@@ -77,6 +77,7 @@
       },
       checksIndex: without !== "piece-index",
       checksChecksum: without !== "checksum",
+      checksEndMark: without !== "end-mark",
     };
   }
 
--- a/src/session/entry-types.ts
+++ b/src/session/entry-types.ts
@@ -51,6 +51,11 @@
       readonly request: string;
       readonly status: number;
       readonly headers: readonly Header[];
+      /**
+       * The end that follows is one that can be vouched for. What goes out
+       * before the end may promise the caller a mark only then.
+       */
+      readonly isEndMarked: boolean;
     }
   | {
       readonly kind: "piece";
@@ -63,7 +68,7 @@
       readonly kind: "finish";
       readonly request: string;
       readonly outcome: FinalOutcome;
-      /** 0 when answered. */
+      /** 0 when answered or unmarked. */
       readonly error: ErrorNumber | 0;
       readonly retryAfterMs: number;
     }
@@ -90,6 +95,7 @@
       readonly report: LoadReport;
     };
 
+/** "answered" also for an end that the backend server didn't mark. */
 export type RunResult = "answered" | "refused" | "broken" | "lost";
 
 export interface PreviousAttempt {
--- a/src/session/ledger.ts
+++ b/src/session/ledger.ts
@@ -1,6 +1,6 @@
 /**
  * Counts what became of every request of a process, so that none vanishes:
- * accepted = answered + not run + unknown + broken off + in flight.
+ * accepted = answered + unmarked + not run + unknown + broken off + in flight.
  */
 import type { Emit } from "../shared/events.js";
 import { unreachable } from "../shared/exhaustive.js";
@@ -9,6 +9,8 @@
 export interface Conservation {
   readonly accepted: number;
   readonly answered: number;
+  /** Passed on to an end that the backend server didn't mark. */
+  readonly unmarked: number;
   readonly notRun: number;
   readonly unknown: number;
   readonly brokenOff: number;
@@ -18,6 +20,7 @@
 export const NO_REQUESTS: Conservation = {
   accepted: 0,
   answered: 0,
+  unmarked: 0,
   notRun: 0,
   unknown: 0,
   brokenOff: 0,
@@ -25,8 +28,8 @@
 };
 
 export function isConserved(figures: Conservation): boolean {
-  const { accepted, answered, notRun, unknown, brokenOff, inFlight } = figures;
-  return accepted === answered + notRun + unknown + brokenOff + inFlight;
+  const { accepted, ...parts } = figures;
+  return accepted === Object.values(parts).reduce((a, b) => a + b, 0);
 }
 
 /** Sum over processes, for the status of data centres. */
@@ -37,6 +40,7 @@
   return {
     accepted: a.accepted + b.accepted,
     answered: a.answered + b.answered,
+    unmarked: a.unmarked + b.unmarked,
     notRun: a.notRun + b.notRun,
     unknown: a.unknown + b.unknown,
     brokenOff: a.brokenOff + b.brokenOff,
@@ -47,6 +51,7 @@
 export class ConservationLedger {
   private accepted = 0;
   private answered = 0;
+  private unmarked = 0;
   private notRun = 0;
   private unknown = 0;
   private brokenOff = 0;
@@ -66,6 +71,9 @@
       case "answered":
         this.answered += 1;
         return;
+      case "unmarked":
+        this.unmarked += 1;
+        return;
       case "not-run":
         this.notRun += 1;
         return;
@@ -88,6 +96,7 @@
     const figures: Conservation = {
       accepted: this.accepted,
       answered: this.answered,
+      unmarked: this.unmarked,
       notRun: this.notRun,
       unknown: this.unknown,
       brokenOff: this.brokenOff,
--- a/src/session/types.ts
+++ b/src/session/types.ts
@@ -94,6 +94,8 @@
       readonly attempt: string;
       readonly status: number;
       readonly headers: readonly Header[];
+      /** The backend server marks where this answer ends. */
+      readonly isEndMarked: boolean;
     }
   | {
       readonly kind: "piece";
@@ -106,8 +108,16 @@
       readonly attempt: string;
       /** Pieces of the whole answer. */
       readonly count: number;
-      /** CRC-32 over the data of all pieces in order. */
+      /**
+       * CRC-32 over the data of all pieces in order, as the agent read them:
+       * nothing was lost since. What the agent never got isn't in it.
+       */
       readonly checksum: number;
+      /**
+       * The backend server marked this as the end. False when its connection
+       * merely ended: the answer is whole, or its process ended inside it.
+       */
+      readonly isVouched: boolean;
     }
   | {
       /** This attempt never started and never will. */
@@ -142,7 +152,19 @@
   readonly started: readonly AttemptProgress[];
 }
 
-export type FinalOutcome = "answered" | "not-run" | "unknown" | "broken-off";
+/**
+ * "unmarked": an answer was passed on up to the end of the backend server's
+ * connection, and nobody can tell whether it is whole.
+ */
+export type FinalOutcome =
+  "answered" | "unmarked" | "not-run" | "unknown" | "broken-off";
+
+/** Outcomes of a request whose answer was passed on to its end. */
+export function isAnswer(
+  outcome: FinalOutcome,
+): outcome is "answered" | "unmarked" {
+  return outcome === "answered" || outcome === "unmarked";
+}
 
 /** Why a frame was not taken. */
 export type DropReason =
@@ -168,4 +190,5 @@
   | "dispatch-once"
   | "started-marks"
   | "remember-starts"
-  | "leaving-seen";
+  | "leaving-seen"
+  | "end-mark";
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -101,8 +101,8 @@
   }),
   124: entry("request-finished", "info", "A request got its final outcome.", {
     request: "request id",
-    outcome: "answered, not-run, unknown or broken-off",
-    error: "error number, 0 when answered",
+    outcome: "answered, unmarked, not-run, unknown or broken-off",
+    error: "error number, 0 when answered or unmarked",
     pieces: "pieces sent to the caller",
     durationMs: "time since acceptance, ms",
   }),
--- a/tests/callers/bad-input.test.ts
+++ b/tests/callers/bad-input.test.ts
@@ -52,9 +52,10 @@
     isLeaving: () => false,
     serve: (work: Work, writer: AnswerWriter) => {
       served.push(work);
-      writer.head(200, [{ name: "content-type", value: "application/json" }]);
+      const type = { name: "content-type", value: "application/json" };
+      writer.head(200, [type], true);
       writer.piece(Buffer.from("{}"));
-      writer.end();
+      writer.end(true);
       return Promise.resolve();
     },
   });
--- a/tests/callers/stalled-caller.test.ts
+++ b/tests/callers/stalled-caller.test.ts
@@ -40,7 +40,7 @@
         seen.isGone = true;
       });
       void (async () => {
-        writer.head(200, []);
+        writer.head(200, [], true);
         while (!seen.isGone) {
           writer.piece(PIECE);
           await sleep(PIECE_MS);
--- a/tests/support/http-call.ts
+++ b/tests/support/http-call.ts
@@ -22,10 +22,15 @@
   const [host, port] = address.split(":");
   return new Promise((resolve, reject) => {
     const request = send({ host, port, path, method, headers, agent: false });
-    request.once("error", reject);
+    request.on("error", reject);
     request.once("response", (response) => {
       const parts: Buffer[] = [];
       let fault: string | undefined;
+      // A reset within an answer without length or chunks is told by the
+      // request only; the answer seems to have come to its end.
+      request.off("error", reject).on("error", (error) => {
+        fault = (error as NodeJS.ErrnoException).code ?? error.message;
+      });
       response.on("data", (part: Buffer) => parts.push(part));
       response.on("error", (error: NodeJS.ErrnoException) => {
         fault = error.code ?? error.message;
