Take no part of an answer for a process's whole one

Cause: the tool reads a process's answer as text where it isn't JSON, and a part of either is a text. Ended early with neither length nor chunks, by an orderly close or a reset, half a status or half the metrics counted as the answer; the story of a request then misses a process and says nothing of it.

Change: an answer without a mark of its end counts as not reached. Our own processes always mark theirs.

Sixteen readers of answers are run against a server that ends early in ten ways, each at the head and in the middle, and once whole.

--- a/src/cli/processes.ts
+++ b/src/cli/processes.ts
@@ -1,12 +1,13 @@
 /** Asks every process of the system on its operators' address. */
 import { request } from "undici";
+import { isEndMarked } from "../shared/answer-end.js";
 import { readVmList, type Vm } from "../platform/vm-list-client.js";
 
 const TIMEOUT_MS = 3000;
 
 export interface ProcessAnswer {
   readonly vm: Vm;
-  /** Undefined when the process can't be reached. */
+  /** Undefined when the process can't be reached or its answer broke off. */
   readonly answer: unknown;
 }
 
@@ -32,6 +33,9 @@
       signal: AbortSignal.timeout(TIMEOUT_MS),
     });
     const text = await response.body.text();
+    const { statusCode, headers } = response;
+    // Part of a text is a text: a story would miss a process unnoticed.
+    if (!isEndMarked(statusCode, headers, method)) return undefined;
     return parseOr(text);
   } catch {
     return undefined;
--- /dev/null
+++ b/tests/platform/early-ends.test.ts
@@ -0,0 +1,184 @@
+import * as assert from "uvu/assert";
+import { createRankPort, readSlowness } from "../../platform/runner.js";
+import { createSeatService } from "../../platform/seats.js";
+import { StoreClient } from "../../platform/store.js";
+import { ask } from "../../src/cli/processes.js";
+import { EngineClient } from "../../src/daemon/expert-map/engine-client.js";
+import { readWeights } from "../../src/daemon/expert-map/weight-client.js";
+import { RunnerClient } from "../../src/daemon/agent/runner-client.js";
+import { LogClient } from "../../src/platform/log-client.js";
+import { readVmList, type Vm } from "../../src/platform/vm-list-client.js";
+import { cutWays, startCutServer, type CutWay } from "../support/cut-server.js";
+import { describe, it } from "../support/describe.js";
+
+const WHOLE: CutWay = { mark: "length", announcesClose: false, end: "close" };
+const SIGNAL_MS = 5000;
+const PART_BYTES = 64;
+
+interface Reader {
+  readonly name: string;
+  readonly status?: number;
+  readonly body: unknown;
+  /** Rejects, or resolves with undefined, where the answer isn't whole. */
+  readonly read: (address: string) => Promise<unknown>;
+}
+
+async function withEngine(
+  address: string,
+  call: (client: EngineClient) => Promise<unknown>,
+): Promise<unknown> {
+  await using client = EngineClient.create(`http://${address}`);
+  return await call(client);
+}
+
+async function withStore(
+  address: string,
+  call: (client: StoreClient) => Promise<unknown>,
+): Promise<unknown> {
+  await using client = StoreClient.create(address);
+  return await call(client);
+}
+
+const weight = { rank: 0, layer: 0, expert: 0 };
+const engineState = { engine: "engine-1", values: {} };
+const page = { startOffset: 0, nextOffset: 10, records: [] };
+const newest = { entries: [], has_more: false, end_offset: 12 };
+const seat = { generation: 1, parts: [["seats", 0, 0]] };
+const report = { size: 4, step: 7, mapping: 3, pace: 1.5 };
+
+const readers: readonly Reader[] = [
+  {
+    name: "weight store",
+    status: 206,
+    body: Buffer.alloc(PART_BYTES, 1),
+    read: (address) =>
+      readWeights(`http://${address}`, "model", {
+        weight,
+        offset: 0,
+        length: PART_BYTES,
+      }),
+  },
+  {
+    name: "engine, steps",
+    body: { reports: [] },
+    read: (address) => withEngine(address, (client) => client.steps(0)),
+  },
+  {
+    name: "engine, weights held",
+    body: { heldBytes: 123_456 },
+    read: (address) =>
+      withEngine(address, (client) =>
+        client.putWeight(weight, 0, Buffer.alloc(1)),
+      ),
+  },
+  {
+    name: "engine, orders",
+    body: engineState,
+    read: (address) =>
+      withEngine(address, (client) => client.order({ kind: "read" }, 1000)),
+  },
+  {
+    name: "log, read",
+    body: page,
+    read: (address) =>
+      LogClient.create(`http://${address}`).read("stream", { from: 0 }),
+  },
+  {
+    name: "log, append",
+    body: { offset: 1234 },
+    read: (address) =>
+      LogClient.create(`http://${address}`).append("stream", []),
+  },
+  {
+    name: "list of VMs",
+    body: { vms: [] },
+    read: (address) => readVmList(`http://${address}`),
+  },
+  {
+    name: "store, newest",
+    body: newest,
+    read: (address) =>
+      withStore(address, (client) =>
+        client.keyedTopic("topic").newest(AbortSignal.timeout(SIGNAL_MS)),
+      ),
+  },
+  {
+    name: "store, seats",
+    body: seat,
+    read: (address) =>
+      withStore(address, (client) =>
+        createSeatService(client).join("group", "member", 1, 1000),
+      ),
+  },
+  {
+    name: "runner, report",
+    body: report,
+    read: (address) => createRankPort(address).observe(),
+  },
+  {
+    name: "runner, counts",
+    body: { epoch: 1, counts: [1, 2, 3] },
+    read: (address) => createRankPort(address).counts(),
+  },
+  {
+    name: "runner, lists of experts",
+    body: { mapping: { experts: [[1, 2], [3]] } },
+    read: (address) => createRankPort(address).experts(),
+  },
+  { name: "runner, pace", body: report, read: readSlowness },
+  {
+    name: "engine, load",
+    body: { running: 1, waiting: 2 },
+    read: async (address) => {
+      await using client = RunnerClient.create(`http://${address}`);
+      return await client.getJson("/load", AbortSignal.timeout(SIGNAL_MS));
+    },
+  },
+  {
+    name: "tool, a process's status",
+    body: { release: "1", leaving: false },
+    read: (operators) => ask({ operators } as Vm, "GET", "/status"),
+  },
+  {
+    name: "tool, a process's metrics",
+    body: Buffer.from("metric_a 1\nmetric_b 2\n"),
+    read: (operators) => ask({ operators } as Vm, "GET", "/metrics"),
+  },
+];
+
+/** What the reader takes for an answer; undefined when it takes none. */
+async function takenOf(reader: Reader, way: CutWay, share: number) {
+  const { body: whole, status = 200, read } = reader;
+  const body = Buffer.isBuffer(whole)
+    ? whole
+    : Buffer.from(JSON.stringify(whole));
+  const sent = Math.floor(body.length * share);
+  await using server = await startCutServer({ status, body, sent, ...way });
+  try {
+    return await read(server.address);
+  } catch {
+    return undefined;
+  }
+}
+
+describe("an answer to a reader that ends early", () => {
+  // A reader goes on with a part as if it were all: weights that miss their
+  // end, a list without its last machines, a story without a process. The
+  // server ends inside its answer, and the connection closes in good order or
+  // is reset; with neither length nor chunks HTTP calls that an end.
+  for (const reader of readers) {
+    it(`is no answer to: ${reader.name}`, async () => {
+      assert.not.equal(await takenOf(reader, WHOLE, 1), undefined);
+      for (const share of [0, 0.5]) {
+        const taken = await Promise.all(
+          cutWays.map((way) => takenOf(reader, way, share)),
+        );
+        assert.equal(
+          taken,
+          cutWays.map(() => undefined),
+          `${share} of it`,
+        );
+      }
+    });
+  }
+});
