Take a stream for whole once its closing event has come

A connection that was reset after the closing event made a failure of a stream of which nothing was missing. Cases of what the agent reads of an answer, byte by byte: marked and unmarked ends, resets, streams before and after their closing event. The one of the closing event failed before the change.

--- a/src/daemon/agent/runner-client.ts
+++ b/src/daemon/agent/runner-client.ts
@@ -222,8 +222,13 @@
     },
   });
   const decoder = new TextDecoder();
-  for await (const part of body) {
-    parser.feed(decoder.decode(part as Buffer, { stream: true }));
+  try {
+    for await (const part of body) {
+      parser.feed(decoder.decode(part as Buffer, { stream: true }));
+    }
+  } catch (error) {
+    // After the closing event nothing is missing that could be lost.
+    if (!seen.end) throw error;
   }
   if (!seen.end) raise(1216, { reason: "the stream has no closing event" });
 }
