Run an answer too large to hold back through real sockets

It ends for its caller as it ended for the agent: in good order or by a reset, and in neither case with a length or chunks.

--- a/tests/path/early-ends.test.ts
+++ b/tests/path/early-ends.test.ts
@@ -13,6 +13,9 @@
 /** Long enough for the head and the first bytes to be taken before a reset. */
 const RESET_AFTER_MS = 100;
 
+/** More than an entry holds back by default. */
+const LARGE_BYTES = 24 * 1024 * 1024;
+
 const UNMARKED = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nhalf of";
 const MARKED: Readonly<Record<string, string>> = {
   "a length":
@@ -112,6 +115,27 @@
     });
   });
 
+  // The caller gets the head and a first part, then the end of its connection:
+  // an orderly one where the backend server closed in order, a reset where it
+  // reset. The answer is too large to hold back until its end is known.
+  it("is passed on as it ends when it is too large to hold back", async () => {
+    await using site = await startServiceSite();
+    const [{ service }] = site.services;
+    for (const end of [closeInOrder, reset]) {
+      const text = UNMARKED + "a".repeat(LARGE_BYTES);
+      service.faults.answerRaw = answering(text, end);
+      const { status, headers, body, fault } = await order(site);
+      assert.equal([status, headers.connection], [200, "close"]);
+      assert.is(headers["transfer-encoding"], undefined);
+      assert.is(headers["content-length"], undefined);
+      if (end === reset) assert.is(fault, "ECONNRESET");
+      else {
+        assert.is(fault, undefined);
+        assert.is(body.length, "half of".length + LARGE_BYTES);
+      }
+    }
+  });
+
   // The caller gets a 502 that says "broken off", never the half. The answer
   // says itself where it ends, and its connection ends before that.
   it("before its mark is a failure, closed or reset", async () => {
