Keep how an answer to a caller ends in one place

Both paths end answers with their connection and break them off; the functions stood in two folders that imported from each other. The cases of the rule of what marks an end stand together as well, unchanged.

--- a/src/daemon/entry/answer-writer.ts
+++ b/src/daemon/entry/answer-writer.ts
@@ -5,10 +5,9 @@
  */
 import type { ServerResponse } from "node:http";
 import type { ApricotdeckError } from "../../internal.js";
-import { endWithConnection } from "../../direct/answer-framing.js";
 import type { Header } from "../../wire/generated/session.js";
 import type { CallerLimits } from "./request-reader.js";
-import { breakOff } from "./break-off.js";
+import { breakOff, endWithConnection } from "./answer-framing.js";
 import type { AnswerWriter } from "./work.js";
 
 export const OUTCOME_HEADER = "apricotdeck-outcome";
--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -6,7 +6,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { createDeferred } from "../internal.js";
-import { endMarkOf } from "./answer-framing.js";
+import { endMarkOf } from "../shared/answer-end.js";
 import type {
   AttemptEnd,
   EndMark,
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { createServer, type ServerResponse } from "node:http";
 import { sendError } from "../daemon/entry/answer-writer.js";
-import { breakOff } from "../daemon/entry/break-off.js";
+import { breakOff } from "../daemon/entry/answer-framing.js";
 import { pause } from "../daemon/background-task.js";
 import { EventLog } from "../daemon/event-log.js";
 import { listen, type Listening } from "../daemon/listening.js";
--- a/src/direct/event-relay.ts
+++ b/src/direct/event-relay.ts
@@ -5,7 +5,7 @@
  * runner when another one goes on.
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import { endWithConnection } from "./answer-framing.js";
+import { endWithConnection } from "../daemon/entry/answer-framing.js";
 import type { StreamSink } from "./attempt.js";
 import { answerHeaders } from "./end-to-end-headers.js";
 import { EventSplitter } from "./event-splitter.js";
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -11,8 +11,7 @@
   type ErrorNumber,
   type Measurements,
 } from "../internal.js";
-import { breakOff } from "../daemon/entry/break-off.js";
-import { endWithConnection } from "./answer-framing.js";
+import { breakOff, endWithConnection } from "../daemon/entry/answer-framing.js";
 import { Attempt } from "./attempt.js";
 import { answerHeaders } from "./end-to-end-headers.js";
 import { EventRelay } from "./event-relay.js";
--- a/tests/shared/answer-end.test.ts
+++ b/tests/shared/answer-end.test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import {
+  endMarkOf,
   isEndMarked,
   type FramingHeaders,
 } from "../../src/shared/answer-end.js";
@@ -33,4 +34,31 @@
     const both = { ...CODED("gzip"), "content-length": "7" };
     assert.not.ok(isEndMarked(200, both));
   });
+
+  describe("what ends it", () => {
+    it("is its head where no body follows", () => {
+      assert.is(endMarkOf(204, {}), "head");
+      assert.is(endMarkOf(304, { "content-length": "7" }), "head");
+    });
+
+    it("is its length", () => {
+      assert.is(endMarkOf(200, { "content-length": "0" }), "length");
+    });
+
+    it("is the last chunk only where chunks are the last coding", () => {
+      const markOf = (codings: string): string =>
+        endMarkOf(200, { "transfer-encoding": codings, "content-length": "7" });
+      assert.is(markOf("chunked"), "chunks");
+      assert.is(markOf("gzip, Chunked "), "chunks");
+      assert.is(markOf("identity"), "connection");
+      assert.is(markOf("chunked, gzip"), "connection");
+      assert.is(markOf("notchunked"), "connection");
+      assert.is(markOf(""), "connection");
+    });
+
+    it("is the end of its connection otherwise", () => {
+      assert.is(endMarkOf(200, {}), "connection");
+      assert.is(endMarkOf(500, {}), "connection");
+    });
+  });
 });
