Show that a reset right behind bytes can pass for a plain end

A failing test, listed. Found because the test of an entry that stops failed beside other work (once in the first 13 plays of its folder; one earlier failure in the folder wasn't kept): the caller had read the stream's last event and a plain end, though its connection had been reset.

--- a/tests/platform/answer-ends.test.ts
+++ b/tests/platform/answer-ends.test.ts
@@ -90,6 +90,18 @@
       assert.not.ok(answer.isWhole);
     });
 
+    it("is a reset apart from the bytes before it", async () => {
+      // Caller: as above, a stream that ends in good order. The reset came right
+      // behind the last event; an event loop that finds bytes and a reset at
+      // once (libuv's) reports the bytes and a plain end.
+      await using site = await EntrySite.serving(
+        answerRaw(EVENTS_STREAM, `${eventOf(1)}id: 2\ndata: ha`, "end"),
+      );
+      const answer = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(answer.body, eventOf(1));
+      assert.not.ok(answer.isWhole);
+    });
+
     it("is a reset when the caller's time is over", async () => {
       // The stream still runs when the caller's deadline passes.
       await using site = await EntrySite.serving(trickleWithoutEnd);
