Judge each record of the register for itself

Cause: the decoder threw on bytes that are no JSON and on missing fields, and took any state but "draining" for ready. One such entry lost the whole page: in the first reading the entry process never became ready, among changes a removal and a new runner in the same page were lost, and the follower told the directory of a store outage that wasn't one. The earlier good entry under the same key stayed in use. An entry of a service that nobody names took the address of a working runner away, so callers were answered 503.

Change: one reader for entries and agents (RegisterReader) turns each record into one change; a bad one is a finding, told once for each content (event 193, apricotdeck_records_unusable_total), and drops the runner of its key with a reason of its own, during an outage as well. A record that a page cuts isn't taken for whole. The follower takes a failure of what it hands over for what it is (event 194) and hands each record over for itself then.

--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -11,18 +11,26 @@
 import { listen, type Listening } from "../daemon/listening.js";
 import { registerMetrics } from "../daemon/metrics-registry.js";
 import { startMetricsServer } from "../daemon/operators-server.js";
-import {
-  HybridClock,
-  toFailure,
-  type Emit,
-  type Measurements,
-} from "../internal.js";
+import { HybridClock, type Emit, type Measurements } from "../internal.js";
 import { BackendServerDirectory } from "../membership/directory.js";
-import { SlowRunners, decodePaceNote } from "../membership/slow-runners.js";
+import {
+  REGISTER_STREAM,
+  RegisterReader,
+} from "../membership/register-reader.js";
+import {
+  PACE_STREAM,
+  SlowRunners,
+  readPaceNotes,
+} from "../membership/slow-runners.js";
 import type { RegisterChange } from "../membership/types.js";
 import type { KeyedRecord, KeyedTopic } from "../platform/keyed-topic.js";
+import { RecordFindings } from "../platform/record-findings.js";
 import { followTopic } from "../platform/topic-follower.js";
 import { RELEASE } from "../release.js";
+import {
+  CONFIGURATION_STREAM,
+  newestConfiguration,
+} from "../routing/newest-configuration.js";
 import { RouteTable } from "../routing/route-table.js";
 import type { SiteConfiguration } from "../routing/types.js";
 import { applyBounds, createCallerListener } from "./caller-listener.js";
@@ -47,6 +55,7 @@
   /** Throws 1903 for a record that can't be decoded. */
   readonly decodeConfiguration: (value: Buffer) => SiteConfiguration;
   readonly register: KeyedTopic;
+  /** Throws 1903 for a record that can't be decoded. */
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
   /** Which runners are slow. */
   readonly pace: KeyedTopic;
@@ -97,6 +106,8 @@
   private readonly gate: ServiceGate;
   private readonly slowRunners: SlowRunners;
   private readonly paceInquiry: PaceInquiry;
+  private readonly findings: RecordFindings;
+  private readonly registerReader: RegisterReader;
   private readonly directory: BackendServerDirectory;
   private readonly forwarder: Forwarder;
   private readonly stop = new AbortController();
@@ -143,9 +154,16 @@
         slowRunners.take(note);
       },
     });
+    const findings = RecordFindings.create({ emit, measurements });
+    this.findings = findings;
+    this.registerReader = RegisterReader.create({
+      decode: options.decodeServer,
+      findings,
+    });
     this.directory = BackendServerDirectory.create({
       now,
       emit,
+      isServiceNamed: (service) => this.routes?.namesService(service) ?? false,
       onServer: (server) => {
         gate.setServer(server);
         measurements.set("runnersKnown", this.runnerCount);
@@ -271,7 +289,7 @@
   private follow(): void {
     const { configuration, register } = this.options;
     const { signal } = this.stop;
-    const { emit } = this;
+    const { emit, findings } = this;
     const random = Math.random;
     const nothing = (): void => undefined;
     const countOutage = (topic: string): void => {
@@ -282,16 +300,17 @@
     };
     void followTopic(
       {
-        name: "configuration",
+        name: CONFIGURATION_STREAM,
         topic: configuration,
         waitMs: CONFIGURATION_WAIT_MS,
         intervalMs: 0,
         random,
         emit,
+        findings,
         onSnapshot: onConfiguration,
         onChanges: onConfiguration,
         onLost: () => {
-          countOutage("configuration");
+          countOutage(CONFIGURATION_STREAM);
           this.paceInquiry.onStoreLost();
         },
         onRestored: () => {
@@ -305,16 +324,17 @@
     };
     void followTopic(
       {
-        name: "pace",
+        name: PACE_STREAM,
         topic: this.options.pace,
         waitMs: PACE_WAIT_MS,
         intervalMs: 0,
         random,
         emit,
+        findings,
         onSnapshot: onPace,
         onChanges: onPace,
         onLost: () => {
-          countOutage("pace");
+          countOutage(PACE_STREAM);
         },
         onRestored: nothing,
       },
@@ -322,21 +342,23 @@
     );
     void followTopic(
       {
-        name: "register",
+        name: REGISTER_STREAM,
         topic: register,
         waitMs: 0,
         intervalMs: REGISTER_INTERVAL_MS,
         random,
         emit,
+        findings,
         onSnapshot: (records) => {
           this.onRegister(records);
         },
         onChanges: (records) => {
-          this.directory.apply(records.map(this.options.decodeServer));
+          this.directory.apply(this.registerReader.read(records));
           this.directory.sweep();
+          this.hasRegister = true;
         },
         onLost: () => {
-          countOutage("register");
+          countOutage(REGISTER_STREAM);
           this.directory.onStoreLost();
         },
         onRestored: () => {
@@ -349,13 +371,15 @@
 
   private onConfiguration(records: readonly KeyedRecord[]): void {
     const { configurationKey, decodeConfiguration } = this.options;
-    const newest = records.findLast(({ key }) => key === configurationKey);
-    if (newest?.value === undefined) return;
-    try {
-      this.take(decodeConfiguration(newest.value));
-    } catch (error) {
-      this.emit(202, { reason: toFailure(error, 1903).message });
-    }
+    const newest = newestConfiguration(records, {
+      key: configurationKey,
+      decode: decodeConfiguration,
+      onUnreadable: ({ key, value }, reason) => {
+        const finding = { stream: CONFIGURATION_STREAM, key, content: value };
+        if (this.findings.isNew(finding)) this.emit(202, { reason });
+      },
+    });
+    if (newest !== undefined) this.take(newest);
   }
 
   /** In one life a process never goes back to an older configuration. */
@@ -374,16 +398,15 @@
   }
 
   private onPace(records: readonly KeyedRecord[]): void {
-    for (const record of records) {
-      const note = decodePaceNote(record);
-      if (note !== undefined) this.slowRunners.take(note);
-    }
+    const notes = readPaceNotes(records, this.findings);
+    for (const note of notes) this.slowRunners.take(note);
   }
 
   private onRegister(records: readonly KeyedRecord[]): void {
-    const changes = records.map(this.options.decodeServer);
-    const servers = changes.flatMap(({ server }) => server ?? []);
-    this.directory.replace(servers);
+    const changes = this.registerReader.read(records);
+    // Before what isn't there any more is taken for removed.
+    this.directory.apply(changes.filter(({ isUnusable }) => isUnusable));
+    this.directory.replace(changes.flatMap(({ server }) => server ?? []));
     this.hasRegister = true;
   }
 
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -21,6 +21,8 @@
   readonly onServer: (server: BackendServer) => void;
   /** A runner gets no new work from here on. */
   readonly onGone: (id: string) => void;
+  /** Whether the configuration in force names the service. */
+  readonly isServiceNamed: (service: string) => boolean;
 }
 
 interface Entry {
@@ -57,9 +59,11 @@
   }
 
   apply(changes: readonly RegisterChange[]): void {
-    for (const { id, server } of changes) {
-      if (server === undefined) this.remove(id);
-      else this.register(server);
+    for (const { id, server, isUnusable } of changes) {
+      if (server !== undefined) this.register(server);
+      // No lapse: the record is there, so an outage explains nothing.
+      else if (isUnusable) this.drop(id, "unusable entry");
+      else this.remove(id);
     }
   }
 
@@ -103,8 +107,13 @@
     this.inputs.onServer(server);
   }
 
-  /** An address names one runner: the one that registered last. */
+  /**
+   * An address names one runner: the one that registered last. A registration
+   * of a service that nobody has named may come from anybody, and would leave a
+   * working runner without requests until its next heartbeat.
+   */
   private evictAddress(server: BackendServer): void {
+    if (!this.inputs.isServiceNamed(server.service)) return;
     for (const [id, entry] of this.entries) {
       if (id === server.id || entry.server.address !== server.address) continue;
       this.drop(id, "address taken");
--- a/src/membership/slow-runners.ts
+++ b/src/membership/slow-runners.ts
@@ -8,8 +8,11 @@
  * and writes down what is out of the ordinary.
  */
 import { z } from "zod";
-import { raise, type Emit, type Now } from "../internal.js";
+import { raise, toFailure, type Emit, type Now } from "../internal.js";
+import { decodeJson } from "../platform/json-value.js";
 import type { KeyedRecord } from "../platform/keyed-topic.js";
+import type { RecordFindings } from "../platform/record-findings.js";
+import { isHostPort } from "./host-port.js";
 
 /** One rank's pace. */
 export interface PaceNote {
@@ -28,7 +31,10 @@
  */
 export const NOTE_LASTS_MS = 9000;
 
-const valueSchema = z.object({ slowness: z.number() });
+/** The name under which findings on notes are told. */
+export const PACE_STREAM = "pace";
+
+const valueSchema = z.object({ slowness: z.number().positive() });
 
 export function encodePaceNote({ slowness }: PaceNote): Buffer {
   return Buffer.from(JSON.stringify({ slowness }));
@@ -40,9 +46,26 @@
   value,
 }: KeyedRecord): PaceNote | undefined {
   if (value === undefined) return undefined;
-  const result = valueSchema.safeParse(JSON.parse(value.toString()));
-  if (!result.success) return raise(1903, { reason: result.error.message });
-  return { address: key, slowness: result.data.slowness };
+  if (!isHostPort(key))
+    return raise(1903, { reason: "the key is no host:port" });
+  return { address: key, slowness: decodeJson(valueSchema, value).slowness };
+}
+
+/** The notes that can be read; the others are findings. Doesn't throw. */
+export function readPaceNotes(
+  records: readonly KeyedRecord[],
+  findings: RecordFindings,
+): readonly PaceNote[] {
+  return records.flatMap((record) => {
+    try {
+      return decodePaceNote(record) ?? [];
+    } catch (error) {
+      const { key, value = Buffer.alloc(0) } = record;
+      const reason = toFailure(error, 1903).message;
+      findings.note({ stream: PACE_STREAM, key, content: value, reason });
+      return [];
+    }
+  });
 }
 
 export class SlowRunners {
@@ -63,10 +86,18 @@
     if (isSlow !== this.isSlow(address)) {
       this.emit(217, { address, slowness });
     }
+    this.forgetLapsed();
     if (isSlow) this.slowUntilMs.set(address, this.now() + NOTE_LASTS_MS);
     else this.slowUntilMs.delete(address);
   }
 
+  /** Addresses come and go; nobody takes back a note of one that is gone. */
+  private forgetLapsed(): void {
+    for (const address of this.slowUntilMs.keys()) {
+      if (!this.isSlow(address)) this.slowUntilMs.delete(address);
+    }
+  }
+
   isSlow(address: string): boolean {
     const untilMs = this.slowUntilMs.get(address);
     return untilMs !== undefined && untilMs > this.now();
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -20,4 +20,6 @@
   readonly id: string;
   /** Absent when the registration was removed or has lapsed. */
   readonly server: BackendServer | undefined;
+  /** Set where the record is there and names no runner to use. */
+  readonly isUnusable?: boolean;
 }
--- a/src/platform/keyed-topic.ts
+++ b/src/platform/keyed-topic.ts
@@ -2,12 +2,22 @@
 
 export interface KeyedRecord {
   readonly key: string;
-  /** Absent when the key was dropped. */
+  /**
+   * Absent when the key was dropped. Without bytes where a value is there that
+   * the store's answer doesn't give; no decoder takes that for one.
+   */
   readonly value: Buffer | undefined;
 }
 
+/** Something in a topic that isn't a record: no key can be read from it. */
+export interface UnreadableRecord {
+  readonly content: Buffer;
+  readonly reason: string;
+}
+
 export interface KeyedPage {
   readonly records: readonly KeyedRecord[];
+  readonly unreadable: readonly UnreadableRecord[];
   /** Offset from which to read on. */
   readonly nextOffset: number;
 }
@@ -18,7 +28,10 @@
   readonly put: (key: string, value: Buffer) => Promise<void>;
 }
 
-/** What the adapter of a platform provides. Both throw 1901 on an outage. */
+/**
+ * What the adapter of a platform provides. Both throw 1901 on an outage, and
+ * 1903 for an answer of which nothing can be read.
+ */
 export interface KeyedTopic {
   /** The newest record of each key, in the order in which they were written. */
   readonly newest: (signal: AbortSignal) => Promise<KeyedPage>;
--- a/src/platform/topic-follower.ts
+++ b/src/platform/topic-follower.ts
@@ -4,7 +4,8 @@
  */
 import { pause } from "../daemon/background-task.js";
 import { toFailure, type Emit, type Random } from "../internal.js";
-import type { KeyedRecord, KeyedTopic } from "./keyed-topic.js";
+import type { KeyedPage, KeyedRecord, KeyedTopic } from "./keyed-topic.js";
+import type { RecordFindings } from "./record-findings.js";
 
 /** First pause after a failed call, ms. */
 const FIRST_BACKOFF_MS = 100;
@@ -25,8 +26,14 @@
   readonly intervalMs: number;
   readonly random: Random;
   readonly emit: Emit;
+  /** Takes what the topic holds beside records. */
+  readonly findings: RecordFindings;
   /** All newest records: at the start, and when history was forgotten. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
+  /**
+   * In the order in which they were written. Also given the records of a
+   * snapshot, one at a time, when `onSnapshot` has thrown.
+   */
   readonly onChanges: (records: readonly KeyedRecord[]) => void;
   readonly onLost: () => void;
   readonly onRestored: () => void;
@@ -76,15 +83,50 @@
     const { topic, waitMs, onSnapshot, onChanges } = this.options;
     if (this.offset === undefined) {
       const page = await topic.newest(this.signal);
-      this.offset = page.nextOffset;
-      this.onSuccess();
-      onSnapshot(page.records);
+      this.takeIn(page, onSnapshot);
       return;
     }
     const page = await topic.changes(this.offset, waitMs, this.signal);
-    this.offset = page.nextOffset;
+    this.takeIn(page, onChanges);
+  }
+
+  private takeIn(
+    { records, unreadable, nextOffset }: KeyedPage,
+    take: (records: readonly KeyedRecord[]) => void,
+  ): void {
+    const { name, findings, onSnapshot } = this.options;
+    this.offset = nextOffset;
     this.onSuccess();
-    if (page.records.length > 0) onChanges(page.records);
+    findings.noteUnreadable(name, unreadable);
+    if (records.length === 0 && take !== onSnapshot) return;
+    if (this.isTaken(records, take)) return;
+    this.takeEach(records);
+  }
+
+  /**
+   * Whoever takes records in judges each for itself and doesn't throw. Should
+   * one do so, the store is well all the same, and what the others say isn't
+   * read again: taken one at a time, a record costs no more than itself.
+   */
+  private takeEach(records: readonly KeyedRecord[]): void {
+    for (const record of records) {
+      this.isTaken([record], this.options.onChanges);
+    }
+  }
+
+  private isTaken(
+    records: readonly KeyedRecord[],
+    take: (records: readonly KeyedRecord[]) => void,
+  ): boolean {
+    try {
+      take(records);
+      return true;
+    } catch (error) {
+      const { name, emit } = this.options;
+      const reason = toFailure(error, 1903).message;
+      emit(194, { stream: name, records: records.length, reason });
+      return false;
+    }
   }
 
   private onSuccess(): void {
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -23,13 +23,22 @@
   type Emit,
   type Measurements,
 } from "../internal.js";
+import {
+  REGISTER_STREAM,
+  RegisterReader,
+} from "../membership/register-reader.js";
 import type { RegisterChange } from "../membership/types.js";
 import type {
   KeyedRecord,
   KeyedTopic,
   KeyedWriter,
 } from "../platform/keyed-topic.js";
+import { RecordFindings } from "../platform/record-findings.js";
 import { RELEASE } from "../release.js";
+import {
+  CONFIGURATION_STREAM,
+  newestConfiguration,
+} from "../routing/newest-configuration.js";
 import type { EngineFigures, SiteConfiguration } from "../routing/types.js";
 import { RankAgentService } from "../wire/generated/rankmaps.js";
 import { GroupPlanner, type GroupRank } from "./group-planner.js";
@@ -50,6 +59,7 @@
   readonly configurationKey: string;
   readonly decodeConfiguration: (value: Buffer) => SiteConfiguration;
   readonly register: KeyedTopic;
+  /** Throws 1903 for a record that can't be decoded. */
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
   readonly paceNotes: KeyedWriter;
 }
@@ -74,6 +84,8 @@
   private group: readonly GroupRank[] = [];
   private isGroupStale = true;
   private engine: EngineFigures | undefined;
+  private readonly findings: RecordFindings;
+  private readonly registerReader: RegisterReader;
   private readonly seat: PlannerSeat;
   private readonly port: RankPort;
   private readonly pace: PaceReporter;
@@ -93,6 +105,14 @@
     this.measurements = measurements;
     this.events = EventLog.create(name, HybridClock.create(), logLevel);
     this.emit = this.events.emit;
+    this.findings = RecordFindings.create({
+      emit: this.emit,
+      measurements,
+    });
+    this.registerReader = RegisterReader.create({
+      decode: options.decodeServer,
+      findings: this.findings,
+    });
     this.pace = PaceReporter.create({
       notes: options.paceNotes,
       now: () => performance.now(),
@@ -262,11 +282,18 @@
       this.options;
     try {
       const { records } = await configuration.newest(signal);
-      const newest = records.findLast(({ key }) => key === configurationKey);
-      if (newest?.value === undefined) return undefined;
-      const { services } = decodeConfiguration(newest.value);
+      const newest = newestConfiguration(records, {
+        key: configurationKey,
+        decode: decodeConfiguration,
+        onUnreadable: ({ key, value }, reason) => {
+          const finding = { stream: CONFIGURATION_STREAM, key, content: value };
+          if (this.findings.isNew(finding)) this.emit(202, { reason });
+        },
+      });
+      if (newest === undefined) return this.engine;
       const { service } = this.options.settings;
-      this.engine = services.find(({ name }) => name === service)?.engine;
+      const own = newest.services.find(({ name }) => name === service);
+      this.engine = own?.engine;
     } catch (error) {
       // An engine's figures hardly ever change; its group does need a planner.
       if (this.engine === undefined) throw error;
@@ -280,10 +307,12 @@
     own: RankState,
     signal: AbortSignal,
   ): Promise<readonly GroupRank[]> {
-    const { register, decodeServer, settings } = this.options;
-    const { records } = await register.newest(signal);
-    const addresses = records
-      .flatMap((record) => decodeServer(record).server ?? [])
+    const { register, settings } = this.options;
+    const { records, unreadable } = await register.newest(signal);
+    this.findings.noteUnreadable(REGISTER_STREAM, unreadable);
+    const addresses = this.registerReader
+      .read(records)
+      .flatMap(({ server }) => server ?? [])
       .filter(({ service }) => service === settings.service)
       .map(({ address }) => address);
     const ranks = [...new Set(addresses)].map((to) => this.rankAt(to));
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -10,6 +10,7 @@
 export class RouteTable {
   private readonly routesOfHost = new Map<string, Route[]>();
   private readonly accounts = new Map<string, ClientAccount>();
+  private readonly services: ReadonlySet<string>;
 
   private constructor(readonly configuration: SiteConfiguration) {
     for (const route of configuration.routes) {
@@ -25,6 +26,12 @@
         this.accounts.set(credential, account);
       }
     }
+    this.services = new Set([
+      ...configuration.services.map(({ name }) => name),
+      ...configuration.routes.flatMap(({ shares }) =>
+        shares.map(({ service }) => service),
+      ),
+    ]);
   }
 
   static create(configuration: SiteConfiguration): RouteTable {
@@ -40,6 +47,11 @@
     return this.configuration.accounts.length > 0;
   }
 
+  /** Whether the service is listed, or a route leads to it. */
+  namesService(service: string): boolean {
+    return this.services.has(service);
+  }
+
   /** The longest prefix that begins the path. */
   findRoute(hostname: string, path: string): Route | undefined {
     const routes = this.routesOfHost.get(hostname);
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -308,6 +308,16 @@
     stream: "stream of the log",
     outageMs: "length of the outage, ms",
   }),
+  193: entry("record-unusable", "warn", "A record of the store is left out.", {
+    stream: "stream of the store",
+    key: "the record's key, empty when it can't be read",
+    reason: "what doesn't fit; told once for each content",
+  }),
+  194: entry("records-not-taken", "error", "Taking records in failed.", {
+    stream: "stream of the store",
+    records: "how many; with more than one, each is taken again for itself",
+    reason: "text of the failure",
+  }),
 
   // 200: direct path of an entry
   201: entry("routes-in-force", "info", "A configuration is in force here.", {
@@ -331,7 +341,7 @@
   }),
   212: entry("runner-left", "info", "A runner gets no new work.", {
     runner: "id of the runner",
-    reason: "leaving, removed, lapsed or address taken",
+    reason: "leaving, removed, lapsed, address taken or unusable entry",
   }),
   213: entry("pace-limit-lowered", "info", "Streams are slow; less starts.", {
     service: "service",
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -94,6 +94,13 @@
     labels: ["topic"],
     meaning: "Times that the platform's store was lost.",
   },
+  recordsUnusable: {
+    name: "apricotdeck_records_unusable_total",
+    kind: "counter",
+    unit: "records",
+    labels: ["topic"],
+    meaning: "Records of the platform's store that were left out.",
+  },
   groupSkew: {
     name: "apricotdeck_group_skew",
     kind: "gauge",
--- a/standins/keyed-store.ts
+++ b/standins/keyed-store.ts
@@ -14,6 +14,8 @@
 interface StoredRecord {
   readonly key: string;
   readonly value: Buffer | undefined;
+  /** Takes the place of key and value in the history; not a newest record. */
+  readonly bytes?: Buffer;
 }
 
 /** How the store treats calls for the time being. */
@@ -85,8 +87,16 @@
   }
 
   put(topic: string, key: string, value: unknown): void {
-    const bytes = Buffer.from(JSON.stringify(value));
-    this.topicOf(topic).append({ key, value: bytes });
+    this.putBytes(topic, key, Buffer.from(JSON.stringify(value)));
+  }
+
+  putBytes(topic: string, key: string, value: Buffer): void {
+    this.topicOf(topic).append({ key, value });
+  }
+
+  /** A record as its writer framed it, without a key that could be read. */
+  putUnframed(topic: string, bytes: Buffer): void {
+    this.topicOf(topic).append({ key: "", value: undefined, bytes });
   }
 
   drop(topic: string, key: string): void {
@@ -151,7 +161,8 @@
 
 function sendNewest(topic: Topic, response: ServerResponse): void {
   const newest = new Map<string, { offset: number; value: Buffer }>();
-  topic.records.forEach(({ key, value }, offset) => {
+  topic.records.forEach(({ key, value, bytes }, offset) => {
+    if (bytes !== undefined) return;
     if (value === undefined) newest.delete(key);
     else newest.set(key, { offset, value });
   });
@@ -167,13 +178,15 @@
   sendJson(response, 200, { entries, has_more: false, end_offset: nextOffset });
 }
 
-function encodeRecord({ key, value = Buffer.alloc(0) }: StoredRecord): Buffer {
+function encodeRecord({ key, value, bytes }: StoredRecord): Buffer {
   const keyBytes = Buffer.from(key);
-  const record = Buffer.concat([
-    Buffer.from([keyBytes.length]),
-    keyBytes,
-    value,
-  ]);
+  const record =
+    bytes ??
+    Buffer.concat([
+      Buffer.from([keyBytes.length]),
+      keyBytes,
+      value ?? Buffer.alloc(0),
+    ]);
   const length = Buffer.alloc(4);
   length.writeUInt32BE(record.length);
   return Buffer.concat([length, record]);
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -23,11 +23,14 @@
 class Site {
   nowMs = 0;
   readonly serving = new Set<string>();
+  /** Services that the configuration names. */
+  readonly services = new Set(["model", "other"]);
   readonly directory = BackendServerDirectory.create({
     now: () => this.nowMs,
     emit: ignoreEvents,
     onServer: ({ id }) => this.serving.add(id),
     onGone: (id) => this.serving.delete(id),
+    isServiceNamed: (service) => this.services.has(service),
   });
 
   register(fields: Partial<BackendServer>): void {
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -44,9 +44,12 @@
     readonly entry: DirectEntry,
   ) {}
 
-  /** Starts without a configuration and without runners. */
-  static async create(): Promise<EntrySite> {
+  /** Starts without runners, and without a configuration but for `fill`. */
+  static async create(
+    fill: (store: KeyedStore) => void = () => undefined,
+  ): Promise<EntrySite> {
     const store = await KeyedStore.create();
+    fill(store);
     const client = StoreClient.create(store.address);
     const entry = await DirectEntry.create({
       settings: {
@@ -143,15 +146,31 @@
     { id, address }: Pick<SigningRunner, "id" | "address">,
     state: string,
   ): void {
+    const entry = { ...this.registrationOf(address), state };
+    this.store.put(topics.register, id, entry);
+  }
+
+  /** What a ready runner at host:port writes next. */
+  registrationOf(address: string): Readonly<Record<string, unknown>> {
     this.heartbeat += 1;
-    this.store.put(topics.register, id, {
+    return {
       backend: "service",
       address,
       zone: "here",
+      version: "v1",
       slots: 4,
-      state,
+      state: "ready",
+      cold_left_ms: 0,
       sequence: this.heartbeat,
-    });
+    };
+  }
+
+  /** Lines of the entry's metrics that begin so. */
+  async metric(name: string): Promise<readonly string[]> {
+    const { metrics } = this.entry.addresses;
+    const response = await fetch(`http://${metrics ?? ""}/metrics`);
+    const lines = (await response.text()).split("\n");
+    return lines.filter((line) => line.startsWith(name));
   }
 
   async readiness(): Promise<number> {
--- a/tests/platform/topic-follower.test.ts
+++ b/tests/platform/topic-follower.test.ts
@@ -1,7 +1,8 @@
 import * as assert from "uvu/assert";
 import { StoreClient } from "../../platform/store.js";
-import { ignoreEvents } from "../../src/internal.js";
+import { ignoreEvents, ignoreMeasurements } from "../../src/internal.js";
 import type { KeyedRecord } from "../../src/platform/keyed-topic.js";
+import { RecordFindings } from "../../src/platform/record-findings.js";
 import { followTopic } from "../../src/platform/topic-follower.js";
 import { KeyedStore } from "../../standins/keyed-store.js";
 import { describe, it } from "../support/describe.js";
@@ -55,6 +56,10 @@
         intervalMs: 5,
         random: () => 0.5,
         emit: ignoreEvents,
+        findings: RecordFindings.create({
+          emit: ignoreEvents,
+          measurements: ignoreMeasurements,
+        }),
         onSnapshot: (records) => {
           this.snapshots += 1;
           take(records);
