Judge each VM of the list for itself

Cause: one VM of an unknown role, or with a field missing, made the whole list unreadable, and no new backend server was found.

--- a/src/daemon/configuration/follower.ts
+++ b/src/daemon/configuration/follower.ts
@@ -25,6 +25,7 @@
   type LogRecord,
 } from "../../internal.js";
 import type { LogClient, LogPage } from "../../platform/log-client.js";
+import { RecordFindings } from "../../platform/record-findings.js";
 import { readVmList, type Vm } from "../../platform/vm-list-client.js";
 import type { FeedBatch } from "../../wire/generated/configuration.js";
 import { pause } from "../background-task.js";
@@ -58,8 +59,11 @@
   private outageSinceMs: number | undefined;
   private vms: readonly Vm[] = [];
   private listedAtMs = Number.NEGATIVE_INFINITY;
+  /** Every process follows the list here, and tells once what is odd there. */
+  private readonly findings: RecordFindings;
 
   private constructor(private readonly options: FollowerOptions) {
+    this.findings = RecordFindings.create(options.context);
     this.feed = FeedServer.create(options.context, {
       snapshot: () => createCheckpoint(this.state),
       startOffset: () => this.startOffset,
@@ -142,7 +146,7 @@
     if (Date.now() - this.listedAtMs < LIST_MAXIMUM_AGE_MS) return;
     this.listedAtMs = Date.now();
     try {
-      this.useList(await readVmList(this.options.vmList));
+      this.useList(await readVmList(this.options.vmList, this.findings));
     } catch {
       // The former list serves on; the log itself is always the fallback.
     }
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -68,6 +68,48 @@
     assert.equal(site.names, []);
   });
 
+  describe("when an entry turns unusable", () => {
+    const unusable = { id: "r1", server: undefined, isUnusable: true };
+
+    it("drops its runner at once, around an outage as well", () => {
+      // The entry is there and says nothing that holds. Held like one that has
+      // lapsed in an outage, its runner would get requests for two seconds.
+      const site = new Site();
+      site.register({ heartbeat: 8 });
+      site.directory.onStoreLost();
+      site.directory.apply([unusable]);
+      assert.equal(site.names, []);
+    });
+
+    it("takes it back with the next good one", () => {
+      const site = new Site();
+      site.register({ heartbeat: 8 });
+      site.directory.apply([unusable]);
+      site.register({ heartbeat: 2 });
+      assert.equal(site.names, ["r1"]);
+    });
+
+    it("doesn't take back one that has said that it leaves", () => {
+      const site = new Site();
+      site.register({ heartbeat: 8, isLeaving: true });
+      site.directory.apply([unusable]);
+      site.register({ heartbeat: 9 });
+      assert.equal(site.names, []);
+    });
+  });
+
+  it("leaves an address to its runner against unnamed services", () => {
+    // Anybody may register any service. Only one that the configuration names
+    // tells that the address has a new runner.
+    const site = new Site();
+    site.register({ id: "old" });
+    site.register({ id: "odd", service: "unheard-of" });
+    assert.equal(site.names, ["odd", "old"]);
+    site.services.add("unheard-of");
+    site.register({ id: "odd", service: "unheard-of", heartbeat: 2 });
+    assert.equal(site.names, ["odd"]);
+  });
+
   it("gives an address to the runner that registered there last", () => {
     const site = new Site();
     site.register({ id: "old" });
--- /dev/null
+++ b/tests/platform/vm-list.test.ts
@@ -0,0 +1,49 @@
+import * as assert from "uvu/assert";
+import { readVmList } from "../../src/platform/vm-list-client.js";
+import { CannedAnswers } from "../support/canned-answers.js";
+import { describe, it } from "../support/describe.js";
+
+const vm = {
+  name: "vm-1",
+  role: "backend",
+  address: "10.0.0.1:80",
+  operators: "10.0.0.1:81",
+  dataCentre: "here",
+  state: "live",
+};
+
+async function namesOf(body: string): Promise<string[]> {
+  await using service = await CannedAnswers.create(() => ({ body }));
+  const vms = await readVmList(`http://${service.address}`);
+  return vms.map(({ name }) => name);
+}
+
+describe("list of VMs", () => {
+  it("loses none of the others by one that can't be read", async () => {
+    // A newer release of the platform lists a VM of another role. Refused with
+    // it, the whole list would stay as it was: no new backend server is found.
+    const odd = [
+      null,
+      {},
+      { ...vm, role: "relay" },
+      { ...vm, state: "resting" },
+      { ...vm, address: 80 },
+      { ...vm, address: "10.0.0.1" },
+      { ...vm, name: "" },
+    ];
+    const vms = [vm, ...odd, { ...vm, name: "vm-2" }];
+    assert.equal(await namesOf(JSON.stringify({ vms })), ["vm-1", "vm-2"]);
+  });
+
+  it("isn't taken from an answer that can't be read", async () => {
+    for (const body of ["{", "[]", '{"vms":{}}']) {
+      let message = "none";
+      try {
+        await namesOf(body);
+      } catch (error) {
+        message = String(error);
+      }
+      assert.match(message, "1903");
+    }
+  });
+});
