Fuzz every reader of the store and of answers

Target `records`: good, mutated, garbled and arbitrary records in any order, read page by page with cut ends, and arbitrary answers. Oracles are plain readings of the same bytes: a good record comes out unharmed, a bad one names nothing, nothing but a numbered failure is thrown.

--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -10,5 +10,6 @@
   configuration: async () =>
     (await import("./configuration/configuration.js")).configurationTarget,
   orders: async () => (await import("./orders.js")).orders,
+  records: async () => (await import("./records.js")).recordsTarget,
   claims: async () => (await import("./claims/claims.js")).claimsTarget,
 };
