--- a/tests/platform/foreign-entries.test.ts
+++ b/tests/platform/foreign-entries.test.ts
@@ -161,6 +161,28 @@
     await soon(site, "one runner", isOut);
   });
 
+  it("over a runner's own take it out in a register read anew", async () => {
+    // The same, and the store has forgotten its history meanwhile: the entry
+    // is found among the newest records, beside what has lapsed.
+    await using site = await EntrySite.serving(
+      answerWith("ok"),
+      answerWith("ok"),
+    );
+    site.store.mood = "refusing";
+    await soon(
+      site,
+      "the outage is seen",
+      async () => (await outages(site)) > 0,
+    );
+    site.store.putBytes(topics.register, "r0", Buffer.from("?"));
+    site.store.drop(topics.register, "r1");
+    site.store.forgetHistory(topics.register);
+    site.store.mood = "well";
+    const isOut = (): boolean => site.entry.runnerCount === 1;
+    await soon(site, "one runner", isOut);
+    await assertServedBy(site, ["r1"]);
+  });
+
   describe("of a service that isn't known", () => {
     it("get no request", async () => {
       await using decoy = await trap();
