--- a/fuzz/records/configurations.ts
+++ b/fuzz/records/configurations.ts
@@ -41,7 +41,11 @@
   },
   limits: {
     good: fc.constant(limits),
-    odd: fc.constantFrom<unknown>([], { ...limits, idle_timeout_ms: "1" }),
+    odd: fc.constantFrom<unknown>(
+      [],
+      { ...limits, idle_timeout_ms: "1" },
+      { ...limits, idle_timeout_ms: -1 },
+    ),
   },
 };
 
