--- /dev/null
+++ b/tests/platform/store-client.test.ts
@@ -0,0 +1,48 @@
+import { buildConnector } from "undici";
+import * as assert from "uvu/assert";
+import { topics } from "../../platform/names.js";
+import { StoreClient } from "../../platform/store.js";
+import { KeyedStore } from "../../standins/keyed-store.js";
+import { describe, it } from "../support/describe.js";
+
+/** A time by which a call has to have ended, ms. */
+const SOON_MS = 2000;
+
+describe("client of the platform's store", () => {
+  it("gives a call up in time while a connection doesn't come about, and tries anew", async () => {
+    // Callers are served by an old configuration for seconds after the store is
+    // back: behind a cut the opening packet of a connection is lost and sent
+    // again after one, two and four seconds. A call that waits for it couldn't
+    // be aborted, and the next call, which a new connection would have served at
+    // once, wasn't made before.
+    await using store = await KeyedStore.create();
+    store.put(topics.operator, "key", {});
+    const connector = buildConnector({});
+    let isCut = true;
+    await using client = StoreClient.create(
+      store.address,
+      (options, callback) => {
+        if (!isCut) connector(options, callback);
+      },
+    );
+    const topic = client.keyedTopic(topics.operator);
+    const { signal } = new AbortController();
+    assert.is(await outcome(topic.newest(signal)), "failed");
+    isCut = false;
+    assert.is((await topic.newest(signal)).records.length, 1);
+  });
+});
+
+async function outcome(work: Promise<unknown>): Promise<string> {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<string>((resolve) => {
+    timer = setTimeout(resolve, SOON_MS, "late");
+  });
+  const done = work.then(
+    () => "answered",
+    () => "failed",
+  );
+  const first = await Promise.race([done, late]);
+  clearTimeout(timer);
+  return first;
+}
