Show two answers that are taken for what they aren't

A transfer coding with a tab behind it: the client library reads the answer up to the end of its connection, our rule takes it for chunks, so half of it gets a length of ours.

A late refusal of an earlier request on a kept connection is believed for the next one: the caller is told that it has not run while its runner runs it.

--- a/tests/platform/answer-ends.test.ts
+++ b/tests/platform/answer-ends.test.ts
@@ -1,5 +1,6 @@
 /** What a caller is told of the end of an answer, whatever ends it early. */
 import * as assert from "uvu/assert";
+import { headerNames } from "../../platform/names.js";
 import {
   answerRaw,
   eventOf,
@@ -9,6 +10,8 @@
 import { EntrySite } from "./entry-site.js";
 
 const OTHER_CODING = "transfer-encoding: identity\r\n";
+/** The client library reads such an answer up to the end of its connection. */
+const CODING_AND_TAB = "transfer-encoding: chunked\t\r\n";
 const EVENTS_STREAM = "content-type: text/event-stream\r\n";
 
 /** An event every few ms until the caller's connection is gone. */
@@ -21,6 +24,28 @@
   }
 };
 
+/**
+ * Answers the first request, then the second with a late refusal of the first
+ * before its own answer.
+ */
+function refuseLate(): Behaviour {
+  let first: Readonly<Record<string, string>> | undefined;
+  return async ({ request: { socket }, response, signed }) => {
+    if (first === undefined) {
+      first = signed;
+      response.writeHead(200, signed).end("first");
+      return;
+    }
+    const fields = { ...first, [headerNames.notRun]: "1", "content-length": 0 };
+    const lines = Object.entries(fields).map(
+      ([name, value]) => `${name}: ${value}\r\n`,
+    );
+    socket.write(`HTTP/1.1 503 Full\r\n${lines.join("")}\r\n`);
+    await sleepMs(20);
+    response.writeHead(200, signed).end("second");
+  };
+}
+
 function sleepMs(ms: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, ms);
@@ -63,6 +88,19 @@
       assert.is(answer.headers.connection, "close");
     });
 
+    it("gets no mark from us where a tab follows the coding", async () => {
+      // Caller: a success with a length of its own, and half of the body. The
+      // library that reads answers takes a coding with a tab behind it for no
+      // chunks and reads up to the end of the connection, where the runner's
+      // process ended; our rule took the same header for chunks.
+      await using site = await EntrySite.serving(
+        answerRaw(CODING_AND_TAB, "half of", "end"),
+      );
+      const answer = await site.call({ path: "/once/a" });
+      assert.is(answer.headers["content-length"], undefined);
+      assert.is(answer.headers["transfer-encoding"], undefined);
+    });
+
     it("gets no mark from us in such a stream", async () => {
       // As above; the stream's chunks of our own were closed behind the last
       // event that came, as if there had been no more.
@@ -131,4 +169,16 @@
       assert.not.ok(answer.isWhole);
     });
   });
+
+  it("of an earlier request says nothing of a later one", async () => {
+    // Caller: "not run and never will be", by which it sends a request again
+    // that may run once, while the runner runs it. The refusal was a late second
+    // answer to the request before on the same connection; the attempt that an
+    // answer names was compared for all answers but refusals.
+    await using site = await EntrySite.serving(refuseLate());
+    await site.call({ path: "/once/a", method: "POST" });
+    const answer = await site.call({ path: "/once/b", method: "POST" });
+    assert.is(site.runners[0].arrivals.length, 2);
+    assert.not.ok([408, 421, 429, 503].includes(answer.status));
+  });
 });
