Take a late refusal for another's, and a tab behind chunks for no mark

A refusal that names another attempt than the one on the connection ends that attempt as broken; one that names none is believed as before.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -131,10 +131,12 @@
     headers: IncomingHttpHeaders,
     attemptId: string | undefined,
   ): string | undefined {
-    if (fields.isNotRun) return undefined;
-    if (attemptId !== undefined && fields.attemptId !== attemptId) {
+    // A refusal may name no attempt; one that names another is a late one.
+    const isUnnamed = fields.attemptId === undefined;
+    if (fields.attemptId !== attemptId && !(fields.isNotRun && isUnnamed)) {
       return "answer to another attempt";
     }
+    if (fields.isNotRun) return undefined;
     if (headers["content-encoding"] !== undefined) return "encoded body";
     const isSuccess = status < FIRST_FAILURE;
     if (isSuccess && fields.signature === undefined) return "unsigned success";
--- a/src/shared/answer-end.ts
+++ b/src/shared/answer-end.ts
@@ -20,7 +20,12 @@
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 const HEAD = "HEAD";
-const CHUNKED_LAST = /(^|,)[ \t]*chunked[ \t]*$/i;
+/**
+ * A tab behind the coding would be allowed, but the client library then finds
+ * no chunks and reads up to the end of the connection. Too strict costs no more
+ * than an answer that is passed on without a mark.
+ */
+const CHUNKED_LAST = /(^|,)[ \t]*chunked *$/i;
 
 /**
  * What ends an answer with this head. Of several transfer codings the last one
--- a/tests/shared/answer-end.test.ts
+++ b/tests/shared/answer-end.test.ts
@@ -50,6 +50,7 @@
         endMarkOf(200, { "transfer-encoding": codings, "content-length": "7" });
       assert.is(markOf("chunked"), "chunks");
       assert.is(markOf("gzip, Chunked "), "chunks");
+      assert.is(markOf("chunked\t"), "connection");
       assert.is(markOf("identity"), "connection");
       assert.is(markOf("chunked, gzip"), "connection");
       assert.is(markOf("notchunked"), "connection");
