Show a runner's reset that the entry takes for a plain end

A failing test, listed. Bytes and a reset that an event loop of libuv finds at once are reported as bytes and an end, so no error comes that could be renamed. Shown apart: 40 of 40 answers and 40 of 40 streams without length or chunks that were reset in the same turn passed as 200 with a plain end; with 20 ms between bytes and reset none did.

--- a/tests/platform/answer-ends.test.ts
+++ b/tests/platform/answer-ends.test.ts
@@ -24,6 +24,16 @@
   }
 };
 
+/** Resets the connection before anybody can have read the bytes. */
+function resetAtOnce(head: string, body: string): Behaviour {
+  return ({ request, signed }) => {
+    answerRaw(head, body)({ request, signed });
+    process.nextTick(() => {
+      request.socket.resetAndDestroy();
+    });
+  };
+}
+
 /**
  * Answers the first request, then the second with a late refusal of the first
  * before its own answer.
@@ -140,6 +150,19 @@
       assert.not.ok(answer.isWhole);
     });
 
+    it("is a failure where the reset comes together with the bytes", async () => {
+      // Caller: half of a success, ended in good order. The runner's connection
+      // was reset right behind its bytes; an event loop that finds bytes and a
+      // reset at once (libuv's) reports the bytes and a plain end, here to us.
+      await using site = await EntrySite.serving(resetAtOnce("", "half of"));
+      const answer = await site.call({ path: "/once/a", method: "POST" });
+      assert.is(answer.status, 504);
+      site.runners[0].behaviour = resetAtOnce(EVENTS_STREAM, eventOf(1));
+      const stream = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(stream.body, eventOf(1));
+      assert.not.ok(stream.isWhole);
+    });
+
     it("is a reset when the caller's time is over", async () => {
       // The stream still runs when the caller's deadline passes.
       await using site = await EntrySite.serving(trickleWithoutEnd);
