--- a/src/shared/connector.ts
+++ b/src/shared/connector.ts
@@ -18,7 +18,10 @@
     connector(target, (...result) => {
       const [, socket] = result;
       // Undefined, whatever its type says, when there is no connection.
-      if (socket instanceof Socket) renameResets(socket);
+      if (socket instanceof Socket) {
+        renameResets(socket);
+        revealResets(socket);
+      }
       callback(...result);
     });
   };
@@ -29,3 +32,26 @@
     if (error.code === "ECONNRESET") error.code = RESET;
   });
 }
+
+/**
+ * An event loop that finds bytes and a reset at once reports the bytes and a
+ * plain end; half an answer without length or chunks would pass for whole. A
+ * connection that was closed in order still has a peer when its end is read,
+ * one that was reset has none. The address is asked for nowhere before, since
+ * the socket would go on telling the one it knows.
+ */
+function revealResets(socket: Socket): void {
+  const emit = socket.emit.bind(socket) as (
+    event: string | symbol,
+    ...values: readonly unknown[]
+  ) => boolean;
+  socket.emit = (event: string | symbol, ...values: readonly unknown[]) => {
+    if (event !== "end" || socket.remoteAddress !== undefined) {
+      return emit(event, ...values);
+    }
+    const reset: NodeJS.ErrnoException = new Error("reset behind the bytes");
+    reset.code = RESET;
+    socket.destroy(reset);
+    return true;
+  };
+}
