Show the parts of two attempts' answers joined in the pause before a reset

An answer that went out in part is reset 50 ms after it is given up; another attempt of the same request that answers meanwhile ends the response in good order, behind the first part or behind both parts.

--- a/tests/callers/unmarked-answers.test.ts
+++ b/tests/callers/unmarked-answers.test.ts
@@ -134,6 +134,29 @@
     assert.is(seen.body, "data: half of\n\n");
     assert.is(seen.fault, undefined);
   });
+
+  it("that was given up gets no end from a later attempt", async () => {
+    // Caller: the first part of one attempt's answer and the end of another's,
+    // closed in good order. The first was too large to hold back and broke off;
+    // in the pause before its reset another attempt answered.
+    for (const second of [
+      Buffer.from("b"),
+      Buffer.alloc(2 * HELD_BYTES, "b"),
+    ]) {
+      const { body, fault } = await see((writer) => {
+        writer.head(200, [], false);
+        writer.piece(LARGE);
+        later(() => {
+          writer.discard();
+          writer.head(200, [], true);
+          writer.piece(second);
+          writer.end(true);
+        });
+      });
+      assert.not.ok(body.includes("b"));
+      assert.is(fault, "ECONNRESET");
+    }
+  });
 });
 
 describe("a caller that knows no chunks", () => {
