--- a/src/daemon/entry/answer-writer.ts
+++ b/src/daemon/entry/answer-writer.ts
@@ -106,15 +106,19 @@
   let isEndMarked = false;
   let parts: Buffer[] = [];
   let size = 0;
+  /** The reset comes after a pause, in which a later attempt may answer. */
+  let isCut = false;
   const onStall = createStallGuard(response, limits);
   return {
     signal,
     head: (code, headers, isMarked) => {
+      if (isCut) return;
       status = code;
       isEndMarked = isMarked;
       for (const { name, value } of headers) response.setHeader(name, value);
     },
     piece: (data) => {
+      if (isCut) return;
       size += data.length;
       if (size <= limits.answerBytes) {
         parts.push(data);
@@ -131,11 +135,15 @@
     discard: () => {
       // A part too large to hold back is with the caller already: the answer
       // is cut, which the request sees as a caller that is gone.
-      if (response.headersSent) breakOff(response);
+      if (response.headersSent) {
+        isCut = true;
+        breakOff(response);
+      }
       parts = [];
       size = 0;
     },
     end: (isVouched) => {
+      if (isCut) return;
       if (response.headersSent) {
         if (mayEnd(response, isVouched)) response.end();
         else breakOff(response);
