--- a/tests/platform/answer-ends.test.ts
+++ b/tests/platform/answer-ends.test.ts
@@ -1,4 +1,5 @@
 /** What a caller is told of the end of an answer, whatever ends it early. */
+import { connect } from "node:net";
 import * as assert from "uvu/assert";
 import { headerNames } from "../../platform/names.js";
 import {
@@ -7,11 +8,15 @@
   type Behaviour,
 } from "../../standins/signing-runner.js";
 import { describe, it } from "../support/describe.js";
-import { EntrySite } from "./entry-site.js";
+import { CREDENTIAL, EntrySite } from "./entry-site.js";
 
 const OTHER_CODING = "transfer-encoding: identity\r\n";
 /** The client library reads such an answer up to the end of its connection. */
 const CODING_AND_TAB = "transfer-encoding: chunked\t\r\n";
+/** More than a connection takes without a reader. */
+const LATE_BYTES = 12_000_000;
+/** The answer has come by then, ms. */
+const LATE_MS = 400;
 const EVENTS_STREAM = "content-type: text/event-stream\r\n";
 
 /** An event every few ms until the caller's connection is gone. */
@@ -24,6 +29,45 @@
   }
 };
 
+interface LateCaller {
+  /** Reads all that is there, up to the connection's end. */
+  readonly read: () => Promise<{
+    readonly bytes: number;
+    readonly fault: string | undefined;
+  }>;
+}
+
+/** Sends a request and reads nothing of the answer until told to. */
+function callLate(address: string): LateCaller {
+  const [host, port] = address.split(":");
+  const socket = connect(Number(port), host).pause();
+  const head = [
+    "GET /once/late HTTP/1.1",
+    "host: site.example",
+    `${headerNames.attemptId}: late`,
+    `${headerNames.credential}: ${CREDENTIAL}`,
+  ];
+  socket.write(`${head.join("\r\n")}\r\n\r\n`);
+  let bytes = 0;
+  let fault: string | undefined;
+  socket.on("error", ({ code }: NodeJS.ErrnoException) => {
+    fault = code;
+  });
+  socket.on("data", (part: Buffer) => {
+    bytes += part.length;
+  });
+  socket.pause();
+  return {
+    read: () =>
+      new Promise((resolve) => {
+        socket.once("close", () => {
+          resolve({ bytes, fault });
+        });
+        socket.resume();
+      }),
+  };
+}
+
 /** Resets the connection before anybody can have read the bytes. */
 function resetAtOnce(head: string, body: string): Behaviour {
   return ({ request, signed }) => {
@@ -175,6 +219,19 @@
       assert.not.ok(answer.isWhole);
     });
 
+    it("is a reset when the entry stops behind a late caller", async () => {
+      // Caller: part of a success, ended in good order. It reads late, so that
+      // most of the answer still waits in the entry when that stops; to the
+      // entry the request was over, and the connection was closed like any.
+      const body = "a".repeat(LATE_BYTES);
+      const site = await EntrySite.serving(answerRaw("", body, "end"));
+      const caller = callLate(site.entry.addresses.callers);
+      await sleepMs(LATE_MS);
+      await site[Symbol.asyncDispose]();
+      const { bytes, fault } = await caller.read();
+      assert.ok(bytes >= LATE_BYTES || fault === "ECONNRESET");
+    });
+
     it("is a reset when the entry stops", async () => {
       // The stream still runs when the entry's grace period ends: its exit
       // closes the connection, in good order unless the entry resets it.
