Break a stream off where its next runner answers with a failure

Cause: a runner that was to go on with a stream and answered with a failure of its own was taken for an answer to pass on.

The new case failed before the change.

--- a/src/direct/next-step.ts
+++ b/src/direct/next-step.ts
@@ -71,13 +71,15 @@
 
 /**
  * Another runner may do better where the request may run again; otherwise the
- * runner's own failure is the answer.
+ * runner's own failure is the answer. Behind events that the caller has already
+ * there is no place for one.
  */
 function afterAnswer(status: number, history: AttemptHistory): NextStep {
-  if (status < FIRST_SERVER_ERROR || !mayRunAgain(history)) {
-    return { kind: "deliver" };
+  const isFailure = status >= FIRST_SERVER_ERROR;
+  if (isFailure && mayRunAgain(history) && canRepeat(history)) {
+    return { kind: "repeat" };
   }
-  return canRepeat(history) ? { kind: "repeat" } : { kind: "deliver" };
+  return { kind: history.hasStarted ? "break-off" : "deliver" };
 }
 
 function mayRunAgain({ route }: AttemptHistory): boolean {
--- a/tests/direct/next-step.test.ts
+++ b/tests/direct/next-step.test.ts
@@ -147,6 +147,22 @@
       assert.is(outcomeOf(broken, history), "break-off");
     });
 
+    it("ends visibly broken where another runner answers with a failure", () => {
+      // The caller has the first part of the stream. A failure of the runner
+      // that was to go on was taken for an answer to pass on, which can't be
+      // done behind events: the request ended in an exception, was counted as
+      // answered, and kept its place at the gate for ever.
+      for (const status of [400, 500]) {
+        const answer = { status, headers: {}, body: Buffer.alloc(0) };
+        const end: AttemptEnd = {
+          kind: "answered",
+          answer: { ...answer, endMark: "length" },
+        };
+        const history = { route: resumable, sent: 2, hasStarted: true };
+        assert.is(nextStep(end, historyOf(history)).kind, "break-off");
+      }
+    });
+
     it("moves a stalled one, and fails it when it can't be moved", () => {
       const stalled: AttemptEnd = { ...overdue, reason: "stalled" };
       const history = historyOf({ route: resumable });
