Name each line of an event's data

Cause: an event of several lines of data was written for its caller with the name of the first line only. The others were lost to a reader of events, and an empty line with a closing event behind it ended the answer early as if it were whole.

The new case failed before the change.

--- a/src/daemon/entry/answer-writer.ts
+++ b/src/daemon/entry/answer-writer.ts
@@ -75,7 +75,7 @@
     },
     piece: (data) => {
       if (!response.headersSent) startStream(response, head);
-      waiting.push(`data: ${data.toString()}\n\n`);
+      waiting.push(eventOf(data.toString()));
       // Pieces of one turn of the event loop share one write.
       if (waiting.length === 1) setImmediate(flush);
     },
@@ -164,6 +164,14 @@
   };
 }
 
+/**
+ * Each line of the data is one of the event: a line without its name would be
+ * lost to the caller, and an empty one would end the event early.
+ */
+function eventOf(data: string): string {
+  return `data: ${data.replaceAll("\n", "\ndata: ")}\n\n`;
+}
+
 /**
  * Ending in good order marks the end of what went out in chunks, so it takes
  * somebody who vouches for it. Without chunks it says nothing, which is right.
--- a/tests/callers/unmarked-answers.test.ts
+++ b/tests/callers/unmarked-answers.test.ts
@@ -157,6 +157,20 @@
       assert.is(fault, "ECONNRESET");
     }
   });
+
+  it("isn't closed by a line of an event's data", async () => {
+    // Caller: half of an event's data, and a closing event that its backend
+    // server never sent, behind which others follow. An event of several lines
+    // of data was written with the name of the first line only.
+    const { body } = await see((writer) => {
+      writer.head(200, [], true);
+      writer.piece(Buffer.from("a\n\ndata: [DONE]"));
+      writer.piece(Buffer.from("b"));
+      writer.end(true);
+    }, true);
+    const first = "data: a\ndata: \ndata: data: [DONE]\n\n";
+    assert.is(body, `${first}data: b\n\ndata: [DONE]\n\n`);
+  });
 });
 
 describe("a caller that knows no chunks", () => {
