Reset a broken answer that waits for its caller's connection

Cause: of two requests that a caller sends at once the second answer has no connection while the first runs; breaking it off did nothing, and its caller waited for the rest until its own time was over. It is reset once the connection is its own. The new case failed before the change.

--- a/src/daemon/entry/answer-framing.ts
+++ b/src/daemon/entry/answer-framing.ts
@@ -7,6 +7,7 @@
  * know as much as we do.
  */
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 
 /** Sends no length and no chunks; called before the head is written. */
 export function endWithConnection(response: ServerResponse): void {
@@ -38,6 +39,13 @@
   // What is still to come would lie right before the reset.
   response.cork();
   setTimeout(() => {
-    response.socket?.resetAndDestroy();
+    const { socket } = response;
+    if (socket !== null) socket.resetAndDestroy();
+    else if (!response.writableFinished) response.once("socket", resetSocket);
   }, RESET_DELAY_MS);
 }
+
+/** For an answer that waits for an earlier one on its caller's connection. */
+function resetSocket(socket: Socket): void {
+  socket.resetAndDestroy();
+}
--- a/tests/daemon/answer-framing.test.ts
+++ b/tests/daemon/answer-framing.test.ts
@@ -1,6 +1,8 @@
 import { createServer, type ServerResponse } from "node:http";
+import { connect } from "node:net";
 import * as assert from "uvu/assert";
 import {
+  RESET_DELAY_MS,
   breakOff,
   endWithConnection,
 } from "../../src/daemon/entry/answer-framing.js";
@@ -37,4 +39,38 @@
     assert.is(answer.body, "first last");
     assert.is(answer.fault, "ECONNRESET");
   });
+
+  it("closes the connection behind an earlier answer", async () => {
+    // Caller: the first of two answers, then nothing for as long as it waits.
+    // It had sent both requests at once; the second answer broke off while the
+    // first still ran, and had no connection yet that could be reset.
+    const server = createServer((request, response) => {
+      if (request.url === "/first") {
+        setTimeout(() => response.end("first"), 4 * RESET_DELAY_MS);
+        return;
+      }
+      endWithConnection(response);
+      response.write("half of");
+      breakOff(response);
+    });
+    await using site = await listen(server, { host: "127.0.0.1", port: 0 });
+    const [host, port] = site.address.split(":");
+    const socket = connect(Number(port), host);
+    let isLate = false;
+    const late = setTimeout(() => {
+      isLate = true;
+      socket.destroy();
+    }, 1000);
+    let text = "";
+    socket.on("data", (part: Buffer) => {
+      text += part.toString();
+    });
+    socket.on("error", () => undefined);
+    socket.write("GET /first HTTP/1.1\r\nhost: a\r\n\r\n");
+    socket.write("GET /second HTTP/1.1\r\nhost: a\r\n\r\n");
+    await new Promise((resolve) => socket.once("close", resolve));
+    clearTimeout(late);
+    assert.not.ok(isLate);
+    assert.match(text, /first$/);
+  });
 });
