--- a/tests/callers/unmarked-answers.test.ts
+++ b/tests/callers/unmarked-answers.test.ts
@@ -134,6 +134,43 @@
     assert.is(seen.body, "data: half of\n\n");
     assert.is(seen.fault, undefined);
   });
+
+  it("that was given up gets no end from a later attempt", async () => {
+    // Caller: the first part of one attempt's answer and the end of another's,
+    // closed in good order. The first was too large to hold back and broke off;
+    // in the pause before its reset another attempt answered.
+    for (const second of [
+      Buffer.from("b"),
+      Buffer.alloc(2 * HELD_BYTES, "b"),
+    ]) {
+      const { body, fault } = await see((writer) => {
+        writer.head(200, [], false);
+        writer.piece(LARGE);
+        later(() => {
+          writer.discard();
+          writer.head(200, [], true);
+          writer.piece(second);
+          writer.end(true);
+        });
+      });
+      assert.not.ok(body.includes("b"));
+      assert.is(fault, "ECONNRESET");
+    }
+  });
+
+  it("isn't closed by a line of an event's data", async () => {
+    // Caller: half of an event's data, and a closing event that its backend
+    // server never sent, behind which others follow. An event of several lines
+    // of data was written with the name of the first line only.
+    const { body } = await see((writer) => {
+      writer.head(200, [], true);
+      writer.piece(Buffer.from("a\n\ndata: [DONE]"));
+      writer.piece(Buffer.from("b"));
+      writer.end(true);
+    }, true);
+    const first = "data: a\ndata: \ndata: data: [DONE]\n\n";
+    assert.is(body, `${first}data: b\n\ndata: [DONE]\n\n`);
+  });
 });
 
 describe("a caller that knows no chunks", () => {
--- a/tests/platform/answer-ends.test.ts
+++ b/tests/platform/answer-ends.test.ts
@@ -1,14 +1,22 @@
 /** What a caller is told of the end of an answer, whatever ends it early. */
+import { connect } from "node:net";
 import * as assert from "uvu/assert";
+import { headerNames } from "../../platform/names.js";
 import {
   answerRaw,
   eventOf,
   type Behaviour,
 } from "../../standins/signing-runner.js";
 import { describe, it } from "../support/describe.js";
-import { EntrySite } from "./entry-site.js";
+import { CREDENTIAL, EntrySite } from "./entry-site.js";
 
 const OTHER_CODING = "transfer-encoding: identity\r\n";
+/** The client library reads such an answer up to the end of its connection. */
+const CODING_AND_TAB = "transfer-encoding: chunked\t\r\n";
+/** More than a connection takes without a reader. */
+const LATE_BYTES = 12_000_000;
+/** The answer has come by then, ms. */
+const LATE_MS = 400;
 const EVENTS_STREAM = "content-type: text/event-stream\r\n";
 
 /** An event every few ms until the caller's connection is gone. */
@@ -21,6 +29,77 @@
   }
 };
 
+interface LateCaller {
+  /** Reads all that is there, up to the connection's end. */
+  readonly read: () => Promise<{
+    readonly bytes: number;
+    readonly fault: string | undefined;
+  }>;
+}
+
+/** Sends a request and reads nothing of the answer until told to. */
+function callLate(address: string): LateCaller {
+  const [host, port] = address.split(":");
+  const socket = connect(Number(port), host).pause();
+  const head = [
+    "GET /once/late HTTP/1.1",
+    "host: site.example",
+    `${headerNames.attemptId}: late`,
+    `${headerNames.credential}: ${CREDENTIAL}`,
+  ];
+  socket.write(`${head.join("\r\n")}\r\n\r\n`);
+  let bytes = 0;
+  let fault: string | undefined;
+  socket.on("error", ({ code }: NodeJS.ErrnoException) => {
+    fault = code;
+  });
+  socket.on("data", (part: Buffer) => {
+    bytes += part.length;
+  });
+  socket.pause();
+  return {
+    read: () =>
+      new Promise((resolve) => {
+        socket.once("close", () => {
+          resolve({ bytes, fault });
+        });
+        socket.resume();
+      }),
+  };
+}
+
+/** Resets the connection before anybody can have read the bytes. */
+function resetAtOnce(head: string, body: string): Behaviour {
+  return ({ request, signed }) => {
+    answerRaw(head, body)({ request, signed });
+    process.nextTick(() => {
+      request.socket.resetAndDestroy();
+    });
+  };
+}
+
+/**
+ * Answers the first request, then the second with a late refusal of the first
+ * before its own answer.
+ */
+function refuseLate(): Behaviour {
+  let first: Readonly<Record<string, string>> | undefined;
+  return async ({ request: { socket }, response, signed }) => {
+    if (first === undefined) {
+      first = signed;
+      response.writeHead(200, signed).end("first");
+      return;
+    }
+    const fields = { ...first, [headerNames.notRun]: "1", "content-length": 0 };
+    const lines = Object.entries(fields).map(
+      ([name, value]) => `${name}: ${value}\r\n`,
+    );
+    socket.write(`HTTP/1.1 503 Full\r\n${lines.join("")}\r\n`);
+    await sleepMs(20);
+    response.writeHead(200, signed).end("second");
+  };
+}
+
 function sleepMs(ms: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, ms);
@@ -63,6 +142,19 @@
       assert.is(answer.headers.connection, "close");
     });
 
+    it("gets no mark from us where a tab follows the coding", async () => {
+      // Caller: a success with a length of its own, and half of the body. The
+      // library that reads answers takes a coding with a tab behind it for no
+      // chunks and reads up to the end of the connection, where the runner's
+      // process ended; our rule took the same header for chunks.
+      await using site = await EntrySite.serving(
+        answerRaw(CODING_AND_TAB, "half of", "end"),
+      );
+      const answer = await site.call({ path: "/once/a" });
+      assert.is(answer.headers["content-length"], undefined);
+      assert.is(answer.headers["transfer-encoding"], undefined);
+    });
+
     it("gets no mark from us in such a stream", async () => {
       // As above; the stream's chunks of our own were closed behind the last
       // event that came, as if there had been no more.
@@ -102,6 +194,19 @@
       assert.not.ok(answer.isWhole);
     });
 
+    it("is a failure where the reset comes together with the bytes", async () => {
+      // Caller: half of a success, ended in good order. The runner's connection
+      // was reset right behind its bytes; an event loop that finds bytes and a
+      // reset at once (libuv's) reports the bytes and a plain end, here to us.
+      await using site = await EntrySite.serving(resetAtOnce("", "half of"));
+      const answer = await site.call({ path: "/once/a", method: "POST" });
+      assert.is(answer.status, 504);
+      site.runners[0].behaviour = resetAtOnce(EVENTS_STREAM, eventOf(1));
+      const stream = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(stream.body, eventOf(1));
+      assert.not.ok(stream.isWhole);
+    });
+
     it("is a reset when the caller's time is over", async () => {
       // The stream still runs when the caller's deadline passes.
       await using site = await EntrySite.serving(trickleWithoutEnd);
@@ -114,6 +219,19 @@
       assert.not.ok(answer.isWhole);
     });
 
+    it("is a reset when the entry stops behind a late caller", async () => {
+      // Caller: part of a success, ended in good order. It reads late, so that
+      // most of the answer still waits in the entry when that stops; to the
+      // entry the request was over, and the connection was closed like any.
+      const body = "a".repeat(LATE_BYTES);
+      const site = await EntrySite.serving(answerRaw("", body, "end"));
+      const caller = callLate(site.entry.addresses.callers);
+      await sleepMs(LATE_MS);
+      await site[Symbol.asyncDispose]();
+      const { bytes, fault } = await caller.read();
+      assert.ok(bytes >= LATE_BYTES || fault === "ECONNRESET");
+    });
+
     it("is a reset when the entry stops", async () => {
       // The stream still runs when the entry's grace period ends: its exit
       // closes the connection, in good order unless the entry resets it.
@@ -131,4 +249,16 @@
       assert.not.ok(answer.isWhole);
     });
   });
+
+  it("of an earlier request says nothing of a later one", async () => {
+    // Caller: "not run and never will be", by which it sends a request again
+    // that may run once, while the runner runs it. The refusal was a late second
+    // answer to the request before on the same connection; the attempt that an
+    // answer names was compared for all answers but refusals.
+    await using site = await EntrySite.serving(refuseLate());
+    await site.call({ path: "/once/a", method: "POST" });
+    const answer = await site.call({ path: "/once/b", method: "POST" });
+    assert.is(site.runners[0].arrivals.length, 2);
+    assert.not.ok([408, 421, 429, 503].includes(answer.status));
+  });
 });
