Decode the start of a runner's life

A runner may start again under its id, and its registration then says when it started. The start was not read, so that two lives under one id could not be told apart.

It is decoded as a whole number of milliseconds and may be absent; any other type makes the registration malformed.

--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -1,8 +1,10 @@
 /** Types of membership: the backend servers that registered themselves. */
+import type { LifeStart } from "./life.js";
 
 export interface BackendServer {
-  /** New for every start of a runner. */
+  /** Kept over a restart; with `startedAtMs` it names one life. */
   readonly id: string;
+  readonly startedAtMs: LifeStart;
   readonly service: string;
   /** host:port; may belong to another runner later. */
   readonly address: string;
@@ -11,7 +13,7 @@
   readonly slots: number;
   /** A leaving one takes no new work. */
   readonly isLeaving: boolean;
-  /** Rises with each registration of one id. */
+  /** Rises with each registration of one life. */
   readonly heartbeat: number;
 }
 
--- a/tests/direct/runner-pool.test.ts
+++ b/tests/direct/runner-pool.test.ts
@@ -12,6 +12,7 @@
   slots: 4,
   isLeaving: false,
   heartbeat: 1,
+  startedAtMs: undefined,
 };
 
 /** Closed twice, connections reject, and that would end the process. */
--- a/tests/direct/service-gate.test.ts
+++ b/tests/direct/service-gate.test.ts
@@ -35,6 +35,7 @@
       slots: SLOTS,
       isLeaving: false,
       heartbeat: 1,
+      startedAtMs: undefined,
     });
   }
   return gate;
@@ -158,6 +159,7 @@
       slots: SLOTS,
       isLeaving: false,
       heartbeat: 1,
+      startedAtMs: undefined,
     });
     const results = await Promise.all(waiting);
     assert.ok(results.every(({ kind }) => kind === "admitted"));
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -16,6 +16,7 @@
     slots: 8,
     isLeaving: false,
     heartbeat: 1,
+    startedAtMs: undefined,
     ...fields,
   };
 }
--- /dev/null
+++ b/tests/platform/lives.test.ts
@@ -0,0 +1,35 @@
+import * as assert from "uvu/assert";
+import { decodeRegistration } from "../../platform/register.js";
+import type { LifeStart } from "../../src/membership/life.js";
+import { describe, it } from "../support/describe.js";
+
+function startOf(fields: Readonly<Record<string, unknown>>): LifeStart {
+  const value = Buffer.from(
+    JSON.stringify({
+      backend: "service",
+      address: "10.0.0.1:80",
+      zone: "here",
+      slots: 4,
+      state: "ready",
+      sequence: 1,
+      ...fields,
+    }),
+  );
+  return decodeRegistration({ key: "r1", value }).server?.startedAtMs;
+}
+
+describe("a registration", () => {
+  it("names the life of its runner", () => {
+    assert.is(startOf({ born: 1_790_000_000_123 }), 1_790_000_000_123);
+  });
+
+  it("may come from a platform that doesn't tell lives apart", () => {
+    assert.is(startOf({}), undefined);
+  });
+
+  it("with a start that is no whole number is malformed", () => {
+    for (const born of [1.5, "1790000000123", null, true]) {
+      assert.throws(() => startOf({ born }));
+    }
+  });
+});
