Replace an earlier life of a runner at once on the entry side

A runner that starts again under its id counts its heartbeats from the beginning. The directory went by that count alone: the new life was passed over until it had overtaken the old one, and an id that had said that it leaves never came back. A new life at the same address kept the old one's connections, failures, refusals, slowness and attempts in flight.

The directory now orders lives by their start. A later one replaces an earlier one whatever its heartbeat, address or standing; a late record of an earlier one changes nothing, for a minute after its entry is gone as well. A removal within a second of the replacement is taken for the earlier life's. The gate is told that a life is over: its connections end, and with them the attempts that run there, so that what may run again moves to another runner and the rest is answered as unknown. At the same address, connections opened since the new life's start lead to it and stay. Health, pauses after refusals, refusals counted by the circuit breaker, tried runners and notes of slowness belong to a life. Pace notes carry the life's start, which older readers pass over.

An id that registers for another service leaves the one before, and a leaving id whose removal was never read is taken again once a register read anew doesn't hold it.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -7,6 +7,7 @@
 import type { Dispatcher } from "undici";
 import { createDeferred } from "../internal.js";
 import { endMarkOf } from "../shared/answer-end.js";
+import type { RunnerConnections } from "./runner-connections.js";
 import type {
   AttemptEnd,
   EndMark,
@@ -32,7 +33,7 @@
 }
 
 export interface AttemptOptions {
-  readonly connections: Dispatcher;
+  readonly connections: Pick<RunnerConnections, "dispatch">;
   readonly request: Dispatcher.DispatchOptions;
   readonly attemptId: string | undefined;
   readonly codec: HeaderCodec;
--- a/src/direct/circuit-breaker.ts
+++ b/src/direct/circuit-breaker.ts
@@ -7,7 +7,8 @@
  * 55 to 72 callers were lost that way (12 ranks, 45 requests a second).
  *
  * So after a few refusals in a row requests wait, and one at a time finds out
- * whether the service is back.
+ * whether the service is back. Refusals are counted by runner: those of a
+ * runner that has started again tell nothing of its new life.
  */
 import type { Now } from "../internal.js";
 
@@ -20,7 +21,8 @@
 const TRIAL_INTERVAL_MS = 60;
 
 export class CircuitBreaker {
-  private refusals = 0;
+  /** Since the last answer, by the id of the runner that refused. */
+  private readonly refusals = new Map<string, number>();
   private trialAtMs = 0;
 
   private constructor(private readonly now: Now) {}
@@ -31,7 +33,7 @@
 
   /** Whether nothing but a trial is sent. */
   get isOpen(): boolean {
-    return this.refusals >= REFUSALS_TO_OPEN;
+    return this.countRefusals() >= REFUSALS_TO_OPEN;
   }
 
   /** Whether a request may be sent now; takes the trial if it is one. */
@@ -43,16 +45,27 @@
     return true;
   }
 
-  /** A runner said that it has not run a request. */
-  onRefused(): void {
-    this.refusals += 1;
-    if (this.refusals === REFUSALS_TO_OPEN) {
+  /** The runner said that it has not run a request. */
+  onRefused(runner: string): void {
+    this.refusals.set(runner, (this.refusals.get(runner) ?? 0) + 1);
+    if (this.countRefusals() === REFUSALS_TO_OPEN) {
       this.trialAtMs = this.now() + TRIAL_INTERVAL_MS;
     }
   }
 
   /** A runner has begun to answer. */
   onAccepted(): void {
-    this.refusals = 0;
+    this.refusals.clear();
+  }
+
+  /** The runner has started again; what it refused before says nothing. */
+  forget(runner: string): void {
+    this.refusals.delete(runner);
+  }
+
+  private countRefusals(): number {
+    let total = 0;
+    for (const count of this.refusals.values()) total += count;
+    return total;
   }
 }
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -131,7 +131,8 @@
       emit,
       dataCentre,
       connect: connectRunner,
-      isSlow: (address) => slowRunners.isSlow(address),
+      isSlow: (address, startedAtMs) =>
+        slowRunners.isSlow(address, startedAtMs),
     });
     this.gate = gate;
     this.paceInquiry = PaceInquiry.create({
@@ -154,6 +155,10 @@
         gate.removeServer(id);
         measurements.set("runnersKnown", this.runnerCount);
       },
+      onEnded: (earlier, later) => {
+        gate.endLife(earlier, later);
+        slowRunners.forget(earlier);
+      },
     });
     this.forwarder = Forwarder.create({
       gate,
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -21,7 +21,7 @@
   type AttemptHistory,
   type NextStep,
 } from "./next-step.js";
-import type { Verdict } from "./runner-pool.js";
+import type { Runner, Verdict } from "./runner-pool.js";
 import type { Admitted, ServiceGate } from "./service-gate.js";
 import { STALL_LOOK_MS, isStalled } from "./stall.js";
 import type {
@@ -65,7 +65,7 @@
   readonly place: Admitted | undefined;
 }
 
-const NOTHING_TRIED: ReadonlySet<string> = new Set();
+const NOTHING_TRIED: ReadonlySet<Runner> = new Set();
 
 export class Forwarder {
   private constructor(private readonly options: ForwarderOptions) {}
@@ -80,7 +80,8 @@
 }
 
 class Forwarding {
-  private readonly tried = new Set<string>();
+  /** Lives: one that has started again is another runner. */
+  private readonly tried = new Set<Runner>();
   private sent = 0;
   private unsent = 0;
   private mayHaveRun = false;
@@ -231,7 +232,7 @@
   private async attemptAt(admitted: Admitted): Promise<AttemptEnd> {
     const { call, options, relay } = this;
     const { runner } = admitted;
-    this.tried.add(runner.server.id);
+    this.tried.add(runner);
     if (this.givenUp !== undefined) {
       return { kind: "given-up", wasSent: false, reason: this.givenUp };
     }
--- a/src/direct/pace-inquiry.ts
+++ b/src/direct/pace-inquiry.ts
@@ -7,12 +7,15 @@
  */
 import { toFailure, type Emit, type Now } from "../internal.js";
 import type { PaceNote } from "../membership/slow-runners.js";
+import type { BackendServer } from "../membership/types.js";
+
+/** A runner and the life that it is known in. */
+export type LateRunner = Pick<BackendServer, "address" | "startedAtMs">;
 
 /** A service whose streams are late. */
 export interface LateService {
   readonly name: string;
-  /** host:port of its runners. */
-  readonly runners: readonly string[];
+  readonly runners: readonly LateRunner[];
 }
 
 export interface PaceInquiryOptions {
@@ -64,14 +67,17 @@
     if (late.length === 0) return;
     this.inquiredAtMs = nowMs;
     for (const { runners } of late) {
-      for (const address of runners) void this.ask(address);
+      for (const runner of runners) void this.ask(runner);
     }
   }
 
-  private async ask(address: string): Promise<void> {
+  private async ask({ address, startedAtMs }: LateRunner): Promise<void> {
     const { emit, take, slownessOf } = this.options;
     try {
-      take({ address, slowness: await slownessOf(address) });
+      const slowness = await slownessOf(address);
+      // Of the life that was asked; should another one have answered, its own
+      // start isn't known here yet, and the note lapses with the next inquiry.
+      take({ address, slowness, startedAtMs });
     } catch (error) {
       const { message } = toFailure(error, 1607);
       emit(218, { address, reason: message });
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -3,31 +3,39 @@
  * itself, and whether they fail. Places a request on the runner that has the
  * smallest part of its slots taken by this entry.
  */
-import type { Dispatcher } from "undici";
 import { toFailure, type Emit, type Now, type Random } from "../internal.js";
+import type { LifeStart } from "../membership/life.js";
 import type { BackendServer } from "../membership/types.js";
 import { RunnerHealth } from "../placement/health.js";
+import type { RunnerConnections } from "./runner-connections.js";
 
+/** One life of a runner: a later one gets an object of its own. */
 export interface Runner {
   /** Its registration, as last read. */
   server: BackendServer;
-  connections: Dispatcher;
+  connections: RunnerConnections;
+  /** Replaced ones, until what runs there has ended. */
+  readonly retired: Set<RunnerConnections>;
   readonly health: RunnerHealth;
   /** Attempts of this entry that run there. */
   running: number;
   /** It refused the last request; nothing is sent before then, ms. */
   fullUntilMs: number;
+  /** A later life has begun; what attempts here tell is of no use. */
+  isEnded: boolean;
 }
 
+/** Tells whether the life at host:port with this start is known to be slow. */
+export type IsSlow = (address: string, startedAtMs: LifeStart) => boolean;
+
 export interface RunnerPoolInputs {
   readonly now: Now;
   readonly random: Random;
   readonly emit: Emit;
-  readonly connect: (address: string) => Dispatcher;
+  readonly connect: (address: string) => RunnerConnections;
   /** Data centre of this entry. */
   readonly dataCentre: string;
-  /** Whether the runner at host:port is known to be slow. */
-  readonly isSlow: (address: string) => boolean;
+  readonly isSlow: IsSlow;
 }
 
 /** How an attempt ended, as far as it tells of the runner. */
@@ -51,6 +59,8 @@
 
 export class RunnerPool {
   private readonly runners = new Map<string, Runner>();
+  /** They get nothing new, and attempts still run there. */
+  private readonly departed = new Set<Runner>();
 
   private constructor(private readonly inputs: RunnerPoolInputs) {}
 
@@ -62,9 +72,9 @@
     return this.runners.size;
   }
 
-  /** host:port of all runners. */
-  get addresses(): readonly string[] {
-    return Array.from(this.runners.values(), ({ server }) => server.address);
+  /** Registrations of all runners. */
+  get servers(): readonly BackendServer[] {
+    return Array.from(this.runners.values(), ({ server }) => server);
   }
 
   /** Slots of all runners together. */
@@ -90,9 +100,11 @@
     this.runners.set(server.id, {
       server,
       connections: this.inputs.connect(server.address),
+      retired: new Set(),
       health: RunnerHealth.create(this.inputs.random),
       running: 0,
       fullUntilMs: 0,
+      isEnded: false,
     });
   }
 
@@ -105,7 +117,7 @@
     const { connections, server } = runner;
     if (this.runners.get(server.id) !== runner) return;
     runner.connections = this.inputs.connect(server.address);
-    void this.closeConnections(connections);
+    void this.retire(runner, connections);
   }
 
   /** What runs there goes on to its end. */
@@ -113,16 +125,34 @@
     const runner = this.runners.get(id);
     if (runner === undefined) return;
     this.runners.delete(id);
+    if (runner.running > 0) this.departed.add(runner);
     void this.closeConnections(runner.connections);
   }
 
+  /**
+   * A later life has begun. What runs at the earlier one fails at once: its
+   * connections may be silent rather than reset, and callers would wait for
+   * nothing until their time is over.
+   */
+  endLife(earlier: BackendServer, later: BackendServer): void {
+    const ended = [...this.departed].filter(
+      ({ server }) => server.id === earlier.id && !isSameLife(server, later),
+    );
+    const current = this.runners.get(earlier.id);
+    if (current !== undefined && !isSameLife(current.server, later)) {
+      this.remove(earlier.id);
+      ended.push(current);
+    }
+    for (const runner of ended) endConnections(runner, later);
+  }
+
   /** The least taken runner outside `excluded` that may take work. */
-  choose(excluded: ReadonlySet<string>): Runner | undefined {
+  choose(excluded: ReadonlySet<Runner>): Runner | undefined {
     const nowMs = this.inputs.now();
     let best: Runner | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     for (const runner of this.runners.values()) {
-      if (excluded.has(runner.server.id)) continue;
+      if (excluded.has(runner)) continue;
       if (runner.fullUntilMs > nowMs) continue;
       if (!runner.health.mayTake(nowMs)) continue;
       const score = this.scoreOf(runner);
@@ -138,8 +168,10 @@
     runner.health.onPlaced();
   }
 
-  end(runner: Runner, verdict: Verdict): void {
+  release(runner: Runner, verdict: Verdict): void {
     runner.running -= 1;
+    if (runner.running === 0) this.departed.delete(runner);
+    if (runner.isEnded) return;
     const { health, server } = runner;
     const nowMs = this.inputs.now();
     switch (verdict) {
@@ -175,8 +207,19 @@
     );
   }
 
+  private async retire(
+    runner: Runner,
+    connections: RunnerConnections,
+  ): Promise<void> {
+    runner.retired.add(connections);
+    await this.closeConnections(connections);
+    runner.retired.delete(connections);
+  }
+
   /** A failure here is worth a line, never the process. */
-  private async closeConnections(connections: Dispatcher): Promise<void> {
+  private async closeConnections(
+    connections: RunnerConnections,
+  ): Promise<void> {
     try {
       await connections.close();
     } catch (error) {
@@ -197,8 +240,27 @@
   private scoreOf({ server, running }: Runner): number {
     const { random, dataCentre, isSlow } = this.inputs;
     const near = server.dataCentre === dataCentre ? 0 : 0.25;
-    const slow = isSlow(server.address) ? SLOW_PENALTY : 0;
+    const { address, startedAtMs } = server;
+    const slow = isSlow(address, startedAtMs) ? SLOW_PENALTY : 0;
     const taken = (running + near + random() * 0.5) / Math.max(1, server.slots);
     return taken + slow;
   }
 }
+
+function isSameLife(one: BackendServer, other: BackendServer): boolean {
+  return one.id === other.id && one.startedAtMs === other.startedAtMs;
+}
+
+/** At the same address, connections that are new enough lead to the later life. */
+function endConnections(runner: Runner, later: BackendServer): void {
+  runner.isEnded = true;
+  const { address, startedAtMs } = later;
+  const isThere = runner.server.address === address;
+  for (const connections of [runner.connections, ...runner.retired]) {
+    if (isThere && startedAtMs !== undefined) {
+      connections.endOpenedBefore(startedAtMs);
+    } else {
+      connections.endAll();
+    }
+  }
+}
--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -21,18 +21,22 @@
 import { CircuitBreaker } from "./circuit-breaker.js";
 import type { LateService } from "./pace-inquiry.js";
 import { PaceLimit } from "./pace-limit.js";
-import { RunnerPool, type Runner, type Verdict } from "./runner-pool.js";
+import type { RunnerConnections } from "./runner-connections.js";
+import {
+  RunnerPool,
+  type IsSlow,
+  type Runner,
+  type Verdict,
+} from "./runner-pool.js";
 import type { Call } from "./types.js";
-import type { Dispatcher } from "undici";
 
 export interface ServiceGateInputs {
   readonly now: Now;
   readonly random: Random;
   readonly emit: Emit;
   readonly dataCentre: string;
-  readonly connect: (address: string) => Dispatcher;
-  /** Whether the runner at host:port is known to be slow. */
-  readonly isSlow: (address: string) => boolean;
+  readonly connect: (address: string) => RunnerConnections;
+  readonly isSlow: IsSlow;
 }
 
 /** A request that has its place at a runner. */
@@ -51,7 +55,7 @@
 /** Resolves with a place, or with why there is none. */
 type Pending = Deferred<Either<Refusal, Runner>>;
 
-const NOTHING_EXCLUDED: ReadonlySet<string> = new Set();
+const NOTHING_EXCLUDED: ReadonlySet<Runner> = new Set();
 
 /** No runner at all: one that is replaced takes about this long to come, ms. */
 const NOBODY_RETRY_MS = 500;
@@ -122,6 +126,10 @@
   }
 
   setServer(server: BackendServer): void {
+    for (const [service, { pool }] of this.services) {
+      // An id belongs to one service, whatever it registered for before.
+      if (service !== server.service) pool.remove(server.id);
+    }
     this.serviceOf(server.service).pool.set(server);
     this.admission.drain(server.service);
   }
@@ -130,6 +138,17 @@
     for (const { pool } of this.services.values()) pool.remove(id);
   }
 
+  /**
+   * A later life has begun under the id or at the address of the earlier one,
+   * of which nothing counts any more.
+   */
+  endLife(earlier: BackendServer, later: BackendServer): void {
+    for (const { pool, breaker } of this.services.values()) {
+      pool.endLife(earlier, later);
+      breaker.forget(earlier.id);
+    }
+  }
+
   /** Resolves with a place, or with why there is none. */
   async enter(call: Call): Promise<Either<Refusal, Admitted>> {
     const { pool } = this.serviceOf(call.service);
@@ -154,7 +173,7 @@
   lateServices(): readonly LateService[] {
     return [...this.services]
       .filter(([, { pace }]) => pace.isLate)
-      .map(([name, { pool }]) => ({ name, runners: pool.addresses }));
+      .map(([name, { pool }]) => ({ name, runners: pool.servers }));
   }
 
   /** Attempts of this entry that run at the service. */
@@ -165,7 +184,7 @@
   /** Another runner for an admitted request, which keeps its place. */
   moveOn(
     admitted: Admitted,
-    excluded: ReadonlySet<string>,
+    excluded: ReadonlySet<Runner>,
   ): Admitted | undefined {
     const { pool } = this.serviceOf(admitted.request.pool);
     const runner = pool.choose(excluded);
@@ -177,12 +196,12 @@
   /** Whether a stream had better go on at another runner. */
   isBetterElsewhere(
     { request, runner }: Admitted,
-    tried: ReadonlySet<string>,
+    tried: ReadonlySet<Runner>,
   ): boolean {
-    if (!this.inputs.isSlow(runner.server.address)) return false;
+    if (!this.isSlow(runner)) return false;
     const { pool } = this.serviceOf(request.pool);
     const other = pool.choose(tried);
-    return other !== undefined && !this.inputs.isSlow(other.server.address);
+    return other !== undefined && !this.isSlow(other);
   }
 
   /** A connection to the runner has fallen silent. */
@@ -193,9 +212,10 @@
   /** The attempt at the runner has ended. */
   release({ request, runner }: Admitted, verdict: Verdict): void {
     const { pool, breaker } = this.serviceOf(request.pool);
-    pool.end(runner, verdict);
+    pool.release(runner, verdict);
     if (verdict === "served") breaker.onAccepted();
-    if (verdict === "full" || verdict === "replaced") breaker.onRefused();
+    const isRefused = verdict === "full" || verdict === "replaced";
+    if (isRefused && !runner.isEnded) breaker.onRefused(runner.server.id);
   }
 
   /** The request is over; its place is free. */
@@ -239,6 +259,10 @@
     return true;
   }
 
+  private isSlow({ server }: Runner): boolean {
+    return this.inputs.isSlow(server.address, server.startedAtMs);
+  }
+
   private longestWaitMs({ route, service }: Call): number {
     const waitMs = route.objectiveMs * QUEUE_SHARE_OF_OBJECTIVE;
     const { isOpen } = this.serviceOf(service).breaker;
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -4,8 +4,14 @@
  * registrations lapse there though the runners live, and taking them for gone
  * would leave no runner at all. So what disappears around an outage is kept
  * until the runners have had time to register again.
+ *
+ * A runner may start again under its id. A later life replaces an earlier one
+ * at once, whatever its heartbeat, its address and the standing of the earlier
+ * one; a late record of an earlier life changes nothing.
  */
 import type { Emit, Now } from "../internal.js";
+import { orderOfLives } from "./life.js";
+import { PastLives } from "./past-lives.js";
 import type { BackendServer, RegisterChange } from "./types.js";
 
 /**
@@ -14,6 +20,14 @@
  */
 export const LAPSE_GRACE_MS = 2300;
 
+/**
+ * After a later life has replaced an earlier one, ms: a removal within this
+ * time is the earlier one's that came late, because no life is silent for
+ * several heartbeats at its very start. It covers a heartbeat, and is less than
+ * the two seconds in which a runner that did leave may still be sent work.
+ */
+export const REPLACED_GRACE_MS = 1000;
+
 export interface DirectoryInputs {
   readonly now: Now;
   readonly emit: Emit;
@@ -21,22 +35,30 @@
   readonly onServer: (server: BackendServer) => void;
   /** A runner gets no new work from here on. */
   readonly onGone: (id: string) => void;
+  /**
+   * The earlier life is over, because the later one has its id or its address:
+   * nothing that still runs there will come to an end.
+   */
+  readonly onEnded: (earlier: BackendServer, later: BackendServer) => void;
 }
 
 interface Entry {
   readonly server: BackendServer;
   /** When it is dropped unless it registers again; undefined while it is in. */
   readonly dropAtMs: number | undefined;
+  /** Until then a removal is taken for that of an earlier life, ms. */
+  readonly settledAtMs: number;
 }
 
 export class BackendServerDirectory {
   private readonly entries = new Map<string, Entry>();
-  /** Leaving runners: a delayed heartbeat must not bring one back. */
-  private readonly leaving = new Set<string>();
+  private readonly past: PastLives;
   private outage = false;
   private restoredAtMs = Number.NEGATIVE_INFINITY;
 
-  private constructor(private readonly inputs: DirectoryInputs) {}
+  private constructor(private readonly inputs: DirectoryInputs) {
+    this.past = PastLives.create(inputs.now);
+  }
 
   static create(inputs: DirectoryInputs): BackendServerDirectory {
     return new BackendServerDirectory(inputs);
@@ -46,6 +68,11 @@
     return this.entries.size;
   }
 
+  /** Lives without work that are still remembered. */
+  get pastCount(): number {
+    return this.past.size;
+  }
+
   onStoreLost(): void {
     this.outage = true;
   }
@@ -69,7 +96,7 @@
    */
   replace(servers: readonly BackendServer[]): void {
     const present = new Set(servers.map(({ id }) => id));
-    for (const id of [...this.entries.keys()]) {
+    for (const id of [...this.entries.keys(), ...this.past.ids]) {
       if (!present.has(id)) this.remove(id);
     }
     for (const server of servers) this.register(server);
@@ -81,52 +108,105 @@
     for (const [id, { dropAtMs }] of this.entries) {
       if (dropAtMs !== undefined && dropAtMs <= nowMs) this.drop(id, "lapsed");
     }
+    this.past.sweep();
   }
 
-  private register(server: BackendServer): void {
-    const known = this.entries.get(server.id);
-    if (known !== undefined && server.heartbeat < known.server.heartbeat) {
+  private register(seen: BackendServer): void {
+    const known = this.newestOf(seen.id);
+    const order =
+      known === undefined
+        ? "same"
+        : orderOfLives(known.startedAtMs, seen.startedAtMs);
+    if (order === "earlier") return;
+    if (known !== undefined && order === "later") {
+      this.begin(known, seen);
       return;
     }
+    if (this.isStale(seen)) return;
+    const startedAtMs = seen.startedAtMs ?? known?.startedAtMs;
+    this.take({ ...seen, startedAtMs }, Number.NEGATIVE_INFINITY);
+  }
+
+  private newestOf(id: string): BackendServer | undefined {
+    return this.entries.get(id)?.server ?? this.past.get(id)?.server;
+  }
+
+  /** A record of the life that is known, from before what is known of it. */
+  private isStale({ id, heartbeat }: BackendServer): boolean {
+    const past = this.past.get(id);
+    if (past?.standing === "leaving") return true;
+    const known = this.entries.get(id)?.server ?? past?.server;
+    return known !== undefined && heartbeat < known.heartbeat;
+  }
+
+  private begin(earlier: BackendServer, later: BackendServer): void {
+    this.drop(earlier.id, "started again");
+    this.past.delete(earlier.id);
+    this.inputs.onEnded(earlier, later);
+    this.take(later, this.inputs.now() + REPLACED_GRACE_MS);
+  }
+
+  private take(server: BackendServer, settledAtMs: number): void {
+    const { id, service, address } = server;
     if (server.isLeaving) {
-      this.leaving.add(server.id);
-      this.drop(server.id, "leaving");
+      this.drop(id, "leaving");
+      this.past.addLeaving(server);
+      return;
+    }
+    if (!this.takeAddress(server)) {
+      this.drop(id, "address taken");
+      this.past.addDropped(server);
+      return;
     }
-    if (this.leaving.has(server.id)) return;
-    this.evictAddress(server);
-    this.entries.set(server.id, { server, dropAtMs: undefined });
+    const known = this.entries.get(id);
+    this.past.delete(id);
+    this.entries.set(id, {
+      server,
+      dropAtMs: undefined,
+      settledAtMs: known?.settledAtMs ?? settledAtMs,
+    });
     if (known !== undefined && isSame(known.server, server)) return;
-    const { id, service, address } = server;
     if (known === undefined) {
-      this.inputs.emit(211, { runner: id, service, address });
+      const startedAtMs = server.startedAtMs ?? null;
+      this.inputs.emit(211, { runner: id, service, address, startedAtMs });
     }
     this.inputs.onServer(server);
   }
 
-  /** An address names one runner: the one that registered last. */
-  private evictAddress(server: BackendServer): void {
-    for (const [id, entry] of this.entries) {
-      if (id === server.id || entry.server.address !== server.address) continue;
+  /**
+   * An address names one runner: the one that started last, or where that isn't
+   * told, the one that registered last. False for a late record of a runner
+   * whose address has gone to another one.
+   */
+  private takeAddress(server: BackendServer): boolean {
+    for (const [id, { server: holder }] of this.entries) {
+      if (id === server.id || holder.address !== server.address) continue;
+      const order = orderOfLives(holder.startedAtMs, server.startedAtMs);
+      if (order === "earlier") return false;
       this.drop(id, "address taken");
+      if (order === "later") this.inputs.onEnded(holder, server);
     }
+    return true;
   }
 
   private remove(id: string): void {
-    this.leaving.delete(id);
+    this.past.onRemoved(id);
     const entry = this.entries.get(id);
     if (entry === undefined) return;
     const nowMs = this.inputs.now();
-    const graceEndsMs = this.restoredAtMs + LAPSE_GRACE_MS;
-    if (!this.outage && nowMs >= graceEndsMs) {
-      this.drop(id, "removed");
-      return;
-    }
-    const dropAtMs = this.outage ? nowMs + LAPSE_GRACE_MS : graceEndsMs;
-    this.entries.set(id, { server: entry.server, dropAtMs });
+    const keptUntilMs = Math.max(
+      this.outage ? nowMs + LAPSE_GRACE_MS : this.restoredAtMs + LAPSE_GRACE_MS,
+      entry.settledAtMs,
+    );
+    if (keptUntilMs <= nowMs) this.drop(id, "removed");
+    else this.entries.set(id, { ...entry, dropAtMs: keptUntilMs });
   }
 
   private drop(id: string, reason: string): void {
-    if (!this.entries.delete(id)) return;
+    const entry = this.entries.get(id);
+    if (entry === undefined) return;
+    this.entries.delete(id);
+    this.past.addDropped(entry.server);
     this.inputs.emit(212, { runner: id, reason });
     this.inputs.onGone(id);
   }
@@ -134,6 +214,7 @@
 
 function isSame(one: BackendServer, other: BackendServer): boolean {
   return (
+    one.startedAtMs === other.startedAtMs &&
     one.address === other.address &&
     one.slots === other.slots &&
     one.service === other.service
--- /dev/null
+++ b/src/membership/past-lives.ts
@@ -0,0 +1,87 @@
+/**
+ * Lives that get no work any more. A write to the store that got no answer may
+ * be carried out seconds later: a record of a life that has left, or that a
+ * later one has replaced, would bring it back. So what ended is remembered for
+ * longer than such a write takes.
+ */
+import type { Now } from "../internal.js";
+import type { BackendServer } from "./types.js";
+
+/** Late writes take seconds; a life that ended is kept this long, ms. */
+export const PAST_LIFE_KEPT_MS = 60_000;
+
+/** Where a life stands that gets no work. */
+export type PastStanding =
+  /** It said that it leaves, and never comes back. */
+  | "leaving"
+  /** Its entry went away; registered anew, the same life gets work again. */
+  | "dropped";
+
+export interface PastLife {
+  /** As it last registered. */
+  readonly server: BackendServer;
+  readonly standing: PastStanding;
+  /** Undefined while the register still holds its entry. */
+  readonly forgetAtMs: number | undefined;
+}
+
+/** The newest life of each id that gets no work. */
+export class PastLives {
+  private readonly lives = new Map<string, PastLife>();
+
+  private constructor(private readonly now: Now) {}
+
+  static create(now: Now): PastLives {
+    return new PastLives(now);
+  }
+
+  get size(): number {
+    return this.lives.size;
+  }
+
+  get ids(): readonly string[] {
+    return [...this.lives.keys()];
+  }
+
+  get(id: string): PastLife | undefined {
+    return this.lives.get(id);
+  }
+
+  /** Its entry stays in the register until it has ended. */
+  addLeaving(server: BackendServer): void {
+    const standing = "leaving";
+    this.lives.set(server.id, { server, standing, forgetAtMs: undefined });
+  }
+
+  /** Without a start, a later life couldn't be told from this one. */
+  addDropped(server: BackendServer): void {
+    if (server.startedAtMs === undefined) return;
+    const forgetAtMs = this.now() + PAST_LIFE_KEPT_MS;
+    this.lives.set(server.id, { server, standing: "dropped", forgetAtMs });
+  }
+
+  delete(id: string): void {
+    this.lives.delete(id);
+  }
+
+  /** The register doesn't hold the id's entry any more. */
+  onRemoved(id: string): void {
+    const life = this.lives.get(id);
+    if (life === undefined) return;
+    if (life.server.startedAtMs === undefined) {
+      this.lives.delete(id);
+      return;
+    }
+    const forgetAtMs = life.forgetAtMs ?? this.now() + PAST_LIFE_KEPT_MS;
+    this.lives.set(id, { ...life, forgetAtMs });
+  }
+
+  sweep(): void {
+    const nowMs = this.now();
+    for (const [id, { forgetAtMs }] of this.lives) {
+      if (forgetAtMs !== undefined && forgetAtMs <= nowMs) {
+        this.lives.delete(id);
+      }
+    }
+  }
+}
--- a/src/membership/slow-runners.ts
+++ b/src/membership/slow-runners.ts
@@ -10,6 +10,8 @@
 import { z } from "zod";
 import { raise, type Emit, type Now } from "../internal.js";
 import type { KeyedRecord } from "../platform/keyed-topic.js";
+import { orderOfLives, type LifeStart } from "./life.js";
+import type { BackendServer } from "./types.js";
 
 /** One rank's pace. */
 export interface PaceNote {
@@ -17,6 +19,8 @@
   readonly address: string;
   /** How many times as long as usual it takes for its work. */
   readonly slowness: number;
+  /** Life of the runner that the note is about. */
+  readonly startedAtMs: LifeStart;
 }
 
 /** A rank counts as slow from here on. */
@@ -28,10 +32,14 @@
  */
 export const NOTE_LASTS_MS = 9000;
 
-const valueSchema = z.object({ slowness: z.number() });
+/** An older reader passes over the start; an older writer gives none. */
+const valueSchema = z.object({
+  slowness: z.number(),
+  startedAtMs: z.int().optional(),
+});
 
-export function encodePaceNote({ slowness }: PaceNote): Buffer {
-  return Buffer.from(JSON.stringify({ slowness }));
+export function encodePaceNote({ slowness, startedAtMs }: PaceNote): Buffer {
+  return Buffer.from(JSON.stringify({ slowness, startedAtMs }));
 }
 
 /** Undefined for a key that was dropped. Throws 1903. */
@@ -42,12 +50,19 @@
   if (value === undefined) return undefined;
   const result = valueSchema.safeParse(JSON.parse(value.toString()));
   if (!result.success) return raise(1903, { reason: result.error.message });
-  return { address: key, slowness: result.data.slowness };
+  const { slowness, startedAtMs } = result.data;
+  return { address: key, slowness, startedAtMs };
+}
+
+interface SlowLife {
+  readonly startedAtMs: LifeStart;
+  /** Monotonic time until which the note counts, ms. */
+  readonly untilMs: number;
 }
 
 export class SlowRunners {
-  /** Address to the monotonic time until which its note counts, ms. */
-  private readonly slowUntilMs = new Map<string, number>();
+  /** By address. */
+  private readonly slow = new Map<string, SlowLife>();
 
   private constructor(
     private readonly now: Now,
@@ -58,17 +73,41 @@
     return new SlowRunners(now, emit);
   }
 
-  take({ address, slowness }: PaceNote): void {
+  take({ address, slowness, startedAtMs }: PaceNote): void {
+    const known = this.slow.get(address);
+    const order = orderOfLives(known?.startedAtMs, startedAtMs);
+    // Written late: it must not undo what is known of a later life.
+    if (order === "earlier") return;
     const isSlow = slowness >= SLOW_FROM;
-    if (isSlow !== this.isSlow(address)) {
+    if (isSlow !== this.isSlow(address, startedAtMs)) {
       this.emit(217, { address, slowness });
     }
-    if (isSlow) this.slowUntilMs.set(address, this.now() + NOTE_LASTS_MS);
-    else this.slowUntilMs.delete(address);
+    if (!isSlow) {
+      this.slow.delete(address);
+      return;
+    }
+    const untilMs = this.now() + NOTE_LASTS_MS;
+    this.slow.set(address, { startedAtMs, untilMs });
+  }
+
+  /** A note of an earlier life at the address doesn't count. */
+  isSlow(address: string, startedAtMs: LifeStart): boolean {
+    const known = this.slow.get(address);
+    if (known === undefined || known.untilMs <= this.now()) return false;
+    return orderOfLives(known.startedAtMs, startedAtMs) !== "later";
   }
 
-  isSlow(address: string): boolean {
-    const untilMs = this.slowUntilMs.get(address);
-    return untilMs !== undefined && untilMs > this.now();
+  /**
+   * The life is over. A note that doesn't say whose it is goes with it: it is
+   * written again within seconds if the later life is slow as well.
+   */
+  forget({
+    address,
+    startedAtMs,
+  }: Pick<BackendServer, "address" | "startedAtMs">): void {
+    const known = this.slow.get(address);
+    if (known === undefined) return;
+    const order = orderOfLives(startedAtMs, known.startedAtMs);
+    if (order !== "later") this.slow.delete(address);
   }
 }
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -338,6 +338,7 @@
   return ranks.map(({ address }, index) => ({
     address,
     slowness: seen[index].state.slowness,
+    startedAtMs: undefined,
   }));
 }
 
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -328,10 +328,11 @@
     runner: "id of the runner",
     service: "service that it runs",
     address: "host:port",
+    startedAtMs: "start of its life, Unix ms; null when not told",
   }),
   212: entry("runner-left", "info", "A runner gets no new work.", {
     runner: "id of the runner",
-    reason: "leaving, removed, lapsed or address taken",
+    reason: "leaving, removed, lapsed, address taken or started again",
   }),
   213: entry("pace-limit-lowered", "info", "Streams are slow; less starts.", {
     service: "service",
--- a/tests/direct/pace-inquiry.test.ts
+++ b/tests/direct/pace-inquiry.test.ts
@@ -4,7 +4,9 @@
 import type { PaceNote } from "../../src/membership/slow-runners.js";
 import { describe, it } from "../support/describe.js";
 
+const START = 1_790_000_000_000;
 const RUNNERS = ["10.0.0.1:1", "10.0.0.2:1"];
+const LATE = RUNNERS.map((address) => ({ address, startedAtMs: START }));
 
 class Site {
   nowMs = 0;
@@ -15,8 +17,7 @@
   readonly inquiry = PaceInquiry.create({
     now: () => this.nowMs,
     emit: ignoreEvents,
-    lateServices: () =>
-      this.isLate ? [{ name: "model", runners: RUNNERS }] : [],
+    lateServices: () => (this.isLate ? [{ name: "model", runners: LATE }] : []),
     slownessOf: (address) => {
       this.asked.push(address);
       return address === RUNNERS[0]
@@ -47,7 +48,9 @@
     await site.looks(() => site.notes.length > 0);
     site.inquiry.onStoreRestored();
     assert.equal(site.asked, RUNNERS);
-    assert.equal(site.notes, [{ address: RUNNERS[0], slowness: 5 }]);
+    assert.equal(site.notes, [
+      { address: RUNNERS[0], slowness: 5, startedAtMs: START },
+    ]);
   });
 
   it("asks nobody while streams are in time, and not all the time", async () => {
--- a/tests/direct/runner-pool.test.ts
+++ b/tests/direct/runner-pool.test.ts
@@ -1,7 +1,7 @@
-import type { Dispatcher } from "undici";
 import * as assert from "uvu/assert";
 import { createRandom, ignoreEvents } from "../../src/internal.js";
-import { RunnerPool } from "../../src/direct/runner-pool.js";
+import type { RunnerConnections } from "../../src/direct/runner-connections.js";
+import { RunnerPool, type Runner } from "../../src/direct/runner-pool.js";
 import { describe, it } from "../support/describe.js";
 
 const SERVER = {
@@ -19,8 +19,10 @@
 class Connections {
   opened = 0;
   closed = 0;
+  /** How connections of earlier lives were ended, in order. */
+  readonly ended: string[] = [];
 
-  readonly connect = (): Dispatcher => {
+  readonly connect = (address: string): RunnerConnections => {
     this.opened += 1;
     let isClosed = false;
     const close = (): Promise<void> => {
@@ -29,7 +31,16 @@
       this.closed += 1;
       return Promise.resolve();
     };
-    return { close } as unknown as Dispatcher;
+    return {
+      dispatch: () => true,
+      close,
+      endAll: () => {
+        this.ended.push(`${address} all`);
+      },
+      endOpenedBefore: (startedAtMs) => {
+        this.ended.push(`${address} before ${startedAtMs}`);
+      },
+    };
   };
 }
 
@@ -72,4 +83,104 @@
     assert.is(connections.opened, 2);
     assert.is(connections.closed, 2);
   });
+
+  describe("that have started again", () => {
+    const FIRST = { ...SERVER, startedAtMs: 1000 };
+    const SAME_ADDRESS = { ...SERVER, startedAtMs: 2000 };
+    const MOVED = { ...SAME_ADDRESS, address: "10.0.0.1:80" };
+    const NOTHING = new Set<Runner>();
+
+    function startAgain(
+      pool: RunnerPool,
+      later: typeof SERVER | typeof FIRST,
+    ): void {
+      pool.remove(FIRST.id);
+      pool.endLife(FIRST, later);
+      pool.set(later);
+    }
+
+    function placed(pool: RunnerPool): Runner {
+      const runner = pool.choose(NOTHING);
+      assert.ok(runner !== undefined);
+      pool.start(runner);
+      return runner;
+    }
+
+    it("fail what runs at another address at once", () => {
+      // The earlier life's VM is cut off: no reset comes. What was sent there
+      // would be waited for until the callers' time is over.
+      const connections = new Connections();
+      const pool = poolOf(connections);
+      pool.set(FIRST);
+      placed(pool);
+      startAgain(pool, MOVED);
+      assert.equal(connections.ended, ["10.0.0.0:80 all"]);
+    });
+
+    it("fail what runs on connections from before at the same address", () => {
+      // Until its registration is read, requests reach the later life as well,
+      // and those must not be cut.
+      const connections = new Connections();
+      const pool = poolOf(connections);
+      pool.set(FIRST);
+      placed(pool);
+      startAgain(pool, SAME_ADDRESS);
+      assert.equal(connections.ended, ["10.0.0.0:80 before 2000"]);
+    });
+
+    it("fail what still runs after they were removed", () => {
+      const connections = new Connections();
+      const pool = poolOf(connections);
+      pool.set(FIRST);
+      placed(pool);
+      pool.remove(FIRST.id);
+      assert.equal(connections.ended, []);
+      pool.endLife(FIRST, MOVED);
+      assert.equal(connections.ended, ["10.0.0.0:80 all"]);
+    });
+
+    it("fail what runs on connections that were replaced", () => {
+      const connections = new Connections();
+      const pool = poolOf(connections);
+      pool.set(FIRST);
+      pool.renew(placed(pool));
+      startAgain(pool, MOVED);
+      assert.equal(connections.ended, ["10.0.0.0:80 all", "10.0.0.0:80 all"]);
+    });
+
+    it("get new connections, and keep no trace of failures before", () => {
+      // Three failures in a row leave the earlier life out, and the last
+      // request found it full. The later one is sound and empty.
+      const connections = new Connections();
+      const pool = poolOf(connections);
+      pool.set(FIRST);
+      for (const verdict of ["failed", "failed", "failed"] as const) {
+        pool.release(placed(pool), verdict);
+      }
+      assert.is(pool.choose(NOTHING), undefined);
+      startAgain(pool, SAME_ADDRESS);
+      assert.is(connections.opened, 2);
+      assert.ok(pool.choose(NOTHING) !== undefined);
+      assert.is(pool.running, 0);
+    });
+
+    it("aren't judged by attempts at the earlier life that end late", () => {
+      const pool = poolOf(new Connections());
+      pool.set(FIRST);
+      const late = placed(pool);
+      startAgain(pool, SAME_ADDRESS);
+      pool.release(late, "full");
+      assert.ok(pool.choose(NOTHING) !== undefined);
+      assert.is(pool.running, 0);
+    });
+
+    it("may be tried again by a request that the earlier life failed", () => {
+      const pool = poolOf(new Connections());
+      pool.set(FIRST);
+      const earlier = placed(pool);
+      startAgain(pool, SAME_ADDRESS);
+      const later = pool.choose(new Set([earlier]));
+      assert.is(later?.server.startedAtMs, 2000);
+    });
+  });
 });
--- a/tests/direct/service-gate.test.ts
+++ b/tests/direct/service-gate.test.ts
@@ -1,4 +1,3 @@
-import type { Dispatcher } from "undici";
 import * as assert from "uvu/assert";
 import {
   createRandom,
@@ -6,18 +5,23 @@
   ignoreEvents,
   type Refusal,
 } from "../../src/internal.js";
+import type { RunnerConnections } from "../../src/direct/runner-connections.js";
+import type { IsSlow } from "../../src/direct/runner-pool.js";
 import { ServiceGate, type Admitted } from "../../src/direct/service-gate.js";
+import type { BackendServer } from "../../src/membership/types.js";
 import type { Call } from "../../src/direct/types.js";
 import { describe, it } from "../support/describe.js";
 import { routeOf } from "../routing/support.js";
 
 const SLOTS = 4;
-const unused = { close: () => Promise.resolve() } as unknown as Dispatcher;
+const unused: RunnerConnections = {
+  dispatch: () => true,
+  close: () => Promise.resolve(),
+  endAll: () => undefined,
+  endOpenedBefore: () => undefined,
+};
 
-function gateWith(
-  runners: number,
-  isSlow: (address: string) => boolean = () => false,
-): ServiceGate {
+function gateWith(runners: number, isSlow: IsSlow = () => false): ServiceGate {
   const gate = ServiceGate.create({
     now: () => performance.now(),
     random: createRandom(5),
@@ -218,4 +222,83 @@
     assert.is(gate.waitingCount, 0);
     await gate.close();
   });
+
+  describe("whose runner has started again", () => {
+    const FIRST: BackendServer = {
+      id: "r0",
+      startedAtMs: 1000,
+      service: "model",
+      address: "10.0.0.0:80",
+      dataCentre: "here",
+      slots: SLOTS,
+      isLeaving: false,
+      heartbeat: 500,
+    };
+    const SECOND: BackendServer = { ...FIRST, startedAtMs: 2000, heartbeat: 1 };
+
+    function startAgain(gate: ServiceGate): void {
+      gate.removeServer(FIRST.id);
+      gate.endLife(FIRST, SECOND);
+      gate.setServer(SECOND);
+    }
+
+    function refused(gate: ServiceGate, result: Result): void {
+      if (result.kind === "refused") throw new TypeError("no place");
+      gate.release(result.admitted, "full");
+      gate.leave(result.admitted, undefined);
+    }
+
+    it("forgets what the earlier life refused", async () => {
+      // The service's only runner refuses until it crashes. Callers wait, and
+      // once the new life is known nothing holds them back.
+      const gate = gateWith(0);
+      gate.setServer(FIRST);
+      const placed = [1, 2, 3, 4].map((index) =>
+        enter(gate, callOf(`c${index}`)),
+      );
+      for (const result of await Promise.all(placed)) refused(gate, result);
+      assert.ok(gate.isOut("model"));
+      const waiting = enter(gate, callOf("waiting"));
+      assert.is(gate.waitingCount, 1);
+      startAgain(gate);
+      assert.not.ok(gate.isOut("model"));
+      assert.is((await waiting).kind, "admitted");
+      await gate.close();
+    });
+
+    it("doesn't count a refusal of the earlier life that comes late", async () => {
+      const gate = gateWith(0);
+      gate.setServer(FIRST);
+      const placed = [1, 2, 3, 4].map((index) =>
+        enter(gate, callOf(`c${index}`)),
+      );
+      const results = await Promise.all(placed);
+      startAgain(gate);
+      for (const result of results) refused(gate, result);
+      assert.not.ok(gate.isOut("model"));
+      assert.is((await enter(gate, callOf("next"))).kind, "admitted");
+      await gate.close();
+    });
+
+    it("tells of its slowness by its life", async () => {
+      const gate = gateWith(2, (_, startedAtMs) => startedAtMs === 1000);
+      gate.setServer(FIRST);
+      const others = await enter(gate, callOf("a"));
+      if (others.kind === "refused") throw new TypeError("no place");
+      assert.is.not(others.admitted.runner.server.id, FIRST.id);
+      startAgain(gate);
+      const next = await enter(gate, callOf("b"));
+      if (next.kind === "refused") throw new TypeError("no place");
+      assert.is(next.admitted.runner.server.startedAtMs, 2000);
+      await gate.close();
+    });
+
+    it("has it in one service only", async () => {
+      const gate = gateWith(0);
+      gate.setServer(FIRST);
+      gate.setServer({ ...FIRST, service: "other" });
+      assert.is((await enter(gate, callOf("a"))).kind, "refused");
+      await gate.close();
+    });
+  });
 });
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -29,6 +29,7 @@
     emit: ignoreEvents,
     onServer: ({ id }) => this.serving.add(id),
     onGone: (id) => this.serving.delete(id),
+    onEnded: () => undefined,
   });
 
   register(fields: Partial<BackendServer>): void {
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -129,19 +129,36 @@
     });
   }
 
-  async addRunner(behave: Behaviour): Promise<SigningRunner> {
+  async addRunner(
+    behave: Behaviour,
+    fields: Readonly<Record<string, unknown>> = {},
+  ): Promise<SigningRunner> {
     const runner = await SigningRunner.create(
       `r${this.runners.length}`,
       behave,
     );
     this.runners.push(runner);
-    this.register(runner, "ready");
+    this.register(runner, "ready", fields);
     return runner;
   }
 
+  /** The runner starts again under its id, at another address. */
+  async startElsewhere(
+    { id }: SigningRunner,
+    behave: Behaviour,
+    fields: Readonly<Record<string, unknown>>,
+  ): Promise<SigningRunner> {
+    const runner = await SigningRunner.create(id, behave);
+    this.runners.push(runner);
+    this.register(runner, "ready", fields);
+    return runner;
+  }
+
+  /** `fields` come after the usual ones. */
   register(
     { id, address }: Pick<SigningRunner, "id" | "address">,
     state: string,
+    fields: Readonly<Record<string, unknown>> = {},
   ): void {
     this.heartbeat += 1;
     this.store.put(topics.register, id, {
@@ -151,6 +168,7 @@
       slots: 4,
       state,
       sequence: this.heartbeat,
+      ...fields,
     });
   }
 
--- a/tests/rankmaps/pace-reporter.test.ts
+++ b/tests/rankmaps/pace-reporter.test.ts
@@ -26,7 +26,9 @@
   });
 
   async look(slowness: number): Promise<void> {
-    this.reporter.look([{ address: ADDRESS, slowness }]);
+    this.reporter.look([
+      { address: ADDRESS, slowness, startedAtMs: undefined },
+    ]);
     await new Promise((resolve) => {
       setImmediate(resolve);
     });
