Take a life whose clock was set back once the known one is silent

A runner whose clock was set back between two starts seems to have started before the life that is known. Its records were taken for late ones, and it was passed over for good.

--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -11,7 +11,7 @@
  */
 import type { Emit, Now } from "../internal.js";
 import { orderOfLives } from "./life.js";
-import { PastLives } from "./past-lives.js";
+import { PAST_LIFE_KEPT_MS, PastLives } from "./past-lives.js";
 import type { BackendServer, RegisterChange } from "./types.js";
 
 /**
@@ -45,6 +45,8 @@
 
 interface Entry {
   readonly server: BackendServer;
+  /** When its life registered last, monotonic ms. */
+  readonly seenAtMs: number;
   /** When it is dropped unless it registers again; undefined while it is in. */
   readonly dropAtMs: number | undefined;
   /** Until then a removal is taken for that of an earlier life, ms. */
@@ -118,8 +120,8 @@
       known === undefined
         ? "same"
         : orderOfLives(known.startedAtMs, seen.startedAtMs);
-    if (order === "earlier") return;
-    if (known !== undefined && order === "later") {
+    if (order === "earlier" && !this.isSilent(seen.id)) return;
+    if (known !== undefined && order !== "same") {
       this.begin(known, seen);
       return;
     }
@@ -132,6 +134,18 @@
     return this.entries.get(id)?.server ?? this.past.get(id)?.server;
   }
 
+  /**
+   * A runner whose clock was set back between two starts seems to have started
+   * before the life that is known, and would be passed over for good. Late
+   * writes are over by this time: what registers is what lives.
+   */
+  private isSilent(id: string): boolean {
+    const seenAtMs =
+      this.entries.get(id)?.seenAtMs ?? this.past.get(id)?.sinceMs;
+    if (seenAtMs === undefined) return false;
+    return this.inputs.now() - seenAtMs >= PAST_LIFE_KEPT_MS;
+  }
+
   /** A record of the life that is known, from before what is known of it. */
   private isStale({ id, heartbeat }: BackendServer): boolean {
     const past = this.past.get(id);
@@ -162,6 +176,7 @@
     this.past.delete(id);
     this.entries.set(id, {
       server,
+      seenAtMs: this.inputs.now(),
       dropAtMs: undefined,
       settledAtMs: known?.settledAtMs ?? settledAtMs,
     });
--- a/src/membership/past-lives.ts
+++ b/src/membership/past-lives.ts
@@ -21,6 +21,8 @@
   /** As it last registered. */
   readonly server: BackendServer;
   readonly standing: PastStanding;
+  /** When it got here, monotonic ms. */
+  readonly sinceMs: number;
   /** Undefined while the register still holds its entry. */
   readonly forgetAtMs: number | undefined;
 }
@@ -49,15 +51,24 @@
 
   /** Its entry stays in the register until it has ended. */
   addLeaving(server: BackendServer): void {
-    const standing = "leaving";
-    this.lives.set(server.id, { server, standing, forgetAtMs: undefined });
+    this.lives.set(server.id, {
+      server,
+      standing: "leaving",
+      sinceMs: this.now(),
+      forgetAtMs: undefined,
+    });
   }
 
   /** Without a start, a later life couldn't be told from this one. */
   addDropped(server: BackendServer): void {
     if (server.startedAtMs === undefined) return;
-    const forgetAtMs = this.now() + PAST_LIFE_KEPT_MS;
-    this.lives.set(server.id, { server, standing: "dropped", forgetAtMs });
+    const sinceMs = this.now();
+    this.lives.set(server.id, {
+      server,
+      standing: "dropped",
+      sinceMs,
+      forgetAtMs: sinceMs + PAST_LIFE_KEPT_MS,
+    });
   }
 
   delete(id: string): void {
--- a/tests/membership/directory-lives.test.ts
+++ b/tests/membership/directory-lives.test.ts
@@ -246,6 +246,41 @@
     assert.is(site.startOf(), undefined);
   });
 
+  describe("whose clock was set back between two starts", () => {
+    it("takes the new life once the known one has been silent for long", () => {
+      // The new life's start seems to be the earlier one, and its records are
+      // taken for late ones. Without a bound nothing would ever go to it.
+      const site = new Site();
+      site.register({ startedAtMs: SECOND });
+      const address = "10.0.0.2:80";
+      site.register({ heartbeat: 1, address });
+      site.pass(PAST_LIFE_KEPT_MS - 1);
+      site.register({ heartbeat: 2, address });
+      assert.is(site.startOf(), SECOND);
+      site.pass(1);
+      site.register({ heartbeat: 3, address });
+      assert.is(site.serving.get("r1")?.address, address);
+      assert.ok(site.told.includes("ended r1@5000 by r1@0"));
+    });
+
+    it("does so after the known one has left", () => {
+      const site = new Site();
+      site.register({ startedAtMs: SECOND, isLeaving: true });
+      site.pass(PAST_LIFE_KEPT_MS);
+      site.register({ heartbeat: 1 });
+      assert.is(site.startOf(), FIRST);
+    });
+
+    it("holds nothing against a life that goes on registering", () => {
+      const site = new Site();
+      site.register({ startedAtMs: SECOND, heartbeat: 1 });
+      site.pass(PAST_LIFE_KEPT_MS);
+      site.register({ startedAtMs: SECOND, heartbeat: 2 });
+      site.register({ heartbeat: 900 });
+      assert.is(site.startOf(), SECOND);
+    });
+  });
+
   it("forgets a past life after a while", () => {
     const site = new Site();
     site.register({ startedAtMs: SECOND });
