--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -251,7 +251,7 @@
   return one.id === other.id && one.startedAtMs === other.startedAtMs;
 }
 
-/** At the same address, connections that are new enough lead to the later life. */
+/** At the same address, connections opened since lead to the later life. */
 function endConnections(runner: Runner, later: BackendServer): void {
   runner.isEnded = true;
   const { address, startedAtMs } = later;
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -23,9 +23,9 @@
 /**
  * After a later life has replaced an earlier one, ms: a removal within this
  * time is the earlier one's that came late, because no life is silent for
- * several heartbeats at its very start. Should the later life have left after all,
- * it may be sent work for two seconds; two readings of the register, 0.7 s each,
- * and this stay within them.
+ * several heartbeats at its very start. Should the later life have left after
+ * all, it may be sent work for two seconds; two readings of the register, 0.7 s
+ * each, and this stay within them.
  */
 export const REPLACED_GRACE_MS = 600;
 
