Join the lives of runners with records judged one by one

Records of a service that nobody has named meet lives in two places. A record under a runner's id that changes from a named service to an unnamed one isn't a life of that runner, whatever start and heartbeat it claims: the runner is dropped until it registers again. A registration of an unnamed service holds no address against a later one. A lapsed note of slowness is forgotten before lives are compared, so that one with a start in the future doesn't outlast its time.

--- a/fuzz/membership/world.ts
+++ b/fuzz/membership/world.ts
@@ -41,6 +41,7 @@
       emit: ignoreEvents,
       onServer: (server) => this.serving.set(server.id, server),
       onGone: (id) => this.serving.delete(id),
+      isServiceNamed: () => true,
       onEnded: (earlier, later) => this.ended.push({ earlier, later }),
     });
   }
--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -10,6 +10,7 @@
   configuration: async () =>
     (await import("./configuration/configuration.js")).configurationTarget,
   orders: async () => (await import("./orders.js")).orders,
+  records: async () => (await import("./records.js")).recordsTarget,
   claims: async () => (await import("./claims/claims.js")).claimsTarget,
   lives: async () => (await import("./membership/lives.js")).livesTarget,
 };
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -41,6 +41,8 @@
    * nothing that still runs there will come to an end.
    */
   readonly onEnded: (earlier: BackendServer, later: BackendServer) => void;
+  /** Whether the configuration in force names the service. */
+  readonly isServiceNamed: (service: string) => boolean;
 }
 
 interface Entry {
@@ -87,9 +89,11 @@
   }
 
   apply(changes: readonly RegisterChange[]): void {
-    for (const { id, server } of changes) {
-      if (server === undefined) this.remove(id);
-      else this.register(server);
+    for (const { id, server, isUnusable } of changes) {
+      if (server !== undefined) this.register(server);
+      // No lapse: the record is there, so an outage explains nothing.
+      else if (isUnusable) this.drop(id, "unusable entry");
+      else this.remove(id);
     }
   }
 
@@ -116,6 +120,10 @@
 
   private register(seen: BackendServer): void {
     const known = this.newestOf(seen.id);
+    if (known !== undefined && this.isForeign(known, seen)) {
+      this.drop(seen.id, "unusable entry");
+      return;
+    }
     const order =
       known === undefined
         ? "same"
@@ -146,6 +154,16 @@
     return this.inputs.now() - seenAtMs >= PAST_LIFE_KEPT_MS;
   }
 
+  /**
+   * A runner of a service that is named doesn't change to one that nobody has
+   * named: the record isn't its own, and its start and heartbeat must not hold
+   * up the runner's.
+   */
+  private isForeign(known: BackendServer, seen: BackendServer): boolean {
+    const { isServiceNamed } = this.inputs;
+    return isServiceNamed(known.service) && !isServiceNamed(seen.service);
+  }
+
   /** A record of the life that is known, from before what is known of it. */
   private isStale({ id, heartbeat }: BackendServer): boolean {
     const past = this.past.get(id);
@@ -191,19 +209,29 @@
   /**
    * An address names one runner: the one that started last, or where that isn't
    * told, the one that registered last. False for a late record of a runner
-   * whose address has gone to another one.
+   * whose address has gone to another one. A registration of a service that
+   * nobody has named may come from anybody: it takes no address, which would
+   * leave a working runner without requests, and holds none.
    */
   private takeAddress(server: BackendServer): boolean {
+    if (!this.inputs.isServiceNamed(server.service)) return true;
     for (const [id, { server: holder }] of this.entries) {
       if (id === server.id || holder.address !== server.address) continue;
-      const order = orderOfLives(holder.startedAtMs, server.startedAtMs);
-      if (order === "earlier") return false;
+      if (!this.mayLose(holder, server)) return false;
       this.drop(id, "address taken");
+      const order = orderOfLives(holder.startedAtMs, server.startedAtMs);
       if (order === "later") this.inputs.onEnded(holder, server);
     }
     return true;
   }
 
+  /** Whether the address of the one may go to the other. */
+  private mayLose(holder: BackendServer, seen: BackendServer): boolean {
+    if (!this.inputs.isServiceNamed(holder.service)) return true;
+    const order = orderOfLives(holder.startedAtMs, seen.startedAtMs);
+    return order !== "earlier" || this.isSilent(holder.id);
+  }
+
   private remove(id: string): void {
     this.past.onRemoved(id);
     const entry = this.entries.get(id);
--- a/src/membership/slow-runners.ts
+++ b/src/membership/slow-runners.ts
@@ -8,8 +8,11 @@
  * and writes down what is out of the ordinary.
  */
 import { z } from "zod";
-import { raise, type Emit, type Now } from "../internal.js";
+import { raise, toFailure, type Emit, type Now } from "../internal.js";
+import { decodeJson } from "../platform/json-value.js";
 import type { KeyedRecord } from "../platform/keyed-topic.js";
+import type { RecordFindings } from "../platform/record-findings.js";
+import { isHostPort } from "./host-port.js";
 import { orderOfLives, type LifeStart } from "./life.js";
 import type { BackendServer } from "./types.js";
 
@@ -32,9 +35,12 @@
  */
 export const NOTE_LASTS_MS = 9000;
 
+/** The name under which findings on notes are told. */
+export const PACE_STREAM = "pace";
+
 /** An older reader passes over the start; an older writer gives none. */
 const valueSchema = z.object({
-  slowness: z.number(),
+  slowness: z.number().positive(),
   startedAtMs: z.int().optional(),
 });
 
@@ -48,12 +54,29 @@
   value,
 }: KeyedRecord): PaceNote | undefined {
   if (value === undefined) return undefined;
-  const result = valueSchema.safeParse(JSON.parse(value.toString()));
-  if (!result.success) return raise(1903, { reason: result.error.message });
-  const { slowness, startedAtMs } = result.data;
+  if (!isHostPort(key))
+    return raise(1903, { reason: "the key is no host:port" });
+  const { slowness, startedAtMs } = decodeJson(valueSchema, value);
   return { address: key, slowness, startedAtMs };
 }
 
+/** The notes that can be read; the others are findings. Doesn't throw. */
+export function readPaceNotes(
+  records: readonly KeyedRecord[],
+  findings: RecordFindings,
+): readonly PaceNote[] {
+  return records.flatMap((record) => {
+    try {
+      return decodePaceNote(record) ?? [];
+    } catch (error) {
+      const { key, value = Buffer.alloc(0) } = record;
+      const reason = toFailure(error, 1903).message;
+      findings.note({ stream: PACE_STREAM, key, content: value, reason });
+      return [];
+    }
+  });
+}
+
 interface SlowLife {
   readonly startedAtMs: LifeStart;
   /** Monotonic time until which the note counts, ms. */
@@ -74,6 +97,7 @@
   }
 
   take({ address, slowness, startedAtMs }: PaceNote): void {
+    this.forgetLapsed();
     const known = this.slow.get(address);
     const order = orderOfLives(known?.startedAtMs, startedAtMs);
     // Written late: it must not undo what is known of a later life.
@@ -90,6 +114,14 @@
     this.slow.set(address, { startedAtMs, untilMs });
   }
 
+  /** Addresses come and go; nobody takes back a note of one that is gone. */
+  private forgetLapsed(): void {
+    const nowMs = this.now();
+    for (const [address, { untilMs }] of this.slow) {
+      if (untilMs <= nowMs) this.slow.delete(address);
+    }
+  }
+
   /** A note of an earlier life at the address doesn't count. */
   isSlow(address: string, startedAtMs: LifeStart): boolean {
     const known = this.slow.get(address);
--- a/tests/membership/directory-lives.test.ts
+++ b/tests/membership/directory-lives.test.ts
@@ -43,6 +43,7 @@
       this.serving.delete(id);
       this.told.push(`gone ${id}`);
     },
+    isServiceNamed: (service) => service === "model",
     onEnded: (earlier, later) => {
       this.told.push(`ended ${nameOf(earlier)} by ${nameOf(later)}`);
     },
@@ -246,6 +247,33 @@
     assert.is(site.startOf(), undefined);
   });
 
+  describe("beside records that name a service nobody has named", () => {
+    const foreign = { startedAtMs: THIRD, service: "nowhere" } as const;
+
+    it("loses the runner of that id only until it registers again", () => {
+      // Somebody else writes under the runner's id, with a start and a heartbeat
+      // from the future. Taken for a later life, it would cut what runs at the
+      // runner and keep it out until its own count had come so far.
+      const site = new Site();
+      site.register({});
+      site.told = [];
+      site.register({ ...foreign, heartbeat: 10_000 });
+      assert.equal(site.told, ["gone r1"]);
+      site.register({ heartbeat: 501 });
+      assert.is(site.startOf(), FIRST);
+    });
+
+    it("loses no address to them", () => {
+      const site = new Site();
+      site.register({ ...foreign, id: "r9" });
+      site.register({});
+      assert.is(site.startOf(), FIRST);
+      site.register({ ...foreign, id: "r8" });
+      assert.is(site.startOf(), FIRST);
+      assert.not.ok(site.told.some((line) => line.startsWith("ended")));
+    });
+  });
+
   describe("whose clock was set back between two starts", () => {
     it("takes the new life once the known one has been silent for long", () => {
       // The new life's start seems to be the earlier one, and its records are
