--- a/fuzz/records/register.ts
+++ b/fuzz/records/register.ts
@@ -95,6 +95,7 @@
     now: () => 0,
     emit: ignoreEvents,
     isServiceNamed: () => false,
+    onEnded: () => undefined,
     onServer: ({ id }) => this.known.add(id),
     onGone: (id) => this.known.delete(id),
   });
--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -12,4 +12,5 @@
   orders: async () => (await import("./orders.js")).orders,
   records: async () => (await import("./records.js")).recordsTarget,
   claims: async () => (await import("./claims/claims.js")).claimsTarget,
+  lives: async () => (await import("./membership/lives.js")).livesTarget,
 };
--- a/src/membership/slow-runners.ts
+++ b/src/membership/slow-runners.ts
@@ -13,6 +13,8 @@
 import type { KeyedRecord } from "../platform/keyed-topic.js";
 import type { RecordFindings } from "../platform/record-findings.js";
 import { isHostPort } from "./host-port.js";
+import { orderOfLives, type LifeStart } from "./life.js";
+import type { BackendServer } from "./types.js";
 
 /** One rank's pace. */
 export interface PaceNote {
@@ -20,6 +22,8 @@
   readonly address: string;
   /** How many times as long as usual it takes for its work. */
   readonly slowness: number;
+  /** Life of the runner that the note is about. */
+  readonly startedAtMs: LifeStart;
 }
 
 /** A rank counts as slow from here on. */
@@ -34,10 +38,14 @@
 /** The name under which findings on notes are told. */
 export const PACE_STREAM = "pace";
 
-const valueSchema = z.object({ slowness: z.number().positive() });
+/** An older reader passes over the start; an older writer gives none. */
+const valueSchema = z.object({
+  slowness: z.number().positive(),
+  startedAtMs: z.int().optional(),
+});
 
-export function encodePaceNote({ slowness }: PaceNote): Buffer {
-  return Buffer.from(JSON.stringify({ slowness }));
+export function encodePaceNote({ slowness, startedAtMs }: PaceNote): Buffer {
+  return Buffer.from(JSON.stringify({ slowness, startedAtMs }));
 }
 
 /** Undefined for a key that was dropped. Throws 1903. */
@@ -48,7 +56,8 @@
   if (value === undefined) return undefined;
   if (!isHostPort(key))
     return raise(1903, { reason: "the key is no host:port" });
-  return { address: key, slowness: decodeJson(valueSchema, value).slowness };
+  const { slowness, startedAtMs } = decodeJson(valueSchema, value);
+  return { address: key, slowness, startedAtMs };
 }
 
 /** The notes that can be read; the others are findings. Doesn't throw. */
@@ -68,9 +77,15 @@
   });
 }
 
+interface SlowLife {
+  readonly startedAtMs: LifeStart;
+  /** Monotonic time until which the note counts, ms. */
+  readonly untilMs: number;
+}
+
 export class SlowRunners {
-  /** Address to the monotonic time until which its note counts, ms. */
-  private readonly slowUntilMs = new Map<string, number>();
+  /** By address. */
+  private readonly slow = new Map<string, SlowLife>();
 
   private constructor(
     private readonly now: Now,
@@ -81,25 +96,50 @@
     return new SlowRunners(now, emit);
   }
 
-  take({ address, slowness }: PaceNote): void {
+  take({ address, slowness, startedAtMs }: PaceNote): void {
+    this.forgetLapsed();
+    const known = this.slow.get(address);
+    const order = orderOfLives(known?.startedAtMs, startedAtMs);
+    // Written late: it must not undo what is known of a later life.
+    if (order === "earlier") return;
     const isSlow = slowness >= SLOW_FROM;
-    if (isSlow !== this.isSlow(address)) {
+    if (isSlow !== this.isSlow(address, startedAtMs)) {
       this.emit(217, { address, slowness });
     }
-    this.forgetLapsed();
-    if (isSlow) this.slowUntilMs.set(address, this.now() + NOTE_LASTS_MS);
-    else this.slowUntilMs.delete(address);
+    if (!isSlow) {
+      this.slow.delete(address);
+      return;
+    }
+    const untilMs = this.now() + NOTE_LASTS_MS;
+    this.slow.set(address, { startedAtMs, untilMs });
   }
 
   /** Addresses come and go; nobody takes back a note of one that is gone. */
   private forgetLapsed(): void {
-    for (const address of this.slowUntilMs.keys()) {
-      if (!this.isSlow(address)) this.slowUntilMs.delete(address);
+    const nowMs = this.now();
+    for (const [address, { untilMs }] of this.slow) {
+      if (untilMs <= nowMs) this.slow.delete(address);
     }
   }
 
-  isSlow(address: string): boolean {
-    const untilMs = this.slowUntilMs.get(address);
-    return untilMs !== undefined && untilMs > this.now();
+  /** A note of an earlier life at the address doesn't count. */
+  isSlow(address: string, startedAtMs: LifeStart): boolean {
+    const known = this.slow.get(address);
+    if (known === undefined || known.untilMs <= this.now()) return false;
+    return orderOfLives(known.startedAtMs, startedAtMs) !== "later";
+  }
+
+  /**
+   * The life is over. A note that doesn't say whose it is goes with it: it is
+   * written again within seconds if the later life is slow as well.
+   */
+  forget({
+    address,
+    startedAtMs,
+  }: Pick<BackendServer, "address" | "startedAtMs">): void {
+    const known = this.slow.get(address);
+    if (known === undefined) return;
+    const order = orderOfLives(startedAtMs, known.startedAtMs);
+    if (order !== "later") this.slow.delete(address);
   }
 }
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -344,6 +344,7 @@
   return ranks.map(({ address }, index) => ({
     address,
     slowness: seen[index].state.slowness,
+    startedAtMs: undefined,
   }));
 }
 
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -16,6 +16,7 @@
     slots: 8,
     isLeaving: false,
     heartbeat: 1,
+    startedAtMs: undefined,
     ...fields,
   };
 }
@@ -30,6 +31,7 @@
     emit: ignoreEvents,
     onServer: ({ id }) => this.serving.add(id),
     onGone: (id) => this.serving.delete(id),
+    onEnded: () => undefined,
     isServiceNamed: (service) => this.services.has(service),
   });
 
