Give no version to two maps when a planner begins anew

A planner that missed a rank for one look was made anew in the same generation of the seat, and its versions began at one again. Ranks that had taken the map of before under that version counted as prepared, the others got another map under it, and the switch went on: a step with two maps. Ranks don't compare them.

The runs of a process now outlast its planners, one for each generation, so versions and fencing numbers only rise.

Test: 'uses no version for two maps when it begins anew', which failed on the code before with two maps under one version.

--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -39,6 +39,7 @@
 import { RankAgent } from "./rank-agent.js";
 import { RankClient } from "./rank-client.js";
 import { createReachableRank } from "./reachable-rank.js";
+import { SwitchRuns } from "./switch-run.js";
 import type { RankPort, RankState } from "./types.js";
 
 export interface AgentOptions {
@@ -75,6 +76,7 @@
   private isGroupStale = true;
   private engine: EngineFigures | undefined;
   private readonly seat: PlannerSeat;
+  private readonly runs = SwitchRuns.create();
   private readonly port: RankPort;
   private readonly pace: PaceReporter;
   private readonly incarnation = randomUUID();
@@ -245,6 +247,7 @@
     const { rank, size } = await this.port.observe();
     return GroupPlanner.create({
       seat: this.seat,
+      runs: this.runs,
       emit: this.emit,
       measurements: this.measurements,
       pace: this.pace,
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -17,7 +17,7 @@
   wholeGroup,
   type AddressedOrder,
 } from "./switch-orders.js";
-import { SwitchRun } from "./switch-run.js";
+import type { SwitchRun, SwitchRuns } from "./switch-run.js";
 import type { WatchedHold } from "./hold-guard.js";
 import type {
   AgentOrder,
@@ -47,6 +47,8 @@
 
 export interface GroupPlannerOptions {
   readonly seat: Pick<PlannerSeat, "generation" | "onFenced">;
+  /** Those of the process: they outlast this planner. */
+  readonly runs: SwitchRuns;
   readonly emit: Emit;
   readonly measurements: Measurements;
   readonly pace: Pick<PaceReporter, "look">;
@@ -176,11 +178,10 @@
   private currentRun(): SwitchRun | undefined {
     const generation = this.options.seat.generation;
     if (generation === undefined) return undefined;
-    if (this.run?.generation !== generation) {
-      this.run = SwitchRun.create(generation);
-      this.goal = undefined;
-    }
-    return this.run;
+    const run = this.options.runs.of(generation);
+    if (this.run !== run) this.goal = undefined;
+    this.run = run;
+    return run;
   }
 
   private forget(): void {
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -92,3 +92,25 @@
     return callOffOrders(states, this.voided, this.takeVersion());
   }
 }
+
+/**
+ * The runs of one process, a single one for each generation of the seat. A
+ * planner may begin anew within a generation, after a rank was out of reach. A
+ * version that it used again could name two maps, one at the ranks that took
+ * it before and one at the others, and a step would begin with both: ranks
+ * don't compare maps. Numbers that only rise within a generation rule it out.
+ */
+export class SwitchRuns {
+  private latest: SwitchRun | undefined;
+
+  static create(): SwitchRuns {
+    return new SwitchRuns();
+  }
+
+  of(generation: number): SwitchRun {
+    if (this.latest?.generation !== generation) {
+      this.latest = SwitchRun.create(generation);
+    }
+    return this.latest;
+  }
+}
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -5,6 +5,7 @@
   GroupPlanner,
   type GroupRank,
 } from "../../src/rankmaps/group-planner.js";
+import { SwitchRuns } from "../../src/rankmaps/switch-run.js";
 import type { RankOrder } from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
 import { HeldEngines } from "./held-engines.js";
@@ -23,12 +24,15 @@
 };
 /** The first expert is wanted far more than the others. */
 const COUNTS = [40_000, 1000, 1000, 1000, 1000, 1000, 1000, 1000];
+/** Demand has turned to the last one. */
+const TURNED_COUNTS = COUNTS.toReversed();
 
 class Group {
   readonly engines = HeldEngines.create(RANKS, createRandom(1));
   readonly ordered: { readonly rank: number; readonly kind: string }[] = [];
   /** Ranks that don't answer any more. */
   readonly silent = new Set<number>();
+  counts: readonly number[] = COUNTS;
   onOrder: (rank: number, order: RankOrder) => void = () => undefined;
 
   readonly ranks: readonly GroupRank[] = Array.from(
@@ -36,20 +40,27 @@
     (_, rank) => this.rankOf(rank),
   );
 
-  readonly planner = GroupPlanner.create({
-    seat: { generation: 1, onFenced: () => undefined },
-    emit: ignoreEvents,
-    measurements: ignoreMeasurements,
-    pace: { look: () => undefined },
-    engine: ENGINE,
-    planner: PLANNER,
-    holder: HOLDER,
-  });
+  private readonly runs = SwitchRuns.create();
+  readonly planner = this.createPlanner();
 
   constructor() {
     this.engines.calm();
   }
 
+  /** In the same process and generation of the seat, knowing no map. */
+  createPlanner(): GroupPlanner {
+    return GroupPlanner.create({
+      seat: { generation: 1, onFenced: () => undefined },
+      runs: this.runs,
+      emit: ignoreEvents,
+      measurements: ignoreMeasurements,
+      pace: { look: () => undefined },
+      engine: ENGINE,
+      planner: PLANNER,
+      holder: HOLDER,
+    });
+  }
+
   kindsAt(rank: number): readonly string[] {
     return this.ordered
       .filter((one) => one.rank === rank)
@@ -70,7 +81,7 @@
         if (this.silent.has(rank)) return Promise.reject(failure(1607));
         const state = this.engines.states()[rank];
         const experts = [[rank, rank + RANKS]];
-        const counts = rank === 0 ? COUNTS : [];
+        const counts = rank === 0 ? this.counts : [];
         return Promise.resolve({ state, counts, countedMs: 250, experts });
       },
       order: (ordered, { fencing }) => {
@@ -124,4 +135,29 @@
     assert.equal(group.kindsAt(HOLDER), ["prepare", "hold"]);
     assert.not.ok(group.ordered.some(({ kind }) => kind === "arm"));
   });
+
+  it("uses no version for two maps when it begins anew", async () => {
+    // A rank is out of reach for a moment while the others prepare. The planner
+    // begins anew, demand has turned, and it makes another map. Under the same
+    // version some ranks would hold the first map and some the second, and
+    // none of them could tell.
+    const group = new Group();
+    const prepared: Extract<RankOrder, { kind: "prepare" }>[] = [];
+    group.onOrder = (_, order) => {
+      if (order.kind === "prepare") prepared.push(order);
+      group.silent.add(3);
+    };
+    await group.planner.step(group.ranks);
+    group.silent.clear();
+    group.counts = TURNED_COUNTS;
+    await group.createPlanner().step(group.ranks);
+    const mapsOf = new Map<number, Set<string>>();
+    for (const { version, sets } of prepared) {
+      const maps = mapsOf.get(version) ?? new Set();
+      mapsOf.set(version, maps.add(JSON.stringify(sets)));
+    }
+    const most = Math.max(...[...mapsOf.values()].map(({ size }) => size));
+    assert.ok(mapsOf.size > 0);
+    assert.is(most, 1, "maps under one version");
+  });
 });
