Read which life a rank's answers belong to, and count within one life

Reports, counts, lists of experts and answers to orders carry the start of the runner's life where the platform tells it; agents pass it on to the planner.

The counts of a rank that began anew, of one whose group got a new epoch, and of one whose agent began anew passed for what was chosen since the last look, as did counts that were overtaken. Now only what is added within one life is told. Experts of another life than the state's are left out: the first map could be taken for a later version.

Tests of before have got the new field.

--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -23,6 +23,7 @@
   AgentOrder,
   MapGoal,
   MapSets,
+  OfLife,
   OrderFence,
   OrderResult,
   RankOrder,
@@ -287,7 +288,9 @@
     const confirmed = await Promise.all(
       orders.map(async ({ rank, order }) => {
         const index = states.findIndex((state) => state.rank === rank);
-        const result = await this.sendOne(ranks[index], order, fence);
+        const { startedAtMs } = states[index];
+        const addressed = { order, startedAtMs };
+        const result = await this.sendOne(ranks[index], addressed, fence);
         if (result?.kind !== "accepted") return false;
         run.onAccepted(rank, fence);
         return result.isDone;
@@ -299,14 +302,14 @@
   /** An order without an answer is sent again after the next look. */
   private async sendOne(
     rank: GroupRank,
-    order: RankOrder,
+    { order, startedAtMs }: OfLife & { readonly order: RankOrder },
     fence: OrderFence,
   ): Promise<OrderResult | undefined> {
     const { emit, seat, planner } = this.options;
     try {
       const result =
         order.kind === "hold"
-          ? await rank.hold({ step: order.step, fence, planner })
+          ? await rank.hold({ step: order.step, fence, planner, startedAtMs })
           : await rank.order(order, fence);
       if (result.kind === "fenced") {
         emit(171, { fencing: fence.fencing, highest: null, error: 1701 });
--- a/src/rankmaps/hold-guard.ts
+++ b/src/rankmaps/hold-guard.ts
@@ -20,7 +20,13 @@
   type AddressedOrder,
 } from "./switch-orders.js";
 import { EACH_GENERATION } from "./switch-run.js";
-import type { AgentOrder, OrderFence, RankPort, RankState } from "./types.js";
+import type {
+  AgentOrder,
+  OfLife,
+  OrderFence,
+  RankPort,
+  RankState,
+} from "./types.js";
 
 export interface HoldGuardOptions {
   readonly port: RankPort;
@@ -32,8 +38,8 @@
   readonly isFencingChecked: boolean;
 }
 
-/** A hold that the planner is about to order. */
-export interface WatchedHold {
+/** A hold that the planner is about to order, at one life of the runner. */
+export interface WatchedHold extends OfLife {
   readonly step: number;
   readonly fence: OrderFence;
   /** The planner's own rank. */
--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -13,13 +13,16 @@
   RankOrderReply,
   RankOrderRequest,
 } from "../wire/generated/rankmaps.js";
+import { CountDeltas } from "./count-deltas.js";
 import type { WatchedHold } from "./hold-guard.js";
 import {
+  expertsOf,
   readOrder,
   writeObservation,
+  writeResult,
   type Observation,
 } from "./rank-messages.js";
-import type { OrderResult, RankCounts, RankPort } from "./types.js";
+import type { RankPort } from "./types.js";
 
 export interface RankAgentOptions {
   readonly port: RankPort;
@@ -32,10 +35,11 @@
   isFenced: false,
   status: 0,
   isDone: false,
+  startedAtMs: undefined,
 };
 
 export class RankAgent {
-  private known: RankCounts = { epoch: -1, counts: [] };
+  private readonly deltas = CountDeltas.create();
   private countedAtMs = performance.now();
 
   private constructor(private readonly options: RankAgentOptions) {}
@@ -64,8 +68,10 @@
         call: ServerUnaryCall<GuardRequest, GuardReply>,
         reply: sendUnaryData<GuardReply>,
       ) => {
-        const { epoch, fencing, step, planner } = call.request;
-        this.options.onHold({ step, planner, fence: { epoch, fencing } });
+        const { epoch, fencing, ...hold } = call.request;
+        const { startedAtMs } = hold;
+        const fence = { epoch, fencing };
+        this.options.onHold({ ...hold, startedAtMs, fence });
         reply(null, {});
       },
     };
@@ -74,14 +80,14 @@
   async observe(request: ObserveRequest): Promise<Observation> {
     const { port } = this.options;
     const { withCounts, withExperts } = request;
-    const [state, counted, experts] = await Promise.all([
+    const [state, counted, held] = await Promise.all([
       port.observe(),
       withCounts ? port.counts() : undefined,
-      withExperts ? port.experts() : [],
+      withExperts ? port.experts() : undefined,
     ]);
-    const counts = counted === undefined ? [] : this.since(counted);
+    const counts = counted === undefined ? [] : this.deltas.take(counted);
     const countedMs = counted === undefined ? 0 : this.elapsedMs();
-    return { state, counts, countedMs, experts };
+    return { state, counts, countedMs, experts: expertsOf(state, held) };
   }
 
   private async order(request: RankOrderRequest): Promise<RankOrderReply> {
@@ -89,18 +95,7 @@
     if (order === undefined) return REFUSED;
     const { epoch, fencing } = request;
     const fence = { epoch, fencing };
-    return replyOf(await this.options.port.order(order, fence));
-  }
-
-  /** A restarted rank counts from zero again. */
-  private since(counted: RankCounts): readonly number[] {
-    const before = this.known;
-    this.known = counted;
-    if (before.epoch !== counted.epoch) return counted.counts;
-    return counted.counts.map((count, index) => {
-      const earlier = before.counts.at(index) ?? 0;
-      return count >= earlier ? count - earlier : count;
-    });
+    return writeResult(await this.options.port.order(order, fence));
   }
 
   private elapsedMs(): number {
@@ -111,15 +106,6 @@
   }
 }
 
-function replyOf(result: OrderResult): RankOrderReply {
-  return {
-    isAccepted: result.kind === "accepted",
-    isFenced: result.kind === "fenced",
-    status: result.kind === "refused" ? result.status : 0,
-    isDone: result.kind === "accepted" && result.isDone,
-  };
-}
-
 async function answer<T>(
   reply: sendUnaryData<T>,
   work: () => Promise<T>,
--- a/src/rankmaps/rank-client.ts
+++ b/src/rankmaps/rank-client.ts
@@ -16,6 +16,7 @@
 } from "../wire/generated/rankmaps.js";
 import {
   readObservation,
+  readResult,
   writeOrder,
   type Observation,
 } from "./rank-messages.js";
@@ -73,17 +74,13 @@
     const reply = await this.call<RankOrderReply>((options, done) => {
       this.client.order(message, new Metadata(), options, done);
     });
-    const { isDone } = reply;
-    if (reply.isAccepted) return { kind: "accepted", isDone };
-    if (reply.isFenced) return { kind: "fenced" };
-    return { kind: "refused", status: reply.status };
+    return readResult(reply);
   }
 
   /** Throws 1607. */
-  async guard({ step, planner, fence }: WatchedHold): Promise<void> {
+  async guard({ fence, ...hold }: WatchedHold): Promise<void> {
     await this.call<GuardReply>((options, done) => {
-      const request = { ...fence, step, planner };
-      this.client.guard(request, new Metadata(), options, done);
+      this.client.guard({ ...fence, ...hold }, new Metadata(), options, done);
     });
   }
 
--- a/src/rankmaps/rank-messages.ts
+++ b/src/rankmaps/rank-messages.ts
@@ -1,12 +1,17 @@
 /** Between the types of this aggregate and the messages between agents. */
+import { orderOfLives } from "../membership/life.js";
 import type {
   ObserveReply,
+  RankOrderReply,
   RankOrderRequest,
 } from "../wire/generated/rankmaps.js";
 import type {
   AgentOrder,
+  HeldExperts,
   MapSets,
   OrderFence,
+  OrderOutcome,
+  OrderResult,
   RankExperts,
   RankState,
 } from "./types.js";
@@ -21,6 +26,19 @@
   readonly experts: RankExperts;
 }
 
+/**
+ * The experts that belong to the state: a rank may start anew between the two
+ * answers, and the map of one life isn't that of the other.
+ */
+export function expertsOf(
+  state: RankState,
+  held: HeldExperts | undefined,
+): RankExperts {
+  if (held === undefined) return [];
+  const order = orderOfLives(state.startedAtMs, held.startedAtMs);
+  return order === "same" ? held.experts : [];
+}
+
 export function writeObservation(observation: Observation): ObserveReply {
   const { state, counts, countedMs, experts } = observation;
   return {
@@ -36,6 +54,7 @@
   return {
     state: {
       ...state,
+      startedAtMs: state.startedAtMs,
       preparedVersion: state.preparedVersion,
       armed: state.armed,
       heldStep: state.heldStep,
@@ -72,6 +91,26 @@
   }
 }
 
+export function writeResult(result: OrderResult): RankOrderReply {
+  return {
+    isAccepted: result.kind === "accepted",
+    isFenced: result.kind === "fenced",
+    status: result.kind === "refused" ? result.status : 0,
+    isDone: result.kind === "accepted" && result.isDone,
+    startedAtMs: result.startedAtMs,
+  };
+}
+
+export function readResult(reply: RankOrderReply): OrderResult {
+  return { ...outcomeOf(reply), startedAtMs: reply.startedAtMs };
+}
+
+function outcomeOf(reply: RankOrderReply): OrderOutcome {
+  const { isAccepted, isFenced, isDone, status } = reply;
+  if (isAccepted) return { kind: "accepted", isDone };
+  return isFenced ? { kind: "fenced" } : { kind: "refused", status };
+}
+
 function orderMessage(order: AgentOrder): RankOrderRequest["order"] {
   switch (order.kind) {
     case "prepare": {
--- a/src/rankmaps/reachable-rank.ts
+++ b/src/rankmaps/reachable-rank.ts
@@ -7,7 +7,7 @@
 import type { Now } from "../internal.js";
 import type { GroupRank } from "./group-planner.js";
 import type { WatchedHold } from "./hold-guard.js";
-import type { Observation } from "./rank-messages.js";
+import { expertsOf, type Observation } from "./rank-messages.js";
 import type { AgentOrder, OrderFence, OrderResult, RankPort } from "./types.js";
 
 /**
@@ -87,6 +87,7 @@
   withExperts: boolean,
 ): Promise<Observation> {
   const state = await runner.observe();
-  const experts = withExperts ? await runner.experts() : [];
+  const held = withExperts ? await runner.experts() : undefined;
+  const experts = expertsOf(state, held);
   return { state, counts: [], countedMs: 0, experts };
 }
--- a/src/rankmaps/types.ts
+++ b/src/rankmaps/types.ts
@@ -3,6 +3,13 @@
  * tells, what it can be told, and the map of a group.
  */
 
+import type { LifeStart } from "../membership/life.js";
+
+/** Said by one life of a runner; tells nothing of a later one. */
+export interface OfLife {
+  readonly startedAtMs: LifeStart;
+}
+
 export interface ArmedMap {
   readonly version: number;
   /** The rank changes to the map as it begins this step. */
@@ -10,7 +17,7 @@
 }
 
 /** What a rank tells of itself. */
-export interface RankState {
+export interface RankState extends OfLife {
   /** Group that the platform has formed; its ranks make every step together. */
   readonly group: string;
   /** New whenever the group was formed anew. */
@@ -32,7 +39,7 @@
 }
 
 /** How often this rank's requests chose each expert. */
-export interface RankCounts {
+export interface RankCounts extends OfLife {
   readonly epoch: number;
   /** Since the rank's start: set * experts + expert. */
   readonly counts: readonly number[];
@@ -41,6 +48,11 @@
 /** The experts of one rank, by set. */
 export type RankExperts = readonly (readonly number[])[];
 
+/** What a rank has on it. */
+export interface HeldExperts extends OfLife {
+  readonly experts: RankExperts;
+}
+
 /** A map: experts by set and rank. */
 export type MapSets = readonly (readonly (readonly number[])[])[];
 
@@ -78,17 +90,23 @@
   readonly fencing: number;
 }
 
-export type OrderResult =
+export type OrderOutcome =
   /** `isDone`: the rank is in the ordered state, not only on its way. */
   | { readonly kind: "accepted"; readonly isDone: boolean }
   | { readonly kind: "refused"; readonly status: number }
   /** A planner with a higher fencing number has ordered already. */
   | { readonly kind: "fenced" };
 
-/** One rank, as the adapter of a platform reaches it. All throw 1607. */
+/** What became of an order, as the life that took it or refused it says. */
+export type OrderResult = OfLife & OrderOutcome;
+
+/**
+ * One rank, as the adapter of a platform reaches it. All throw 1607, and 1903
+ * for an answer that can't be decoded.
+ */
 export interface RankPort {
   readonly observe: () => Promise<RankState>;
   readonly counts: () => Promise<RankCounts>;
-  readonly experts: () => Promise<RankExperts>;
+  readonly experts: () => Promise<HeldExperts>;
   readonly order: (order: RankOrder, fence: OrderFence) => Promise<OrderResult>;
 }
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -6,7 +6,7 @@
   type GroupRank,
 } from "../../src/rankmaps/group-planner.js";
 import { SwitchRuns } from "../../src/rankmaps/switch-run.js";
-import type { RankOrder } from "../../src/rankmaps/types.js";
+import type { OrderResult, RankOrder } from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
 import { HeldEngines } from "./held-engines.js";
 
@@ -74,7 +74,11 @@
       this.engines.deliver();
       this.onOrder(rank, ordered);
     };
-    const accepted = { kind: "accepted", isDone: true } as const;
+    const accepted = (): OrderResult => ({
+      kind: "accepted",
+      isDone: true,
+      startedAtMs: this.engines.states()[rank].startedAtMs,
+    });
     return {
       address: `10.0.0.${rank}:1`,
       observe: () => {
@@ -87,11 +91,11 @@
       order: (ordered, { fencing }) => {
         if (this.silent.has(rank)) return Promise.reject(failure(1607));
         order(ordered, fencing);
-        return Promise.resolve(accepted);
+        return Promise.resolve(accepted());
       },
       hold: ({ step, fence }) => {
         order({ kind: "hold", step }, fence.fencing);
-        return Promise.resolve(accepted);
+        return Promise.resolve(accepted());
       },
     };
   }
--- a/tests/rankmaps/held-engines.ts
+++ b/tests/rankmaps/held-engines.ts
@@ -93,6 +93,7 @@
       armed: engine.armed,
       heldStep: engine.held,
       slowness: 1,
+      startedAtMs: undefined,
     };
   }
 
--- a/tests/rankmaps/hold-guard.test.ts
+++ b/tests/rankmaps/hold-guard.test.ts
@@ -30,14 +30,17 @@
       const observation = { state, counts: [], countedMs: 0, experts: [] };
       return Promise.resolve({ ...state, ...observation });
     },
-    counts: () => Promise.resolve({ epoch: 1, counts: [] }),
-    experts: () => Promise.resolve([]),
+    counts: () => Promise.reject(failure(1607)),
+    experts: () => Promise.reject(failure(1607)),
     order: (order, fence) => {
       if (isStill()) return never;
       engines.send(rank, order, fence);
       const isAccepted = engines.deliver().some((one) => one.rank === rank);
+      const { startedAtMs } = engines.states()[rank];
       return Promise.resolve(
-        isAccepted ? { kind: "accepted", isDone: true } : { kind: "fenced" },
+        isAccepted
+          ? { kind: "accepted", isDone: true, startedAtMs }
+          : { kind: "fenced", startedAtMs },
       );
     },
     hold: () => Promise.reject(failure(1607)),
@@ -72,7 +75,8 @@
     signal: stop.signal,
     isFencingChecked: true,
   });
-  guard.watch({ step: 3, fence: FENCE, planner: PLANNER });
+  const { startedAtMs } = engines.states()[HOLDER];
+  guard.watch({ step: 3, fence: FENCE, planner: PLANNER, startedAtMs });
   while (!isDone()) {
     engines.pass();
     await new Promise((resolve) => {
--- a/tests/rankmaps/reachable-rank.test.ts
+++ b/tests/rankmaps/reachable-rank.test.ts
@@ -19,10 +19,16 @@
   armed: undefined,
   heldStep: 9,
   slowness: 1,
+  startedAtMs: undefined,
 };
 const LOOK = { withCounts: true, withExperts: false };
 const RELEASE = { kind: "release", step: 9 } as const;
 const FENCE = { epoch: 1, fencing: 3 };
+const ACCEPTED = {
+  kind: "accepted",
+  isDone: true,
+  startedAtMs: undefined,
+} as const;
 
 class Rank {
   nowMs = 0;
@@ -47,7 +53,7 @@
       order: () => {
         this.asked.push("agent");
         if (!this.isAgentAlive) return Promise.reject(failure(1607));
-        return Promise.resolve({ kind: "accepted", isDone: true });
+        return Promise.resolve(ACCEPTED);
       },
       guard: () => {
         this.asked.push("guard");
@@ -64,10 +70,10 @@
         return Promise.resolve(STATE);
       },
       counts: () => Promise.reject(failure(1607)),
-      experts: () => Promise.resolve([]),
+      experts: () => Promise.resolve({ experts: [], startedAtMs: undefined }),
       order: () => {
         this.asked.push("runner");
-        return Promise.resolve({ kind: "accepted", isDone: true });
+        return Promise.resolve(ACCEPTED);
       },
     };
   }
@@ -90,7 +96,7 @@
     assert.is(state.heldStep, 9);
     assert.equal(counts, []);
     const result = await rank.reach.order(RELEASE, FENCE);
-    assert.equal(result, { kind: "accepted", isDone: true });
+    assert.equal(result, ACCEPTED);
     // The second call doesn't wait for the silent agent again.
     assert.equal(rank.asked, ["agent", "runner", "runner"]);
   });
@@ -99,7 +105,12 @@
     // The planner's VM may stand still right after the hold, and then the agent
     // at the holder lets the group go on. Without one nobody would.
     const rank = new Rank();
-    const hold = { step: 9, fence: FENCE, planner: 0 };
+    const hold = {
+      step: 9,
+      fence: FENCE,
+      planner: 0,
+      startedAtMs: undefined,
+    };
     await rank.reach.hold(hold);
     assert.equal(rank.asked, ["guard", "runner"]);
     rank.isAgentAlive = false;
--- /dev/null
+++ b/tests/rankmaps/runner-port.test.ts
@@ -0,0 +1,115 @@
+import * as assert from "uvu/assert";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createRankPort } from "../../platform/runner.js";
+import { ApricotdeckError } from "../../src/internal.js";
+import type { RankPort } from "../../src/rankmaps/types.js";
+import { describe, it } from "../support/describe.js";
+
+const STARTED_AT_MS = 1_790_000_000_123;
+const FENCE = { epoch: 1, fencing: 3 };
+const RELEASE = { kind: "release", step: 9 } as const;
+/** All that a runner may answer, in one body. */
+const FIELDS = { epoch: 1, counts: [5], mapping: { experts: [[0]] } };
+const REPORT = { step: 4, mapping: 2 };
+
+interface Reply {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** What a port makes of one answer, read from a plain server. */
+async function ask<T>(
+  { status, body }: Reply,
+  call: (port: RankPort) => Promise<T>,
+): Promise<T> {
+  const server = createServer((request, response) => {
+    request.resume();
+    response.writeHead(status, { connection: "close" }).end(body);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  try {
+    return await call(createRankPort(`127.0.0.1:${port}`));
+  } finally {
+    server.close();
+  }
+}
+
+function replyOf(fields: object, status = 200): Reply {
+  return { status, body: JSON.stringify(fields) };
+}
+
+async function startOfAnswers(
+  born: unknown,
+): Promise<readonly (number | undefined)[]> {
+  const reply = replyOf({ ...FIELDS, born });
+  const report = replyOf({ ...REPORT, born });
+  const said = [
+    await ask(report, (port) => port.observe()),
+    await ask(reply, (port) => port.counts()),
+    await ask(reply, (port) => port.experts()),
+    await ask(reply, (port) => port.order(RELEASE, FENCE)),
+  ];
+  return said.map(({ startedAtMs }) => startedAtMs);
+}
+
+async function errorOf(work: Promise<unknown>): Promise<unknown> {
+  try {
+    await work;
+    return undefined;
+  } catch (error) {
+    return error instanceof ApricotdeckError ? error.number : error;
+  }
+}
+
+describe("runner of a rank", () => {
+  it("tells in every answer which life it is in", async () => {
+    const all = Array<number>(4).fill(STARTED_AT_MS);
+    assert.equal(await startOfAnswers(STARTED_AT_MS), all);
+  });
+
+  it("may leave its start out", async () => {
+    const none = Array<undefined>(4).fill(undefined);
+    assert.equal(await startOfAnswers(undefined), none);
+  });
+
+  it("may answer an order without a body", async () => {
+    const done = await ask({ status: 200, body: "" }, (port) =>
+      port.order(RELEASE, FENCE),
+    );
+    assert.equal(done, {
+      kind: "accepted",
+      isDone: true,
+      startedAtMs: undefined,
+    });
+  });
+
+  it("tells with a refused order which life refused it", async () => {
+    const born = STARTED_AT_MS;
+    const refused = await ask(replyOf({ born }, 409), (port) =>
+      port.order(RELEASE, FENCE),
+    );
+    assert.equal(refused, { kind: "refused", status: 409, startedAtMs: born });
+    const fenced = await ask(replyOf({ born }, 412), (port) =>
+      port.order(RELEASE, FENCE),
+    );
+    assert.equal(fenced, { kind: "fenced", startedAtMs: born });
+  });
+
+  for (const born of [1.5, "1790000000123", null, true, {}]) {
+    it(`gives no usable answer with a start of ${JSON.stringify(born)}`, async () => {
+      const reply = replyOf({ ...FIELDS, born });
+      const report = replyOf({ ...REPORT, born });
+      const errors = [
+        await errorOf(ask(report, (port) => port.observe())),
+        await errorOf(ask(reply, (port) => port.counts())),
+        await errorOf(ask(reply, (port) => port.experts())),
+        await errorOf(ask(reply, (port) => port.order(RELEASE, FENCE))),
+      ];
+      assert.equal(errors, [1903, 1903, 1903, 1903]);
+    });
+  }
+});
