Let no step go half armed after a switch was called off

Two ways were open. An arm carried out between the last look and the disarm that makes it void was missed, because its rank counted as unarmed from then on without another look; the step was released with this rank armed. And orders of the call-off carried out once more, late, under the number that the next switch used too: a disarm of a version armed again, or the release of a step that an idle group has held again.

After a disarm the planner looks again before it releases anything, and each call-off leaves its number behind.

The group of the test now says whether its engines took an order, and the planner of the histories looks again like the product's.

--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -148,9 +148,11 @@
       if (isPreparing) return SWITCH_INTERVAL_MS;
       if (!done) return URGENT_INTERVAL_MS;
       const isHold = orders.some(({ order }) => order.kind === "hold");
-      states = isHold
+      const next = isHold
         ? await this.lookAgain(ranks)
         : afterOrders(states, orders);
+      if (next === undefined) return URGENT_INTERVAL_MS;
+      states = next;
     }
     return URGENT_INTERVAL_MS;
   }
--- a/src/rankmaps/switch-orders.ts
+++ b/src/rankmaps/switch-orders.ts
@@ -159,11 +159,21 @@
   return armed?.version === version && armed.step === step;
 }
 
-/** The group as it is once the orders are carried out. */
+/**
+ * The group as it is once the orders are carried out; undefined where only
+ * another look can tell. A disarm makes void what was ordered before, but an
+ * arm may have been carried out between the last look and the disarm, for
+ * another version. Taken for unarmed, its rank would begin the released step on
+ * another map than the rest.
+ */
 export function afterOrders(
   states: readonly RankState[],
   orders: readonly AddressedOrder[],
-): readonly RankState[] {
+): readonly RankState[] | undefined {
+  const isUnknown = orders.some(
+    ({ order }) => order.kind === "prepare" || order.kind === "disarm",
+  );
+  if (isUnknown) return undefined;
   return states.map((state) =>
     orders
       .filter(({ rank }) => rank === state.rank)
@@ -174,13 +184,12 @@
 function afterOrder(state: RankState, order: RankOrder): RankState {
   switch (order.kind) {
     case "prepare":
+    case "disarm":
       return state;
     case "arm": {
       const { version, step } = order;
       return { ...state, armed: { version, step } };
     }
-    case "disarm":
-      return { ...state, armed: undefined };
     case "hold":
       return { ...state, heldStep: order.step };
     case "release":
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -51,7 +51,7 @@
     if (this.isCallingOff) {
       const orders = this.callOff(states);
       if (orders.length > 0) return orders;
-      this.isCallingOff = false;
+      this.endCallOff();
     }
     const pending = pendingSwitch(states);
     switch (pending.kind) {
@@ -88,6 +88,18 @@
     this.voided.clear();
   }
 
+  /**
+   * Orders of the call-off may still be carried out late: a disarm of a version
+   * that is armed again, or the release of a step that is held again, which an
+   * idle group hasn't begun. Either could let a step begin half armed. Under a
+   * number of its own the next switch makes them void, rank by rank.
+   */
+  private endCallOff(): void {
+    this.isCallingOff = false;
+    this.callOffs += 1;
+    this.voided.clear();
+  }
+
   private callOff(states: readonly RankState[]): readonly AddressedOrder[] {
     return callOffOrders(states, this.voided, this.takeVersion());
   }
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -6,7 +6,11 @@
   type GroupRank,
 } from "../../src/rankmaps/group-planner.js";
 import { SwitchRuns } from "../../src/rankmaps/switch-run.js";
-import type { OrderResult, RankOrder } from "../../src/rankmaps/types.js";
+import type {
+  OrderFence,
+  OrderResult,
+  RankOrder,
+} from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
 import { HeldEngines } from "./held-engines.js";
 
@@ -33,7 +37,8 @@
   /** Ranks that don't answer any more. */
   readonly silent = new Set<number>();
   counts: readonly number[] = COUNTS;
-  onOrder: (rank: number, order: RankOrder) => void = () => undefined;
+  onOrder: (rank: number, order: RankOrder, fence: OrderFence) => void = () =>
+    undefined;
 
   readonly ranks: readonly GroupRank[] = Array.from(
     { length: RANKS },
@@ -68,17 +73,16 @@
   }
 
   private rankOf(rank: number): GroupRank {
-    const order = (ordered: RankOrder, fencing: number): void => {
+    const order = (ordered: RankOrder, fence: OrderFence): OrderResult => {
       this.ordered.push({ rank, kind: ordered.kind });
-      this.engines.send(rank, ordered, { epoch: 1, fencing });
-      this.engines.deliver();
-      this.onOrder(rank, ordered);
+      const { startedAtMs } = this.engines.states()[rank];
+      this.engines.send(rank, ordered, fence);
+      const isTaken = this.engines.deliver().some((one) => one.rank === rank);
+      this.onOrder(rank, ordered, fence);
+      return isTaken
+        ? { kind: "accepted", isDone: true, startedAtMs }
+        : { kind: "refused", status: 409, startedAtMs };
     };
-    const accepted = (): OrderResult => ({
-      kind: "accepted",
-      isDone: true,
-      startedAtMs: this.engines.states()[rank].startedAtMs,
-    });
     return {
       address: `10.0.0.${rank}:1`,
       observe: () => {
@@ -88,15 +92,12 @@
         const counts = rank === 0 ? this.counts : [];
         return Promise.resolve({ state, counts, countedMs: 250, experts });
       },
-      order: (ordered, { fencing }) => {
+      order: (ordered, fence) => {
         if (this.silent.has(rank)) return Promise.reject(failure(1607));
-        order(ordered, fencing);
-        return Promise.resolve(accepted());
-      },
-      hold: ({ step, fence }) => {
-        order({ kind: "hold", step }, fence.fencing);
-        return Promise.resolve(accepted());
+        return Promise.resolve(order(ordered, fence));
       },
+      hold: ({ step, fence }) =>
+        Promise.resolve(order({ kind: "hold", step }, fence)),
     };
   }
 }
@@ -164,4 +165,54 @@
     assert.ok(mapsOf.size > 0);
     assert.is(most, 1, "maps under one version");
   });
+
+  it("looks again between calling a switch off and letting the step go", async () => {
+    // A step is held that the ranks can't all be armed for. While the orders
+    // that call the switch off are under way, an earlier arm is carried out at
+    // one rank, just before the order that would have made it void. Let go now,
+    // the step would begin with this rank alone on the new map.
+    const group = new Group();
+    const { engines } = group;
+    const fence = { epoch: 1, fencing: 2 };
+    for (const [rank, version] of [5, 5, 5, 6].entries()) {
+      engines.send(rank, { kind: "prepare", version, sets: [] }, fence);
+    }
+    engines.send(HOLDER, { kind: "hold", step: 3 }, fence);
+    engines.deliver();
+    group.onOrder = (rank) => {
+      if (rank !== 0) return;
+      engines.send(2, { kind: "arm", version: 5, step: 3 }, fence);
+      engines.deliver();
+    };
+    for (let step = 0; step < 4; step += 1) {
+      await group.planner.step(group.ranks);
+      for (let pass = 0; pass < 4; pass += 1) engines.pass();
+    }
+    assert.is(engines.history.mixedPasses, 0);
+    assert.ok(engines.history.passes > 2);
+  });
+
+  it("lets no late release of a call-off through in the next switch", async () => {
+    // A step is held with nothing prepared, and the planner lets it go. The
+    // group is idle, so the next switch holds the same step. The release of
+    // before is carried out once more, when one rank is armed: the step would
+    // begin with this rank alone on the new map.
+    const group = new Group();
+    const { engines } = group;
+    engines.send(HOLDER, { kind: "hold", step: 4 }, { epoch: 1, fencing: 2 });
+    engines.deliver();
+    let released: OrderFence | undefined;
+    group.onOrder = (_, { kind }, fence) => {
+      if (kind === "release") released ??= fence;
+      if (kind !== "arm" || released === undefined) return;
+      engines.send(HOLDER, { kind: "release", step: 4 }, released);
+      engines.deliver();
+      for (let pass = 0; pass < 5; pass += 1) engines.pass();
+    };
+    for (let step = 0; step < 6; step += 1) {
+      await group.planner.step(group.ranks);
+    }
+    assert.ok(group.ordered.some(({ kind }) => kind === "arm"));
+    assert.is(engines.history.mixedPasses, 0);
+  });
 });
--- a/tests/rankmaps/switch-orders.test.ts
+++ b/tests/rankmaps/switch-orders.test.ts
@@ -64,9 +64,10 @@
         for (const answer of answers) run.onAccepted(answer.rank, answer.fence);
         return answers.some((answer) => answer.rank === rank);
       });
-      const isPreparing = orders.some(({ order }) => order.kind === "prepare");
-      if (isPreparing || confirmed.length < orders.length) return;
-      states = afterOrders(states, orders);
+      if (confirmed.length < orders.length) return;
+      const next = afterOrders(states, orders);
+      if (next === undefined) return;
+      states = next;
     }
   }
 }
