--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -244,7 +244,7 @@
     const engine = await this.engineFigures(signal);
     if (engine === undefined || engine.expertSets === 0) return undefined;
     await this.knownGroup();
-    const { rank, size } = await this.port.observe();
+    const { epoch, rank, size } = await this.port.observe();
     return GroupPlanner.create({
       seat: this.seat,
       runs: this.runs,
@@ -252,6 +252,7 @@
       measurements: this.measurements,
       pace: this.pace,
       engine,
+      epoch,
       planner: rank,
       holder: (rank + 1) % size,
     });
--- a/src/rankmaps/back-out.ts
+++ b/src/rankmaps/back-out.ts
@@ -18,7 +18,7 @@
   /** Rank of the planner that had the step held. */
   readonly planner: number;
   readonly step: number;
-  /** Ranks that have accepted the higher fencing number. */
+  /** Ranks whose present life has accepted the higher fencing number. */
   readonly voided: ReadonlySet<number>;
   /** A version that no rank has prepared. */
   readonly unusedVersion: number;
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -3,6 +3,7 @@
  * ranks, follows demand, and takes each better map through its switch.
  */
 import { raise, toFailure, type Emit, type Measurements } from "../internal.js";
+import { orderOfLives, type LifeStart } from "../membership/life.js";
 import type { PaceNote } from "../membership/slow-runners.js";
 import type { EngineFigures } from "../routing/types.js";
 import { ExpertDemand } from "./demand.js";
@@ -44,6 +45,8 @@
   ) => Promise<OrderResult>;
   /** Has the rank hold a step, with its agent watching over it. */
   readonly hold: (hold: WatchedHold) => Promise<OrderResult>;
+  /** Whether a later life of the runner than this one has been seen. */
+  readonly isOver: (startedAtMs: LifeStart) => boolean;
 }
 
 export interface GroupPlannerOptions {
@@ -54,6 +57,8 @@
   readonly measurements: Measurements;
   readonly pace: Pick<PaceReporter, "look">;
   readonly engine: EngineFigures;
+  /** The ranks below are numbered for this epoch; the next may number anew. */
+  readonly epoch: number;
   /** The own rank, armed after all others. */
   readonly planner: number;
   /**
@@ -63,9 +68,10 @@
   readonly holder: number;
 }
 
-/** What is known of the group in its present epoch. */
+/** What is known of the group while no rank of it starts anew. */
 interface GroupView {
-  readonly epoch: number;
+  /** By rank. */
+  readonly lives: readonly LifeStart[];
   readonly planner: MapPlanner;
   readonly demand: ExpertDemand;
   map: MapSets;
@@ -107,7 +113,7 @@
   /**
    * One look at the group and what follows from it. Resolves with the time to
    * the next one, ms. Throws 1607 when a rank can't be reached, 1606 when they
-   * don't make up a whole group.
+   * don't make up a whole group of the planner's epoch.
    */
   async step(ranks: readonly GroupRank[]): Promise<number> {
     const run = this.currentRun();
@@ -119,7 +125,7 @@
       ranks.map((rank) => rank.observe({ withCounts, withExperts })),
     );
     const states = wholeGroup(seen.map(({ state }) => state));
-    if (states === undefined) {
+    if (states?.[0].epoch !== this.options.epoch) {
       this.forget();
       return raise(1606, { ranks: seen.length });
     }
@@ -140,6 +146,8 @@
   ): Promise<number> {
     let states = seen;
     for (let round = 0; round < MOST_ROUNDS; round += 1) {
+      // What an earlier life had prepared, armed or held is gone with it.
+      if (isOutdated(ranks, states)) return URGENT_INTERVAL_MS;
       const due = run.nextOrders(states, this.goal);
       if (due.length === 0) return this.calmInterval();
       const orders = isArming(due) ? armingWave(due, this.options) : due;
@@ -198,8 +206,8 @@
     withCounts: boolean,
     nowMs: number,
   ): void {
-    const { epoch, mapVersion } = states[0];
-    if (this.view !== undefined && this.view.epoch !== epoch) this.forget();
+    const { mapVersion } = states[0];
+    if (this.view !== undefined && !isOfLives(states, this.view)) this.forget();
     const isStale = this.view?.mapVersion !== mapVersion;
     if (this.view === undefined || isStale) this.learnMap(seen, states);
     if (!withCounts) return;
@@ -216,7 +224,7 @@
     seen: readonly Observation[],
     states: readonly RankState[],
   ): void {
-    const { epoch, mapVersion, size } = states[0];
+    const { mapVersion, size } = states[0];
     if (!isInForce(states, mapVersion)) return;
     if (this.view !== undefined && this.goal?.version === mapVersion) {
       this.view.map = this.goal.plan.sets;
@@ -238,7 +246,7 @@
       slotsPerRank: engine.slotsPerRank,
     };
     this.view = {
-      epoch,
+      lives: byRank.map(({ state }) => state.startedAtMs),
       map,
       mapVersion,
       planner: MapPlanner.create(shape, limitsOf(engine)),
@@ -294,8 +302,10 @@
         const addressed = { order, startedAtMs };
         const result = await this.sendOne(ranks[index], addressed, fence);
         if (result?.kind !== "accepted") return false;
-        run.onAccepted(rank, fence);
-        return result.isDone;
+        run.onAccepted(rank, fence, result.startedAtMs);
+        // A later life that took it shows another state than the one seen.
+        const life = orderOfLives(startedAtMs, result.startedAtMs);
+        return result.isDone && life === "same";
       }),
     );
     return confirmed.every((isDone) => isDone);
@@ -333,6 +343,25 @@
   }
 }
 
+function isOfLives(
+  states: readonly RankState[],
+  { lives }: GroupView,
+): boolean {
+  return states.every(
+    ({ rank, startedAtMs }) =>
+      orderOfLives(lives[rank], startedAtMs) === "same",
+  );
+}
+
+function isOutdated(
+  ranks: readonly GroupRank[],
+  states: readonly RankState[],
+): boolean {
+  return states.some(({ startedAtMs }, index) =>
+    ranks[index].isOver(startedAtMs),
+  );
+}
+
 function isArming(orders: readonly AddressedOrder[]): boolean {
   return orders.every(({ order }) => order.kind === "arm");
 }
@@ -344,6 +373,7 @@
   return ranks.map(({ address }, index) => ({
     address,
     slowness: seen[index].state.slowness,
+    startedAtMs: seen[index].state.startedAtMs,
   }));
 }
 
--- a/src/rankmaps/hold-guard.ts
+++ b/src/rankmaps/hold-guard.ts
@@ -11,7 +11,9 @@
  */
 import { pause } from "../daemon/background-task.js";
 import { toFailure, type Emit } from "../internal.js";
+import { orderOfLives } from "../membership/life.js";
 import { backOutOrders } from "./back-out.js";
+import { FencedRanks } from "./fenced-ranks.js";
 import type { GroupRank } from "./group-planner.js";
 import {
   armingWave,
@@ -46,6 +48,16 @@
   readonly planner: number;
 }
 
+/** A hold, and who has accepted the number that gives its step up. */
+interface Watch {
+  readonly hold: WatchedHold;
+  readonly voided: FencedRanks;
+}
+
+interface Acceptance extends OfLife {
+  readonly rank: number;
+}
+
 /**
  * From hold to release a planner takes about 20 ms; an order that got no answer
  * adds some 100 ms. Later than this it is taken for frozen, ms.
@@ -62,8 +74,7 @@
 const GIVE_UP_MS = 6000;
 
 export class HoldGuard {
-  private isWatching = false;
-  private readonly voided = new Set<number>();
+  private readonly watched = new Set<Watch>();
 
   private constructor(private readonly options: HoldGuardOptions) {}
 
@@ -71,53 +82,72 @@
     return new HoldGuard(options);
   }
 
-  /** The own rank is about to be told to hold the step. */
+  /**
+   * The own rank is about to be told to hold the step. Each hold is watched by
+   * itself: one of an earlier life or epoch, whose group is gone, must not keep
+   * the next one from being watched.
+   */
   watch(hold: WatchedHold): void {
-    if (this.isWatching) return;
-    this.isWatching = true;
-    this.voided.clear();
-    void this.run(hold);
+    const watched = [...this.watched];
+    if (watched.some((watch) => isSameHold(watch.hold, hold))) return;
+    void this.run({ hold, voided: FencedRanks.create() });
   }
 
-  private async run(hold: WatchedHold): Promise<void> {
+  private async run(watch: Watch): Promise<void> {
+    this.watched.add(watch);
+    await this.keepWatch(watch);
+    this.watched.delete(watch);
+  }
+
+  private async keepWatch(watch: Watch): Promise<void> {
     const { signal, emit } = this.options;
-    const { step } = hold;
+    const { step } = watch.hold;
     const startedAtMs = performance.now();
     const elapsedMs = (): number => performance.now() - startedAtMs;
     await pause(PATIENCE_MS, signal);
     let isTold = false;
     while (!signal.aborted && elapsedMs() < GIVE_UP_MS) {
-      if (!(await this.isHeld(step))) break;
+      if (!(await this.isHeld(watch.hold))) return;
       if (!isTold) emit(164, { step, heldMs: Math.round(elapsedMs()) });
       isTold = true;
-      await this.act(hold);
+      await this.act(watch);
       await pause(LOOK_INTERVAL_MS, signal);
     }
-    this.isWatching = false;
   }
 
-  private async isHeld(step: number): Promise<boolean> {
+  private async isHeld({
+    step,
+    fence,
+    startedAtMs,
+  }: WatchedHold): Promise<boolean> {
     try {
       const state = await this.options.port.observe();
-      return state.heldStep === step;
+      // The step of a later life or epoch may have the same number.
+      const order = orderOfLives(startedAtMs, state.startedAtMs);
+      const isGone = order === "later" || state.epoch !== fence.epoch;
+      return !isGone && state.heldStep === step;
     } catch (error) {
       this.note(error);
       return true;
     }
   }
 
-  private async act(hold: WatchedHold): Promise<void> {
+  private async act(watch: Watch): Promise<void> {
     try {
       const ranks = await this.options.group();
       const timeout = pause(LOOK_TIMEOUT_MS, this.options.signal);
-      const seen = await Promise.all(
+      const looks = await Promise.all(
         ranks.map((rank) => this.stateOf(rank, timeout)),
       );
+      // Of an earlier life by now: as good as out of reach for this look.
+      const seen = looks.map((state, index) =>
+        ranks[index].isOver(state?.startedAtMs) ? undefined : state,
+      );
       const reached = seen.filter((state) => state !== undefined);
       const states = wholeGroup(reached);
       const isWhole = states !== undefined && reached.length === ranks.length;
-      if (isWhole) await this.finish(ranks, seen, states, hold);
-      else await this.backOut(ranks, seen, reached, hold);
+      if (isWhole) await this.finish(ranks, seen, states, watch);
+      else await this.backOut(ranks, seen, reached, watch);
     } catch (error) {
       this.note(error);
     }
@@ -127,48 +157,55 @@
     ranks: readonly GroupRank[],
     seen: readonly (RankState | undefined)[],
     states: readonly RankState[],
-    { step, fence, planner }: WatchedHold,
+    { hold, voided }: Watch,
   ): Promise<void> {
+    const { step, fence, planner } = hold;
     const pending = pendingSwitch(states);
     if (pending.kind !== "orders") return;
     const holder = states.find(({ heldStep }) => heldStep === step)?.rank;
     if (holder === undefined) return;
     const orders = armingWave(pending.orders, { planner, holder });
     // Ranks that were to give the step up refuse the planner's own number.
-    const isRaised = this.voided.size > 0;
-    await this.send(ranks, seen, orders, isRaised ? raised(fence) : fence);
+    const own = voided.isEmpty ? fence : raised(fence);
+    await this.send(ranks, seen, orders, own);
   }
 
   private async backOut(
     ranks: readonly GroupRank[],
     seen: readonly (RankState | undefined)[],
     reached: readonly RankState[],
-    { step, fence, planner }: WatchedHold,
+    { hold, voided }: Watch,
   ): Promise<void> {
     if (!this.options.isFencingChecked) return;
-    const { voided } = this;
+    const { step, fence, planner } = hold;
     const generation = Math.floor(fence.fencing / EACH_GENERATION);
     const unusedVersion = (generation + 1) * EACH_GENERATION - 1;
-    const inputs = { reached, planner, step, voided, unusedVersion };
-    const orders = backOutOrders(inputs);
+    const orders = backOutOrders({
+      reached,
+      planner,
+      step,
+      voided: voided.among(reached),
+      unusedVersion,
+    });
     const accepted = await this.send(ranks, seen, orders, raised(fence));
-    for (const rank of accepted) voided.add(rank);
+    for (const { rank, startedAtMs } of accepted) voided.add(rank, startedAtMs);
   }
 
-  /** Resolves with the ranks that have taken their order. */
+  /** Resolves with the ranks, and their lives, that have taken their order. */
   private async send(
     ranks: readonly GroupRank[],
     seen: readonly (RankState | undefined)[],
     orders: readonly AddressedOrder<AgentOrder>[],
     fence: OrderFence,
-  ): Promise<readonly number[]> {
-    const accepted: number[] = [];
+  ): Promise<readonly Acceptance[]> {
+    const accepted: Acceptance[] = [];
     await Promise.all(
       orders.map(async ({ rank, order }) => {
         const index = seen.findIndex((state) => state?.rank === rank);
         try {
           const result = await ranks[index].order(order, fence);
-          if (result.kind === "accepted") accepted.push(rank);
+          const { kind, startedAtMs } = result;
+          if (kind === "accepted") accepted.push({ rank, startedAtMs });
         } catch (error) {
           this.note(error);
         }
@@ -197,6 +234,16 @@
   }
 }
 
+function isSameHold(known: WatchedHold, hold: WatchedHold): boolean {
+  return (
+    known.step === hold.step &&
+    known.planner === hold.planner &&
+    known.startedAtMs === hold.startedAtMs &&
+    known.fence.epoch === hold.fence.epoch &&
+    known.fence.fencing === hold.fence.fencing
+  );
+}
+
 /** Makes all orders under the fence void where it is accepted. */
 function raised(fence: OrderFence): OrderFence {
   return { ...fence, fencing: fence.fencing + 1 };
--- a/src/rankmaps/reachable-rank.ts
+++ b/src/rankmaps/reachable-rank.ts
@@ -3,10 +3,17 @@
  * agent doesn't answer: a frozen or killed agent must not keep its whole group
  * waiting at a held step. Counts are left out then; reading them from afar
  * makes the group pause.
+ *
+ * What an earlier life of the runner says, once a later one was seen, counts as
+ * no answer: an order that it took proves nothing, because the later life knows
+ * neither the order nor its fencing number. Taken for done, a step could begin
+ * with this rank on the old map.
  */
-import type { Now } from "../internal.js";
+import { raise, type Now } from "../internal.js";
+import type { LifeStart } from "../membership/life.js";
 import type { GroupRank } from "./group-planner.js";
 import type { WatchedHold } from "./hold-guard.js";
+import { LatestLife } from "./latest-life.js";
 import { expertsOf, type Observation } from "./rank-messages.js";
 import type { AgentOrder, OrderFence, OrderResult, RankPort } from "./types.js";
 
@@ -24,6 +31,8 @@
 /** A failure within this time comes from a VM without an agent, ms. */
 const AT_ONCE_MS = 50;
 
+const EARLIER_LIFE = "answer of an earlier life";
+
 /** A rank by way of its agent alone. */
 export interface AgentRank {
   readonly observe: GroupRank["observe"];
@@ -44,7 +53,22 @@
 
 export function createReachableRank(options: ReachableRankOptions): GroupRank {
   const { address, agent, runner, now } = options;
+  const lives = LatestLife.create();
   let retryAtMs = Number.NEGATIVE_INFINITY;
+  const admit = (startedAtMs: LifeStart): void => {
+    const order = lives.see(startedAtMs);
+    if (order === "earlier") raise(1607, { address, reason: EARLIER_LIFE });
+    // The agent that was silent beside the earlier life may be back as well.
+    if (order === "later") retryAtMs = Number.NEGATIVE_INFINITY;
+  };
+  const admitState = (seen: Observation): Observation => {
+    admit(seen.state.startedAtMs);
+    return seen;
+  };
+  const admitResult = (result: OrderResult): OrderResult => {
+    admit(result.startedAtMs);
+    return result;
+  };
   const attempt = async <T>(
     over: () => Promise<T>,
     otherwise: () => Promise<T>,
@@ -64,21 +88,24 @@
     address,
     observe: (request) =>
       attempt(
-        () => agent.observe(request),
-        () => observeRunner(runner, request.withExperts),
+        async () => admitState(await agent.observe(request)),
+        async () =>
+          admitState(await observeRunner(runner, request.withExperts)),
       ),
     order: (order, fence) =>
       attempt(
-        () => agent.order(order, fence),
-        () => runner.order(order, fence),
+        async () => admitResult(await agent.order(order, fence)),
+        async () => admitResult(await runner.order(order, fence)),
       ),
     // Given straight to the runner: the agent's VM only has to let the step go.
     // The VM that orders a hold may stand still right after it, and then the
     // one that can let the step go must not be the same.
     hold: async (hold) => {
       await agent.guard(hold);
-      return runner.order({ kind: "hold", step: hold.step }, hold.fence);
+      const order = { kind: "hold", step: hold.step } as const;
+      return admitResult(await runner.order(order, hold.fence));
     },
+    isOver: (startedAtMs) => lives.isOver(startedAtMs),
   };
 }
 
--- a/src/rankmaps/switch-orders.ts
+++ b/src/rankmaps/switch-orders.ts
@@ -81,8 +81,9 @@
 
 /**
  * The orders that call a switch off; none when it is called off. `voided` are
- * the ranks that have accepted an order with the present fencing number: what
- * was ordered before can't be carried out there any more.
+ * the ranks that have accepted an order with the present fencing number in
+ * their present life: what was ordered before can't be carried out there any
+ * more.
  */
 export function callOffOrders(
   states: readonly RankState[],
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -3,6 +3,8 @@
  * under which fencing number and versions. Keeps what can't be read back from
  * the ranks: which of them have accepted the present fencing number.
  */
+import type { LifeStart } from "../membership/life.js";
+import { FencedRanks } from "./fenced-ranks.js";
 import {
   callOffOrders,
   goalOrders,
@@ -18,7 +20,7 @@
   private versions = 0;
   private callOffs = 0;
   private isCallingOff = false;
-  private readonly voided = new Set<number>();
+  private readonly voided = FencedRanks.create();
   private epoch = 0;
 
   private constructor(readonly generation: number) {}
@@ -67,10 +69,17 @@
     }
   }
 
-  /** The rank took an order: what has a lower fencing number is void there. */
-  onAccepted(rank: number, { epoch, fencing }: OrderFence): void {
+  /**
+   * A life of the rank took an order: what has a lower fencing number is void
+   * there for as long as this life lasts.
+   */
+  onAccepted(
+    rank: number,
+    { epoch, fencing }: OrderFence,
+    startedAtMs: LifeStart,
+  ): void {
     const isPresent = epoch === this.epoch && fencing === this.fencing;
-    if (isPresent) this.voided.add(rank);
+    if (isPresent) this.voided.add(rank, startedAtMs);
   }
 
   /** Ranks of a new epoch take no orders of an older one. */
@@ -101,7 +110,8 @@
   }
 
   private callOff(states: readonly RankState[]): readonly AddressedOrder[] {
-    return callOffOrders(states, this.voided, this.takeVersion());
+    const voided = this.voided.among(states);
+    return callOffOrders(states, voided, this.takeVersion());
   }
 }
 
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -1,15 +1,28 @@
 import * as assert from "uvu/assert";
-import { createRandom, failure, ignoreEvents } from "../../src/internal.js";
+import {
+  createRandom,
+  failure,
+  ignoreEvents,
+  raise,
+} from "../../src/internal.js";
 import { ignoreMeasurements } from "../../src/shared/metrics.js";
+import { pause } from "../../src/daemon/background-task.js";
 import {
+  COUNT_INTERVAL_MS,
   GroupPlanner,
   type GroupRank,
 } from "../../src/rankmaps/group-planner.js";
+import {
+  createReachableRank,
+  type AgentRank,
+} from "../../src/rankmaps/reachable-rank.js";
 import { SwitchRuns } from "../../src/rankmaps/switch-run.js";
 import type {
   OrderFence,
   OrderResult,
   RankOrder,
+  RankPort,
+  RankState,
 } from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
 import { HeldEngines } from "./held-engines.js";
@@ -31,14 +44,22 @@
 /** Demand has turned to the last one. */
 const TURNED_COUNTS = COUNTS.toReversed();
 
+const LOOK = { withCounts: false, withExperts: false };
+
+/** Called once an engine has taken or refused an order, before its answer. */
+type OrderWatch = (
+  rank: number,
+  order: RankOrder,
+  fence: OrderFence,
+) => void | Promise<void>;
+
 class Group {
   readonly engines = HeldEngines.create(RANKS, createRandom(1));
   readonly ordered: { readonly rank: number; readonly kind: string }[] = [];
   /** Ranks that don't answer any more. */
   readonly silent = new Set<number>();
   counts: readonly number[] = COUNTS;
-  onOrder: (rank: number, order: RankOrder, fence: OrderFence) => void = () =>
-    undefined;
+  onOrder: OrderWatch = () => undefined;
 
   readonly ranks: readonly GroupRank[] = Array.from(
     { length: RANKS },
@@ -61,6 +82,7 @@
       measurements: ignoreMeasurements,
       pace: { look: () => undefined },
       engine: ENGINE,
+      epoch: this.engines.epoch,
       planner: PLANNER,
       holder: HOLDER,
     });
@@ -72,36 +94,65 @@
       .map(({ kind }) => kind);
   }
 
+  /** Makes passes, up to a held one. */
+  passUntilHeld(): void {
+    for (let pass = 0; pass < 10; pass += 1) this.engines.pass();
+  }
+
+  /** The rank starts again, and somebody in this process has seen it. */
+  async startAgain(rank: number): Promise<void> {
+    this.engines.startAgain(rank);
+    await this.ranks[rank].observe(LOOK);
+  }
+
   private rankOf(rank: number): GroupRank {
-    const order = (ordered: RankOrder, fence: OrderFence): OrderResult => {
-      this.ordered.push({ rank, kind: ordered.kind });
-      const { startedAtMs } = this.engines.states()[rank];
-      this.engines.send(rank, ordered, fence);
-      const isTaken = this.engines.deliver().some((one) => one.rank === rank);
-      this.onOrder(rank, ordered, fence);
-      return isTaken
-        ? { kind: "accepted", isDone: true, startedAtMs }
-        : { kind: "refused", status: 409, startedAtMs };
+    const order = (ordered: RankOrder, fence: OrderFence) =>
+      this.take(rank, ordered, fence);
+    const experts = [[rank, rank + RANKS]];
+    const observe = (): RankState => {
+      if (this.silent.has(rank)) return raise(1607);
+      return this.engines.states()[rank];
+    };
+    const runner: RankPort = {
+      observe: () => Promise.resolve().then(observe),
+      counts: () => Promise.reject(failure(1607)),
+      experts: () => Promise.resolve({ experts, startedAtMs: undefined }),
+      order,
     };
-    return {
-      address: `10.0.0.${rank}:1`,
-      observe: () => {
-        if (this.silent.has(rank)) return Promise.reject(failure(1607));
-        const state = this.engines.states()[rank];
-        const experts = [[rank, rank + RANKS]];
+    const agent: AgentRank = {
+      observe: async () => {
+        const state = await runner.observe();
         const counts = rank === 0 ? this.counts : [];
-        return Promise.resolve({ state, counts, countedMs: 250, experts });
+        return { state, counts, countedMs: 250, experts };
       },
-      order: (ordered, fence) => {
-        if (this.silent.has(rank)) return Promise.reject(failure(1607));
-        return Promise.resolve(order(ordered, fence));
-      },
-      hold: ({ step, fence }) =>
-        Promise.resolve(order({ kind: "hold", step }, fence)),
+      order,
+      guard: () => Promise.resolve(),
     };
+    const address = `10.0.0.${rank}:1`;
+    return createReachableRank({ address, agent, runner, now: () => 0 });
+  }
+
+  private async take(
+    rank: number,
+    order: RankOrder,
+    fence: OrderFence,
+  ): Promise<OrderResult> {
+    if (this.silent.has(rank)) return raise(1607);
+    this.ordered.push({ rank, kind: order.kind });
+    const { startedAtMs } = this.engines.stateOf(rank);
+    this.engines.send(rank, order, fence);
+    const isTaken = this.engines.deliver().some((one) => one.rank === rank);
+    await this.onOrder(rank, order, fence);
+    return isTaken
+      ? { kind: "accepted", isDone: true, startedAtMs }
+      : { kind: "refused", status: 409, startedAtMs };
   }
 }
 
+async function errorOf(work: Promise<unknown>): Promise<unknown> {
+  return work.catch((error: unknown) => error);
+}
+
 describe("planner of a group", () => {
   it("arms its own rank after all others, under a held step", async () => {
     const group = new Group();
@@ -133,9 +184,7 @@
       if (kind === "hold") group.silent.add(3);
     };
     await group.planner.step(group.ranks);
-    const failed = await group.planner
-      .step(group.ranks)
-      .catch((error: unknown) => error);
+    const failed = await errorOf(group.planner.step(group.ranks));
     assert.ok(failed instanceof Error);
     assert.equal(group.kindsAt(HOLDER), ["prepare", "hold"]);
     assert.not.ok(group.ordered.some(({ kind }) => kind === "arm"));
@@ -215,4 +264,132 @@
     assert.ok(group.ordered.some(({ kind }) => kind === "arm"));
     assert.is(engines.history.mixedPasses, 0);
   });
+
+  describe("when a rank starts again", () => {
+    it("takes no answer of its earlier life for an armed rank", async () => {
+      // The rank takes its arm and starts again, which is seen, and only then
+      // its answer arrives: done. Let go now, the step would begin with this
+      // rank on the first map and all others on the new one.
+      const group = new Group();
+      const { engines } = group;
+      group.onOrder = async (rank, { kind }) => {
+        if (kind === "hold") group.passUntilHeld();
+        if (kind !== "arm" || rank !== 3) return;
+        group.onOrder = () => undefined;
+        await group.startAgain(3);
+      };
+      for (let step = 0; step < 6; step += 1) {
+        await group.planner.step(group.ranks);
+        group.passUntilHeld();
+      }
+      assert.is(engines.history.mixedPasses, 0);
+      assert.ok(engines.history.passes > 4);
+    });
+
+    it("lets no step go once another look has shown it", async () => {
+      // All ranks have confirmed their arms. Before the release, a look by
+      // somebody else in this process shows that one has started again.
+      const group = new Group();
+      const { engines } = group;
+      group.onOrder = async (rank, { kind }) => {
+        if (kind === "hold") group.passUntilHeld();
+        if (kind !== "arm" || rank !== PLANNER) return;
+        group.onOrder = () => undefined;
+        await group.startAgain(3);
+      };
+      for (let step = 0; step < 6; step += 1) {
+        await group.planner.step(group.ranks);
+        group.passUntilHeld();
+      }
+      assert.is(engines.history.mixedPasses, 0);
+      assert.ok(engines.history.passes > 4);
+    });
+
+    it("arms nobody when it was the holder, after its hold", async () => {
+      const group = new Group();
+      group.onOrder = async (_, { kind }) => {
+        if (kind === "hold") await group.startAgain(HOLDER);
+      };
+      await group.planner.step(group.ranks);
+      await group.planner.step(group.ranks);
+      assert.not.ok(group.ordered.some(({ kind }) => kind === "arm"));
+    });
+
+    it("lets the holder's new life prepare before anything is held again", async () => {
+      const group = new Group();
+      group.onOrder = async (_, { kind }) => {
+        if (kind !== "hold") return;
+        group.onOrder = () => undefined;
+        await group.startAgain(HOLDER);
+      };
+      for (let step = 0; step < 6; step += 1) {
+        await group.planner.step(group.ranks);
+        await pause(COUNT_INTERVAL_MS / 2, new AbortController().signal);
+      }
+      const kinds = group.kindsAt(HOLDER);
+      assert.equal(kinds.slice(0, 4), ["prepare", "hold", "prepare", "hold"]);
+      assert.is(group.engines.history.mixedPasses, 0);
+    });
+
+    it("plans nothing from the map that the ranks of before held", async () => {
+      // Ranks show one version of a map, but one of them has just started and
+      // holds the first map under it. A plan made from the old map would copy
+      // other experts than the ranks lack.
+      const group = new Group();
+      await group.planner.step(group.ranks);
+      const before = group.ordered.length;
+      await group.startAgain(3);
+      await group.planner.step(group.ranks);
+      const later = group.ordered.slice(before);
+      assert.ok(later.every(({ kind }) => kind !== "hold"));
+    });
+
+    for (const kind of ["prepare", "hold", "arm", "release"] as const) {
+      it(`forms a new switch in the new epoch, broken at ${kind}`, async () => {
+        // The group breaks, and forms anew with the first map. Nothing that was
+        // prepared, held or armed before may count.
+        const group = new Group();
+        const { engines } = group;
+        let isBroken = false;
+        group.onOrder = (rank, order) => {
+          if (isBroken || order.kind !== kind) return;
+          isBroken = true;
+          engines.restart(kind === "release" ? 3 : rank);
+        };
+        for (let step = 0; step < 3; step += 1) {
+          await errorOf(group.planner.step(group.ranks));
+        }
+        assert.ok(isBroken);
+        assert.ok(
+          (await errorOf(group.planner.step(group.ranks))) instanceof Error,
+        );
+        engines.form();
+        const before = group.ordered.length;
+        const next = group.createPlanner();
+        for (let step = 0; step < 6; step += 1) {
+          await next.step(group.ranks);
+          for (let pass = 0; pass < 5; pass += 1) engines.pass();
+        }
+        const again = group.ordered.slice(before, before + RANKS);
+        assert.ok(again.every((one) => one.kind === "prepare"));
+        assert.is(engines.history.mixedPasses, 0);
+        assert.ok(engines.states().every(({ mapVersion }) => mapVersion > 0));
+      });
+    }
+
+    it("orders nothing in an epoch whose ranks it hasn't numbered", async () => {
+      // The planner's own rank starts again, and in the new epoch the ranks are
+      // numbered anew. By the old numbers another rank would be armed last than
+      // the planner's own, and the guard relies on that.
+      const group = new Group();
+      const { engines } = group;
+      await group.planner.step(group.ranks);
+      engines.restart(PLANNER);
+      engines.form();
+      const before = group.ordered.length;
+      const error = await errorOf(group.planner.step(group.ranks));
+      assert.ok(error instanceof Error);
+      assert.is(group.ordered.length, before);
+    });
+  });
 });
--- a/tests/rankmaps/held-engines.ts
+++ b/tests/rankmaps/held-engines.ts
@@ -1,7 +1,10 @@
 /**
  * Engines of one group that hold a step by order, as the platform states them:
- * an order may get no answer and be carried out later, after newer ones.
+ * an order may get no answer and be carried out later, after newer ones. An
+ * engine may start again under its id; it then knows nothing of before, and
+ * reports of its earlier life may still arrive.
  */
+import type { LifeStart } from "../../src/membership/life.js";
 import type { Random } from "../../src/internal.js";
 import type {
   ArmedMap,
@@ -17,6 +20,7 @@
 }
 
 interface Engine {
+  readonly startedAtMs: number;
   map: number;
   prepared: number | undefined;
   highestVersion: number;
@@ -39,11 +43,16 @@
 export interface Acceptance {
   readonly rank: number;
   readonly fence: OrderFence;
+  readonly startedAtMs: LifeStart;
 }
 
 const LATE_SHARE = 0.3;
 const LOST_SHARE = 0.1;
 const LONGEST_DELAY = 40;
+/** Looks at a rank that show what an earlier life of it said. */
+const PAST_SHARE = 0.1;
+/** Lives of which what they said last may still arrive. */
+const PAST_LIVES = 3;
 
 export class HeldEngines {
   epoch = 1;
@@ -51,6 +60,9 @@
   private engines: Engine[];
   private flying: Flying[] = [];
   private isCalm = false;
+  private isOpen = true;
+  private startedAtMs = 1000;
+  private readonly past: (readonly RankState[])[];
   private accepted: Acceptance[] = [];
   private readonly counted = { passes: 0, switches: 0, mixedPasses: 0 };
 
@@ -59,6 +71,7 @@
     private readonly random: Random,
   ) {
     this.engines = this.fresh();
+    this.past = this.engines.map(() => []);
   }
 
   static create(size: number, random: Random): HeldEngines {
@@ -73,27 +86,36 @@
   states(): readonly RankState[] {
     const states: RankState[] = [];
     for (let rank = 0; rank < this.size; rank += 1) {
-      states.push(this.stateOf(rank));
+      states.push(this.reportOf(rank));
       if (!this.isCalm && this.random() < 0.05) this.pass();
     }
     return states;
   }
 
-  private stateOf(rank: number): RankState {
+  /** What is shown to a look, at times what an earlier life said last. */
+  private reportOf(rank: number): RankState {
+    const past = this.past[rank];
+    const isLate = past.length > 0 && !this.isCalm;
+    if (!isLate || this.random() >= PAST_SHARE) return this.stateOf(rank);
+    return past[Math.floor(this.random() * past.length)];
+  }
+
+  /** What the engine is in now. */
+  stateOf(rank: number): RankState {
     const engine = this.engines[rank];
     return {
       group: "g",
       epoch: this.epoch,
       rank,
       size: this.size,
-      isOpen: true,
+      isOpen: this.isOpen,
       step: this.step,
       mapVersion: engine.map,
       preparedVersion: engine.prepared,
       armed: engine.armed,
       heldStep: engine.held,
       slowness: 1,
-      startedAtMs: undefined,
+      startedAtMs: engine.startedAtMs,
     };
   }
 
@@ -126,6 +148,7 @@
 
   /** Begins the next pass, unless a rank holds it. */
   pass(): void {
+    if (!this.isOpen) return;
     const next = this.step + 1;
     if (this.engines.some(({ held }) => held === next)) return;
     this.step = next;
@@ -143,21 +166,71 @@
     if (maps.size > 1) this.counted.mixedPasses += 1;
   }
 
-  /** A rank is gone and back: the group is formed anew. */
+  /** All ranks are gone and back: the group is formed anew. */
   crash(): void {
     this.epoch += 1;
+    this.isOpen = true;
     this.engines = this.fresh();
   }
 
+  /** A rank starts again: the group breaks, and makes no passes. */
+  restart(rank: number): void {
+    this.isOpen = false;
+    this.startAgain(rank);
+  }
+
+  /**
+   * A rank starts again, and shows it before the platform has noticed: the
+   * group is still open, in its old epoch. Only while that alone does no harm:
+   * all ranks are on the first map, and another one holds the next step, whose
+   * release isn't under way. False where it would.
+   */
+  restartUnnoticed(rank: number): boolean {
+    const next = this.step + 1;
+    const isHarmless =
+      this.isOpen &&
+      this.engines.every(({ map }) => map === 0) &&
+      this.engines.some(({ held }, index) => index !== rank && held === next) &&
+      this.flying.every(({ order }) => order.kind !== "release");
+    if (isHarmless) this.startAgain(rank);
+    return isHarmless;
+  }
+
+  /** The broken group is formed anew; who went on keeps its numbers. */
+  form(): void {
+    if (this.isOpen) return;
+    this.isOpen = true;
+    this.epoch += 1;
+    for (const engine of this.engines) {
+      engine.map = 0;
+      engine.prepared = undefined;
+      engine.armed = undefined;
+      engine.held = undefined;
+    }
+  }
+
+  /** A rank starts again; the platform hasn't noticed. */
+  startAgain(rank: number): void {
+    const said = [this.stateOf(rank), ...this.past[rank]];
+    this.past[rank] = said.slice(0, PAST_LIVES);
+    this.engines[rank] = this.start();
+  }
+
   private fresh(): Engine[] {
-    return Array.from({ length: this.size }, () => ({
+    return Array.from({ length: this.size }, () => this.start());
+  }
+
+  private start(): Engine {
+    this.startedAtMs += 1000;
+    return {
+      startedAtMs: this.startedAtMs,
       map: 0,
       prepared: undefined,
       highestVersion: 0,
       armed: undefined,
       held: undefined,
       fencing: 0,
-    }));
+    };
   }
 
   private carryOut(rank: number, order: RankOrder, fence: OrderFence): void {
@@ -166,7 +239,7 @@
     if (!this.apply(engine, order)) return;
     // An order that doesn't fit the engine's state leaves no trace.
     engine.fencing = fence.fencing;
-    this.accepted.push({ rank, fence });
+    this.accepted.push({ rank, fence, startedAtMs: engine.startedAtMs });
   }
 
   /** False when the order doesn't fit the engine's state. */
--- a/tests/rankmaps/hold-guard.test.ts
+++ b/tests/rankmaps/hold-guard.test.ts
@@ -1,8 +1,13 @@
 import * as assert from "uvu/assert";
 import { createRandom, failure, ignoreEvents } from "../../src/internal.js";
+import { pause } from "../../src/daemon/background-task.js";
 import type { GroupRank } from "../../src/rankmaps/group-planner.js";
 import { HoldGuard } from "../../src/rankmaps/hold-guard.js";
-import type { RankPort } from "../../src/rankmaps/types.js";
+import type {
+  OrderFence,
+  RankOrder,
+  RankPort,
+} from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
 import { HeldEngines } from "./held-engines.js";
 
@@ -14,11 +19,14 @@
 
 const never = new Promise<never>(() => undefined);
 
+type BeforeOrder = (order: RankOrder) => void;
+
 /** `isStill`: whether the rank's VM stands still, and doesn't answer. */
 function rankOf(
   engines: HeldEngines,
   rank: number,
   isStill: () => boolean,
+  beforeOrder: BeforeOrder = () => undefined,
 ): GroupRank & RankPort {
   const observe = () => engines.states()[rank];
   return {
@@ -34,6 +42,7 @@
     experts: () => Promise.reject(failure(1607)),
     order: (order, fence) => {
       if (isStill()) return never;
+      beforeOrder(order);
       engines.send(rank, order, fence);
       const isAccepted = engines.deliver().some((one) => one.rank === rank);
       const { startedAtMs } = engines.states()[rank];
@@ -44,15 +53,25 @@
       );
     },
     hold: () => Promise.reject(failure(1607)),
+    isOver: () => false,
   };
 }
 
+function prepareAll(
+  engines: HeldEngines,
+  version: number,
+  fence: OrderFence,
+): void {
+  for (let rank = 0; rank < RANKS; rank += 1) {
+    engines.send(rank, { kind: "prepare", version, sets: [] }, fence);
+  }
+  engines.deliver();
+}
+
 function prepared(): HeldEngines {
   const engines = HeldEngines.create(RANKS, createRandom(1));
   engines.calm();
-  for (let rank = 0; rank < RANKS; rank += 1) {
-    engines.send(rank, { kind: "prepare", version: 5, sets: [] }, FENCE);
-  }
+  prepareAll(engines, 5, FENCE);
   engines.send(HOLDER, { kind: "hold", step: 3 }, FENCE);
   engines.deliver();
   return engines;
@@ -62,11 +81,12 @@
   engines: HeldEngines,
   isDone: () => boolean,
   isPlannerFrozen: () => boolean = () => false,
+  beforeOrder?: BeforeOrder,
 ): Promise<void> {
   const stop = new AbortController();
   const ranks = Array.from({ length: RANKS }, (_, index) => {
     const isFrozen = (): boolean => index === PLANNER && isPlannerFrozen();
-    return rankOf(engines, index, isFrozen);
+    return rankOf(engines, index, isFrozen, beforeOrder);
   });
   const guard = HoldGuard.create({
     port: ranks[HOLDER],
@@ -163,4 +183,117 @@
     assert.is(engines.history.mixedPasses, 0);
     assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 5));
   });
+
+  describe("when a rank starts again", () => {
+    it("asks its new life to refuse the planner's orders as well", async () => {
+      // The planner's VM stands still, and all other ranks have taken the higher
+      // number. One of them starts again and has forgotten it: what the planner
+      // had sent it is carried out there now. Let go by then, the step would
+      // begin with this rank alone on the new map.
+      const engines = prepared();
+      let isBorn = false;
+      const beforeOrder: BeforeOrder = ({ kind }) => {
+        if (kind === "disarm" && !isBorn && isFenced(engines, 2)) {
+          isBorn = true;
+          engines.startAgain(2);
+        }
+        if (kind !== "release") return;
+        engines.send(2, { kind: "prepare", version: 5, sets: [] }, FENCE);
+        engines.send(2, { kind: "arm", version: 5, step: 3 }, FENCE);
+        engines.deliver();
+      };
+      engines.send(3, { kind: "arm", version: 5, step: 3 }, FENCE);
+      engines.deliver();
+      const isDone = (): boolean => engines.history.passes > 6;
+      await watchUntil(engines, isDone, always, beforeOrder);
+      assert.ok(isBorn);
+      assert.is(engines.history.mixedPasses, 0);
+    });
+
+    it("watches the next hold while it still looks for that of before", async () => {
+      // The holder starts again while its hold is watched and can't be seen for
+      // a moment. In the new epoch it is told to hold a step of the same
+      // number, and that planner dies. By the old number every order would be
+      // refused, and the group would stand still.
+      const engines = prepared();
+      let isHolderAway = false;
+      const stop = new AbortController();
+      const ranks = Array.from({ length: RANKS }, (_, index) =>
+        rankOf(engines, index, () => false),
+      );
+      const holder = ranks[HOLDER];
+      const port: RankPort = {
+        ...holder,
+        observe: () =>
+          isHolderAway ? Promise.reject(failure(1607)) : holder.observe(),
+      };
+      const guard = HoldGuard.create({
+        port,
+        emit: ignoreEvents,
+        group: () =>
+          isHolderAway ? Promise.reject(failure(1607)) : Promise.resolve(ranks),
+        signal: stop.signal,
+        isFencingChecked: true,
+      });
+      const watch = (fence: OrderFence): void => {
+        const { startedAtMs } = engines.stateOf(HOLDER);
+        guard.watch({ step: 3, fence, planner: PLANNER, startedAtMs });
+      };
+      watch(FENCE);
+      isHolderAway = true;
+      await sleep(250);
+      engines.restart(HOLDER);
+      engines.form();
+      const next = { epoch: engines.epoch, fencing: 10 };
+      prepareAll(engines, 6, next);
+      watch(next);
+      engines.send(HOLDER, { kind: "hold", step: 3 }, next);
+      engines.deliver();
+      isHolderAway = false;
+      const until = performance.now() + 1000;
+      while (performance.now() < until && engines.history.passes < 6) {
+        engines.pass();
+        await sleep(10);
+      }
+      stop.abort();
+      assert.ok(engines.history.passes >= 6);
+      assert.is(engines.history.mixedPasses, 0);
+    });
+
+    it("lets a hold of its own rank's earlier life be", async () => {
+      // The step of the new life has the same number but isn't this hold's.
+      const engines = prepared();
+      const stop = new AbortController();
+      const ranks = Array.from({ length: RANKS }, (_, index) =>
+        rankOf(engines, index, () => false),
+      );
+      const guard = HoldGuard.create({
+        port: ranks[HOLDER],
+        emit: ignoreEvents,
+        group: () => Promise.resolve(ranks),
+        signal: stop.signal,
+        isFencingChecked: true,
+      });
+      const { startedAtMs } = engines.stateOf(HOLDER);
+      guard.watch({ step: 3, fence: FENCE, planner: PLANNER, startedAtMs });
+      engines.startAgain(HOLDER);
+      engines.send(HOLDER, { kind: "prepare", version: 5, sets: [] }, FENCE);
+      engines.send(HOLDER, { kind: "hold", step: 3 }, FENCE);
+      engines.deliver();
+      await sleep(400);
+      stop.abort();
+      assert.ok(engines.states().every(({ armed }) => armed === undefined));
+    });
+  });
 });
+
+async function sleep(durationMs: number): Promise<void> {
+  await pause(durationMs, new AbortController().signal);
+}
+
+/** Whether the rank refuses what the planner orders. */
+function isFenced(engines: HeldEngines, rank: number): boolean {
+  const order = { kind: "disarm", version: 999 } as const;
+  engines.send(rank, order, FENCE);
+  return !engines.deliver().some((one) => one.rank === rank);
+}
--- a/tests/rankmaps/reachable-rank.test.ts
+++ b/tests/rankmaps/reachable-rank.test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import { failure } from "../../src/internal.js";
+import type { LifeStart } from "../../src/membership/life.js";
 import {
   createReachableRank,
   type AgentRank,
@@ -34,6 +35,9 @@
   nowMs = 0;
   isAgentAlive = true;
   readonly asked: string[] = [];
+  /** The life that each of them speaks for. */
+  agentsLife: LifeStart = undefined;
+  runnersLife: LifeStart = undefined;
 
   readonly reach = createReachableRank({
     address: "10.0.0.2:1",
@@ -47,13 +51,14 @@
       observe: () => {
         this.asked.push("agent");
         if (!this.isAgentAlive) return Promise.reject(failure(1607));
-        const observed = { state: STATE, counts: [5], countedMs: 250 };
+        const state = { ...STATE, startedAtMs: this.agentsLife };
+        const observed = { state, counts: [5], countedMs: 250 };
         return Promise.resolve({ ...observed, experts: [] });
       },
       order: () => {
         this.asked.push("agent");
         if (!this.isAgentAlive) return Promise.reject(failure(1607));
-        return Promise.resolve(ACCEPTED);
+        return Promise.resolve({ ...ACCEPTED, startedAtMs: this.agentsLife });
       },
       guard: () => {
         this.asked.push("guard");
@@ -67,13 +72,13 @@
     return {
       observe: () => {
         this.asked.push("runner");
-        return Promise.resolve(STATE);
+        return Promise.resolve({ ...STATE, startedAtMs: this.runnersLife });
       },
       counts: () => Promise.reject(failure(1607)),
       experts: () => Promise.resolve({ experts: [], startedAtMs: undefined }),
       order: () => {
         this.asked.push("runner");
-        return Promise.resolve(ACCEPTED);
+        return Promise.resolve({ ...ACCEPTED, startedAtMs: this.runnersLife });
       },
     };
   }
@@ -143,4 +148,75 @@
     const { counts } = await rank.reach.observe(LOOK);
     assert.equal(counts, [5]);
   });
+
+  describe("whose runner has started again", () => {
+    /** Both lives are known, the later one was seen first. */
+    async function reborn(): Promise<Rank> {
+      const rank = new Rank();
+      rank.agentsLife = 2000;
+      await rank.reach.observe(LOOK);
+      rank.agentsLife = 1000;
+      rank.runnersLife = 2000;
+      rank.asked.length = 0;
+      return rank;
+    }
+
+    it("isn't taken for what its earlier life's late report shows", async () => {
+      const rank = await reborn();
+      const { state } = await rank.reach.observe(LOOK);
+      assert.is(state.startedAtMs, 2000);
+      assert.equal(rank.asked, ["agent", "runner"]);
+    });
+
+    it("is out of reach while only its earlier life answers", async () => {
+      const rank = await reborn();
+      rank.runnersLife = 1000;
+      assert.ok((await errorOf(rank.reach.observe(LOOK))) instanceof Error);
+      assert.ok(
+        (await errorOf(rank.reach.order(RELEASE, FENCE))) instanceof Error,
+      );
+    });
+
+    it("is told again what only its earlier life has taken", async () => {
+      // The answer says accepted and done. Taken for the present life's, the
+      // rank would count as armed, and the step would begin without it.
+      const rank = await reborn();
+      const result = await rank.reach.order(RELEASE, FENCE);
+      assert.is(result.startedAtMs, 2000);
+      assert.equal(rank.asked, ["agent", "runner"]);
+    });
+
+    it("doesn't hold a step by its earlier life's answer", async () => {
+      const rank = await reborn();
+      rank.runnersLife = 1000;
+      const hold = { step: 9, fence: FENCE, planner: 0, startedAtMs: 1000 };
+      assert.ok((await errorOf(rank.reach.hold(hold))) instanceof Error);
+    });
+
+    it("is asked over its agent again at once", async () => {
+      // The VM was restarted as a whole: the agent was as silent as the runner.
+      const rank = new Rank();
+      rank.isAgentAlive = false;
+      rank.runnersLife = 1000;
+      await rank.reach.observe(LOOK);
+      rank.runnersLife = 2000;
+      rank.agentsLife = 2000;
+      rank.isAgentAlive = true;
+      await rank.reach.observe(LOOK);
+      rank.asked.length = 0;
+      await rank.reach.observe(LOOK);
+      assert.equal(rank.asked, ["agent"]);
+    });
+
+    it("tells which life is over", async () => {
+      const rank = await reborn();
+      assert.is(rank.reach.isOver(1000), true);
+      assert.is(rank.reach.isOver(2000), false);
+      assert.is(rank.reach.isOver(undefined), false);
+    });
+  });
 });
+
+async function errorOf(work: Promise<unknown>): Promise<unknown> {
+  return work.catch((error: unknown) => error);
+}
--- a/tests/rankmaps/switch-orders.test.ts
+++ b/tests/rankmaps/switch-orders.test.ts
@@ -1,10 +1,13 @@
 import * as assert from "uvu/assert";
 import { createRandom, type Random } from "../../src/internal.js";
+import { orderOfLives } from "../../src/membership/life.js";
+import { LatestLife } from "../../src/rankmaps/latest-life.js";
 import {
   afterOrders,
   armingWave,
   pendingSwitch,
   wholeGroup,
+  type AddressedOrder,
 } from "../../src/rankmaps/switch-orders.js";
 import { SwitchRun } from "../../src/rankmaps/switch-run.js";
 import type { MapGoal, RankState } from "../../src/rankmaps/types.js";
@@ -14,26 +17,61 @@
 const RANKS = 4;
 const HISTORIES = 20_000;
 
+/** Engines, and the lives that have been seen of them, by rank. */
+class World {
+  readonly lives = Array.from({ length: RANKS }, () => LatestLife.create());
+  readonly engines: HeldEngines;
+
+  constructor(readonly random: Random) {
+    this.engines = HeldEngines.create(RANKS, random);
+  }
+
+  anyRank(): number {
+    return Math.floor(this.random() * RANKS);
+  }
+
+  /** Undefined when an earlier life's report is among them. */
+  look(): readonly RankState[] | undefined {
+    const states = this.engines.states();
+    const isLate = states
+      .map(({ rank, startedAtMs }) => this.lives[rank].see(startedAtMs))
+      .some((order) => order === "earlier");
+    return isLate ? undefined : wholeGroup(states);
+  }
+
+  isOutdated(states: readonly RankState[]): boolean {
+    return states.some(({ rank, startedAtMs }) =>
+      this.lives[rank].isOver(startedAtMs),
+    );
+  }
+
+  /** A rank is seen to have started again, in the epoch of before. */
+  restartUnnoticed(rank: number): void {
+    if (!this.engines.restartUnnoticed(rank)) return;
+    this.lives[rank].see(this.engines.stateOf(rank).startedAtMs);
+  }
+}
+
 /** A planner that may be replaced at any moment, knowing only what it sees. */
 class Planner {
   private goal: MapGoal | undefined;
   private readonly run: SwitchRun;
 
   private constructor(
-    private readonly engines: HeldEngines,
+    private readonly world: World,
     generation: number,
   ) {
     this.run = SwitchRun.create(generation);
   }
 
-  static create(engines: HeldEngines, generation: number): Planner {
-    return new Planner(engines, generation);
+  static create(world: World, generation: number): Planner {
+    return new Planner(world, generation);
   }
 
   /** Orders on what it sees at this moment. */
   step(): void {
-    const { engines, run } = this;
-    const states = wholeGroup(engines.states());
+    const { world, run } = this;
+    const states = world.look();
     if (states === undefined) return;
     const isDone = states.every(
       ({ mapVersion }) => mapVersion === this.goal?.version,
@@ -52,53 +90,81 @@
 
   /** Goes on at once as long as every rank confirms. */
   private carryOut(seen: readonly RankState[]): void {
-    const { engines, run } = this;
+    const { world, run } = this;
     let states = seen;
     for (;;) {
+      if (world.isOutdated(states)) return;
       const orders = run.nextOrders(states, this.goal);
       if (orders.length === 0) return;
-      const { fencing } = run;
-      const confirmed = orders.filter(({ rank, order }) => {
-        engines.send(rank, order, { epoch: engines.epoch, fencing });
-        const answers = engines.deliver();
-        for (const answer of answers) run.onAccepted(answer.rank, answer.fence);
-        return answers.some((answer) => answer.rank === rank);
-      });
+      const confirmed = orders.filter((order) => this.send(states, order));
       if (confirmed.length < orders.length) return;
       const next = afterOrders(states, orders);
       if (next === undefined) return;
       states = next;
     }
   }
+
+  /** Whether the life that was seen confirms it. */
+  private send(
+    states: readonly RankState[],
+    { rank, order }: AddressedOrder,
+  ): boolean {
+    const { engines, lives, random } = this.world;
+    const { fencing } = this.run;
+    const seen = states.find((state) => state.rank === rank);
+    engines.send(rank, order, { epoch: states[0].epoch, fencing });
+    const answers = engines.deliver();
+    // The rank starts again while its answer is on the way.
+    if (random() < 0.01) this.world.restartUnnoticed(rank);
+    const admitted = answers.filter(
+      (one) => lives[one.rank].see(one.startedAtMs) !== "earlier",
+    );
+    for (const one of admitted) {
+      this.run.onAccepted(one.rank, one.fence, one.startedAtMs);
+    }
+    return admitted.some(
+      (one) =>
+        one.rank === rank &&
+        orderOfLives(seen?.startedAtMs, one.startedAtMs) === "same",
+    );
+  }
 }
 
-/** Plays a history in which every order may be lost, late or both. */
-function play(seed: number): { engines: HeldEngines; history: History } {
+/**
+ * Plays a history in which every order may be lost, late or both, and ranks may
+ * start again at any moment.
+ */
+function play(seed: number): { world: World; history: History } {
   const random: Random = createRandom(seed);
-  const engines = HeldEngines.create(RANKS, random);
+  const world = new World(random);
+  const { engines } = world;
   let generation = 1;
-  let planners = [Planner.create(engines, generation)];
+  let planners = [Planner.create(world, generation)];
   for (let turn = 0; turn < 120; turn += 1) {
     const planner = planners[Math.floor(random() * planners.length)];
     planner.step();
     if (random() < 0.5) engines.pass();
     engines.deliver();
     if (random() < 0.01) engines.crash();
+    if (random() < 0.01) engines.restart(world.anyRank());
+    if (random() < 0.2) engines.form();
+    if (random() < 0.05) world.restartUnnoticed(world.anyRank());
     if (random() < 0.02) {
       // Another planner takes the seat; the old one doesn't know for a while.
       generation += 1;
-      planners = [...planners.slice(-1), Planner.create(engines, generation)];
+      planners = [...planners.slice(-1), Planner.create(world, generation)];
     }
     if (random() < 0.2) planners = planners.slice(-1);
   }
-  return { engines, history: engines.history };
+  return { world, history: engines.history };
 }
 
 describe("orders of a map switch", () => {
   it("never lets a pass run with two maps", () => {
     // Orders get lost, and some of those are carried out much later; a second
     // planner takes over while orders of the first are still under way; ranks
-    // crash. A pass with two maps would give wrong answers to everyone in it.
+    // crash, or start again and what they said before arrives late. A pass with
+    // two maps would give wrong answers to everyone in it.
     let switches = 0;
     for (let seed = 1; seed <= HISTORIES; seed += 1) {
       const { history } = play(seed);
@@ -112,9 +178,11 @@
     // The last planner is left alone with engines that answer in time: it has
     // to finish what the others began, or the group would stand still.
     for (let seed = 1; seed <= 2000; seed += 1) {
-      const { engines } = play(seed);
+      const { world } = play(seed);
+      const { engines } = world;
       engines.calm();
-      const planner = Planner.create(engines, 1_000_000);
+      engines.form();
+      const planner = Planner.create(world, 1_000_000);
       const before = engines.history.passes;
       for (let turn = 0; turn < 40; turn += 1) {
         planner.step();
@@ -141,8 +209,8 @@
       first.map(({ order }) => order.kind),
       ["disarm", "disarm", "disarm", "disarm"],
     );
-    for (const rank of [0, 1, 2, 3]) {
-      run.onAccepted(rank, { epoch: 1, fencing: run.fencing });
+    for (const { rank, startedAtMs } of engines.states()) {
+      run.onAccepted(rank, { epoch: 1, fencing: run.fencing }, startedAtMs);
     }
     const second = run.nextOrders(engines.states(), undefined);
     assert.equal(second, [{ rank: 2, order: { kind: "release", step: 5 } }]);
@@ -197,4 +265,36 @@
     assert.is(wholeGroup(engines.states().slice(1)), undefined);
     assert.is(wholeGroup([]), undefined);
   });
+
+  describe("when a rank starts again while a switch is called off", () => {
+    it("has its new life take a number as well before the step is let go", () => {
+      // It has forgotten the fencing number that its earlier life took: what was
+      // ordered before could still be carried out there, and the step would
+      // begin with this rank alone on the new map.
+      const engines = HeldEngines.create(RANKS, createRandom(1));
+      engines.calm();
+      engines.send(2, { kind: "hold", step: 5 }, { epoch: 1, fencing: 1 });
+      engines.deliver();
+      const run = SwitchRun.create(1);
+      run.nextOrders(engines.states(), undefined);
+      const fence = { epoch: 1, fencing: run.fencing };
+      for (const { rank, startedAtMs } of engines.states()) {
+        run.onAccepted(rank, fence, startedAtMs);
+      }
+      const before = engines.stateOf(3).startedAtMs;
+      engines.startAgain(3);
+      const next = run.nextOrders(engines.states(), undefined);
+      assert.equal(
+        next.map(({ rank, order }) => [rank, order.kind]),
+        [[3, "disarm"]],
+      );
+      // What the earlier life took, and is told of late, proves nothing.
+      run.onAccepted(3, fence, before);
+      assert.is(run.nextOrders(engines.states(), undefined).at(0)?.rank, 3);
+      run.onAccepted(3, fence, engines.stateOf(3).startedAtMs);
+      run.onAccepted(3, fence, before);
+      const last = run.nextOrders(engines.states(), undefined);
+      assert.equal(last, [{ rank: 2, order: { kind: "release", step: 5 } }]);
+    });
+  });
 });
