Note a rank's pace with the life that it belongs to

The planner kept the note of an earlier life: a rank that started again and was slow got no note of its own before that one was due again, and late looks at the earlier life were written down.

Tests: three in pace-reporter, which failed on the code before. Tests of before have got the new field.

--- a/src/direct/pace-inquiry.ts
+++ b/src/direct/pace-inquiry.ts
@@ -71,7 +71,8 @@
   private async ask(address: string): Promise<void> {
     const { emit, take, slownessOf } = this.options;
     try {
-      take({ address, slowness: await slownessOf(address) });
+      const slowness = await slownessOf(address);
+      take({ address, slowness, startedAtMs: undefined });
     } catch (error) {
       const { message } = toFailure(error, 1607);
       emit(218, { address, reason: message });
--- a/src/membership/slow-runners.ts
+++ b/src/membership/slow-runners.ts
@@ -10,6 +10,7 @@
 import { z } from "zod";
 import { raise, type Emit, type Now } from "../internal.js";
 import type { KeyedRecord } from "../platform/keyed-topic.js";
+import type { LifeStart } from "./life.js";
 
 /** One rank's pace. */
 export interface PaceNote {
@@ -17,6 +18,8 @@
   readonly address: string;
   /** How many times as long as usual it takes for its work. */
   readonly slowness: number;
+  /** Life of the runner that the note is about. */
+  readonly startedAtMs: LifeStart;
 }
 
 /** A rank counts as slow from here on. */
@@ -28,10 +31,14 @@
  */
 export const NOTE_LASTS_MS = 9000;
 
-const valueSchema = z.object({ slowness: z.number() });
+/** An older reader passes over the start; an older writer gives none. */
+const valueSchema = z.object({
+  slowness: z.number(),
+  startedAtMs: z.int().optional(),
+});
 
-export function encodePaceNote({ slowness }: PaceNote): Buffer {
-  return Buffer.from(JSON.stringify({ slowness }));
+export function encodePaceNote({ slowness, startedAtMs }: PaceNote): Buffer {
+  return Buffer.from(JSON.stringify({ slowness, startedAtMs }));
 }
 
 /** Undefined for a key that was dropped. Throws 1903. */
@@ -42,7 +49,8 @@
   if (value === undefined) return undefined;
   const result = valueSchema.safeParse(JSON.parse(value.toString()));
   if (!result.success) return raise(1903, { reason: result.error.message });
-  return { address: key, slowness: result.data.slowness };
+  const { slowness, startedAtMs } = result.data;
+  return { address: key, slowness, startedAtMs };
 }
 
 export class SlowRunners {
--- a/src/rankmaps/pace-reporter.ts
+++ b/src/rankmaps/pace-reporter.ts
@@ -1,5 +1,6 @@
 /** Writes down which ranks of a group are slow, for the entries to read. */
 import { toFailure, type Emit, type Now } from "../internal.js";
+import { orderOfLives, type LifeStart } from "../membership/life.js";
 import {
   NOTE_LASTS_MS,
   SLOW_FROM,
@@ -19,9 +20,16 @@
   readonly emit: Emit;
 }
 
+/** The last note of a slow rank. */
+interface Noted {
+  readonly startedAtMs: LifeStart;
+  /** Monotonic, ms. */
+  readonly atMs: number;
+}
+
 export class PaceReporter {
-  /** Slow ranks, with the monotonic time of their last note, ms. */
-  private readonly notedAtMs = new Map<string, number>();
+  /** Slow ranks by address. */
+  private readonly noted = new Map<string, Noted>();
   private isWriting = false;
 
   private constructor(private readonly options: PaceReporterOptions) {}
@@ -40,11 +48,14 @@
     void this.write(changed);
   }
 
-  private isDue({ address, slowness }: PaceNote): boolean {
-    const notedAtMs = this.notedAtMs.get(address);
-    if (notedAtMs === undefined) return slowness >= SLOW_FROM;
-    if (slowness < NORMAL_BELOW) return true;
-    return this.options.now() - notedAtMs >= REFRESH_MS;
+  private isDue({ address, slowness, startedAtMs }: PaceNote): boolean {
+    const noted = this.noted.get(address);
+    if (noted === undefined) return slowness >= SLOW_FROM;
+    const order = orderOfLives(noted.startedAtMs, startedAtMs);
+    if (order === "earlier") return false;
+    // The note of an earlier life says nothing of this one.
+    if (order === "later" || slowness < NORMAL_BELOW) return true;
+    return this.options.now() - noted.atMs >= REFRESH_MS;
   }
 
   private async write(changed: readonly PaceNote[]): Promise<void> {
@@ -53,16 +64,28 @@
     try {
       for (const note of changed) {
         await notes.put(note.address, encodePaceNote(note));
-        const { address, slowness } = note;
-        if (!this.notedAtMs.has(address) || slowness < SLOW_FROM) {
+        const { address, slowness, startedAtMs } = note;
+        if (!this.isNoted(note) || slowness < SLOW_FROM) {
           emit(224, { address, slowness });
         }
-        if (slowness < NORMAL_BELOW) this.notedAtMs.delete(address);
-        else this.notedAtMs.set(address, now());
+        const isSlow = slowness >= this.slowFrom(note);
+        if (isSlow) this.noted.set(address, { startedAtMs, atMs: now() });
+        else this.noted.delete(address);
       }
     } catch (error) {
       emit(191, { stream: "pace", reason: toFailure(error, 1901).message });
     }
     this.isWriting = false;
   }
+
+  /** Whether this life of the rank was slow by its last note. */
+  private isNoted({ address, startedAtMs }: PaceNote): boolean {
+    const noted = this.noted.get(address);
+    if (noted === undefined) return false;
+    return orderOfLives(noted.startedAtMs, startedAtMs) === "same";
+  }
+
+  private slowFrom(note: PaceNote): number {
+    return this.isNoted(note) ? NORMAL_BELOW : SLOW_FROM;
+  }
 }
--- a/tests/membership/slow-runners.test.ts
+++ b/tests/membership/slow-runners.test.ts
@@ -16,7 +16,7 @@
 } {
   let nowMs = 0;
   const runners = SlowRunners.create(() => nowMs, ignoreEvents);
-  runners.take({ address: ADDRESS, slowness });
+  runners.take({ address: ADDRESS, slowness, startedAtMs: undefined });
   const at = (ms: number): void => {
     nowMs = ms;
   };
@@ -28,7 +28,7 @@
     const { runners } = noted(5);
     assert.ok(runners.isSlow(ADDRESS));
     assert.not.ok(runners.isSlow("10.0.0.2:1"));
-    runners.take({ address: ADDRESS, slowness: 1 });
+    runners.take({ address: ADDRESS, slowness: 1, startedAtMs: undefined });
     assert.not.ok(runners.isSlow(ADDRESS));
   });
 
@@ -43,7 +43,7 @@
   });
 
   it("pass through the store unchanged", () => {
-    const note = { address: ADDRESS, slowness: 4.5 };
+    const note = { address: ADDRESS, slowness: 4.5, startedAtMs: undefined };
     const record = { key: ADDRESS, value: encodePaceNote(note) };
     assert.equal(decodePaceNote(record), note);
     assert.is(decodePaceNote({ key: ADDRESS, value: undefined }), undefined);
--- a/tests/rankmaps/pace-reporter.test.ts
+++ b/tests/rankmaps/pace-reporter.test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import { failure, ignoreEvents } from "../../src/internal.js";
+import type { LifeStart } from "../../src/membership/life.js";
 import { decodePaceNote } from "../../src/membership/slow-runners.js";
 import { PaceReporter } from "../../src/rankmaps/pace-reporter.js";
 import { describe, it } from "../support/describe.js";
@@ -10,6 +11,7 @@
   nowMs = 0;
   isAway = false;
   readonly written: number[] = [];
+  readonly lives: LifeStart[] = [];
 
   readonly reporter = PaceReporter.create({
     now: () => this.nowMs,
@@ -20,13 +22,14 @@
         const note = decodePaceNote({ key, value });
         assert.is(note?.address, ADDRESS);
         this.written.push(note?.slowness ?? 0);
+        this.lives.push(note?.startedAtMs);
         return Promise.resolve();
       },
     },
   });
 
-  async look(slowness: number): Promise<void> {
-    this.reporter.look([{ address: ADDRESS, slowness }]);
+  async look(slowness: number, startedAtMs?: number): Promise<void> {
+    this.reporter.look([{ address: ADDRESS, slowness, startedAtMs }]);
     await new Promise((resolve) => {
       setImmediate(resolve);
     });
@@ -65,4 +68,33 @@
     await notes.look(5);
     assert.equal(notes.written, [5]);
   });
+
+  describe("when a rank starts again", () => {
+    it("writes at once what its new life shows", async () => {
+      const notes = new Notes();
+      await notes.look(5, 1000);
+      await notes.look(4, 2000);
+      assert.equal(notes.written, [5, 4]);
+      assert.equal(notes.lives, [1000, 2000]);
+    });
+
+    it("takes back the note of its earlier life", async () => {
+      // Not slow enough for a note, nor fast enough for a recovery. Left as it
+      // was, entries would pass the rank by until the earlier life's note lapses.
+      const notes = new Notes();
+      await notes.look(5, 1000);
+      await notes.look(1.4, 2000);
+      await notes.look(1.4, 2000);
+      assert.equal(notes.written, [5, 1.4]);
+    });
+
+    it("writes nothing of an earlier life that is seen late", async () => {
+      const notes = new Notes();
+      await notes.look(5, 2000);
+      await notes.look(1, 1000);
+      notes.nowMs = 4500;
+      await notes.look(9, 1000);
+      assert.equal(notes.written, [5]);
+    });
+  });
 });
