Keep two planners of one switch from letting a step go half armed

A planner that takes a switch over while the earlier one still orders about was safe only for orders with a lower number than its own. Open were: an arm of the later planner, late, after the earlier one had called the switch off; a late disarm of the earlier one after the later one had let the step go; a late release of the earlier one while the later one disarmed rank after rank; a call-off begun for one switch and gone on with for the next, released one; and the guard's and the call-off's orders under one number.

The rank that holds the step now takes a planner's number before any other rank is armed or disarmed, every rank before the step is let go, both by an order that does nothing else. A call-off ends when all ranks show that they are armed, and has a higher number than the guard.

Found by histories in which ranks start again at random. A restart that is seen in the old epoch is played only where it does no harm by itself: traces showed two cases that only the new epoch can keep apart, a late arm for an earlier step at a rank that has forgotten its fence, and a release under way.

The test of the call-off now also asks that the holder comes first.

--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -10,15 +10,24 @@
   goalOrders,
   pendingSwitch,
   type AddressedOrder,
+  type PendingSwitch,
 } from "./switch-orders.js";
 import type { MapGoal, OrderFence, RankState } from "./types.js";
 
 /** Versions, and fencing numbers, that one generation of the seat can use. */
 export const EACH_GENERATION = 1_000_000;
 
+/**
+ * From one fencing number of a run to the next. The one in between is for the
+ * guard of a held step, which gives the step up under the number after the
+ * hold's: a call-off under the same number wouldn't make void what it ordered.
+ */
+const EACH_VOIDING = 2;
+
 export class SwitchRun {
   private versions = 0;
-  private callOffs = 0;
+  /** How often the run has left a fencing number behind. */
+  private voidings = 0;
   private isCallingOff = false;
   private readonly voided = FencedRanks.create();
   private epoch = 0;
@@ -31,7 +40,7 @@
 
   /** Higher than that of any earlier holder, and of own orders now void. */
   get fencing(): number {
-    return this.generation * EACH_GENERATION + this.callOffs;
+    return this.generation * EACH_GENERATION + this.voidings * EACH_VOIDING;
   }
 
   /** A version that no rank has had. */
@@ -50,19 +59,19 @@
     goal: MapGoal | undefined,
   ): readonly AddressedOrder[] {
     this.noteEpoch(states);
+    const pending = pendingSwitch(states);
     if (this.isCallingOff) {
-      const orders = this.callOff(states);
+      const orders = isArmedWhole(pending) ? [] : this.callOff(states);
       if (orders.length > 0) return orders;
       this.endCallOff();
     }
-    const pending = pendingSwitch(states);
     switch (pending.kind) {
       case "none":
         return goal === undefined ? [] : goalOrders(states, goal);
       case "coming":
         return [];
       case "orders":
-        return pending.orders;
+        return this.finish(states, pending.orders);
       case "call-off":
         this.beginCallOff();
         return this.callOff(states);
@@ -91,9 +100,29 @@
     this.voided.clear();
   }
 
+  /**
+   * An earlier planner may still call the switch off, or let the step go, and
+   * doesn't make void what has a higher number than its own. So before any rank
+   * is armed, the one that holds the step takes an order with the present
+   * number: only there the step can be let go, and an arm of this planner, late,
+   * would leave one rank armed for it. And before the step is let go, every rank
+   * does: a late disarm of before would leave one rank unarmed. The order does
+   * nothing else. In a switch of its own a run's orders are accepted by then.
+   */
+  private finish(
+    states: readonly RankState[],
+    orders: readonly AddressedOrder[],
+  ): readonly AddressedOrder[] {
+    const isArming = orders.some(({ order }) => order.kind === "arm");
+    const needed = isArming ? holdersOf(states) : states;
+    const voided = this.voided.among(needed);
+    const left = needed.filter(({ rank }) => !voided.has(rank));
+    return left.length === 0 ? orders : this.raiseAt(left);
+  }
+
   private beginCallOff(): void {
     this.isCallingOff = true;
-    this.callOffs += 1;
+    this.voidings += 1;
     this.voided.clear();
   }
 
@@ -105,14 +134,42 @@
    */
   private endCallOff(): void {
     this.isCallingOff = false;
-    this.callOffs += 1;
+    this.voidings += 1;
     this.voided.clear();
   }
 
+  /**
+   * The rank that holds the step takes the number first: an earlier planner's
+   * release, late, would let it begin while some ranks are disarmed and others
+   * not.
+   */
   private callOff(states: readonly RankState[]): readonly AddressedOrder[] {
     const voided = this.voided.among(states);
+    const left = holdersOf(states).filter(({ rank }) => !voided.has(rank));
+    if (left.length > 0) return this.raiseAt(left);
     return callOffOrders(states, voided, this.takeVersion());
   }
+
+  /** Orders that do nothing but make void what has a lower number. */
+  private raiseAt(states: readonly RankState[]): readonly AddressedOrder[] {
+    const order = { kind: "disarm", version: this.takeVersion() } as const;
+    return states.map(({ rank }) => ({ rank, order }));
+  }
+}
+
+/**
+ * All ranks are armed. What was to be called off was finished by somebody else,
+ * or another switch has taken its place: to disarm ranks now, one after the
+ * other, could let the step begin half armed.
+ */
+function isArmedWhole(pending: PendingSwitch): boolean {
+  if (pending.kind === "coming") return true;
+  if (pending.kind !== "orders") return false;
+  return pending.orders.every(({ order }) => order.kind === "release");
+}
+
+function holdersOf(states: readonly RankState[]): readonly RankState[] {
+  return states.filter(({ heldStep }) => heldStep !== undefined);
 }
 
 /**
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -265,6 +265,91 @@
     assert.is(engines.history.mixedPasses, 0);
   });
 
+  describe("that goes on from where an earlier planner was", () => {
+    const EARLIER = { epoch: 1, fencing: 2 };
+
+    /** Prepared and held; `armed` are the ranks that are armed. */
+    function begun(
+      armed: readonly number[],
+      versions: readonly number[] = [5, 5, 5, 5],
+    ): Group {
+      const group = new Group();
+      const { engines } = group;
+      for (const [rank, version] of versions.entries()) {
+        engines.send(rank, { kind: "prepare", version, sets: [] }, EARLIER);
+      }
+      engines.send(HOLDER, { kind: "hold", step: 3 }, EARLIER);
+      for (const rank of armed) {
+        engines.send(rank, { kind: "arm", version: 5, step: 3 }, EARLIER);
+      }
+      engines.deliver();
+      return group;
+    }
+
+    /** An order of the earlier planner is carried out only now. */
+    function carryOutLate(group: Group, rank: number, order: RankOrder): void {
+      group.engines.send(rank, order, EARLIER);
+      group.engines.deliver();
+    }
+
+    async function finish(group: Group): Promise<void> {
+      for (let step = 0; step < 5; step += 1) {
+        await group.planner.step(group.ranks);
+        group.passUntilHeld();
+      }
+    }
+
+    it("has the holder refuse it before others are armed", async () => {
+      // The earlier planner isn't gone: it calls the switch off at the holder
+      // and lets the step go, while one of the others is being armed. The step
+      // would begin with this rank alone on the new map.
+      const group = begun([HOLDER]);
+      group.onOrder = (rank) => {
+        if (rank === HOLDER) return;
+        carryOutLate(group, HOLDER, { kind: "disarm", version: 5 });
+        carryOutLate(group, HOLDER, { kind: "release", step: 3 });
+        group.passUntilHeld();
+      };
+      await finish(group);
+      assert.is(group.engines.history.mixedPasses, 0);
+      assert.ok(
+        group.engines.states().every(({ mapVersion }) => mapVersion === 5),
+      );
+    });
+
+    it("has every rank refuse it before the step is let go", async () => {
+      // All ranks are armed. The earlier planner had begun to call the switch
+      // off, and one of its orders is carried out right after the release. The
+      // step would begin with this rank alone on the old map.
+      const group = begun([0, 1, 2, 3]);
+      group.onOrder = (_, { kind }) => {
+        if (kind !== "release") return;
+        carryOutLate(group, 2, { kind: "disarm", version: 5 });
+        group.passUntilHeld();
+      };
+      await finish(group);
+      assert.is(group.engines.history.mixedPasses, 0);
+      assert.ok(
+        group.engines.states().every(({ mapVersion }) => mapVersion === 5),
+      );
+    });
+
+    it("calls the switch off at the holder before the others", async () => {
+      // The earlier planner's release is carried out late, while ranks are told
+      // one after another that the switch is off. The step would begin with the
+      // ranks on the new map that hadn't been told yet.
+      const group = begun([HOLDER, 2], [5, 5, 5, 6]);
+      group.onOrder = (rank) => {
+        if (rank === HOLDER) return;
+        carryOutLate(group, HOLDER, { kind: "release", step: 3 });
+        group.passUntilHeld();
+      };
+      await finish(group);
+      assert.is(group.engines.history.mixedPasses, 0);
+      assert.ok(group.engines.history.passes > 3);
+    });
+  });
+
   describe("when a rank starts again", () => {
     it("takes no answer of its earlier life for an armed rank", async () => {
       // The rank takes its arm and starts again, which is seen, and only then
--- a/tests/rankmaps/held-engines.ts
+++ b/tests/rankmaps/held-engines.ts
@@ -182,16 +182,20 @@
   /**
    * A rank starts again, and shows it before the platform has noticed: the
    * group is still open, in its old epoch. Only while that alone does no harm:
-   * all ranks are on the first map, and another one holds the next step, whose
-   * release isn't under way. False where it would.
+   * all ranks are on the first map, and another one holds the step that ranks
+   * are or may yet be armed for, whose release isn't under way. Otherwise only
+   * the new epoch keeps a late arm from the rank that has forgotten its fence.
+   * False where it would do harm.
    */
   restartUnnoticed(rank: number): boolean {
-    const next = this.step + 1;
+    const others = this.engines.filter((_, index) => index !== rank);
+    const held = others.find((engine) => engine.held !== undefined)?.held;
     const isHarmless =
       this.isOpen &&
+      held !== undefined &&
       this.engines.every(({ map }) => map === 0) &&
-      this.engines.some(({ held }, index) => index !== rank && held === next) &&
-      this.flying.every(({ order }) => order.kind !== "release");
+      this.engines.every(({ armed }) => (armed?.step ?? held) === held) &&
+      this.flying.every(({ order }) => isHarmlessBelow(order, held));
     if (isHarmless) this.startAgain(rank);
     return isHarmless;
   }
@@ -273,3 +277,9 @@
     }
   }
 }
+
+/** Whether it lets no step begin, nor arms for another one than the held. */
+function isHarmlessBelow(order: RankOrder, held: number): boolean {
+  if (order.kind === "arm") return order.step === held;
+  return order.kind !== "release";
+}
--- a/tests/rankmaps/switch-orders.test.ts
+++ b/tests/rankmaps/switch-orders.test.ts
@@ -10,23 +10,74 @@
   type AddressedOrder,
 } from "../../src/rankmaps/switch-orders.js";
 import { SwitchRun } from "../../src/rankmaps/switch-run.js";
-import type { MapGoal, RankState } from "../../src/rankmaps/types.js";
+import type {
+  MapGoal,
+  OrderFence,
+  RankState,
+} from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
 import { HeldEngines, type History } from "./held-engines.js";
 
 const RANKS = 4;
 const HISTORIES = 20_000;
 
+/** How likely ranks are to fail, each for one turn of a history. */
+interface Faults {
+  /** All ranks at once. */
+  readonly crash: number;
+  readonly restart: number;
+  /** A rank starts again, and is seen to before its group breaks. */
+  readonly unnoticedRestart: number;
+  /** The same, while the answer to an order is on the way; for one order. */
+  readonly restartWhileAnswering: number;
+}
+
+const USUAL_FAULTS: Faults = {
+  crash: 0.01,
+  restart: 0.01,
+  unnoticedRestart: 0.05,
+  restartWhileAnswering: 0.01,
+};
+/** Ranks start again most of the time that a step is held. */
+const MANY_RESTARTS: Faults = {
+  crash: 0.04,
+  restart: 0.01,
+  unnoticedRestart: 0.3,
+  restartWhileAnswering: 0.1,
+};
+
 /** Engines, and the lives that have been seen of them, by rank. */
 class World {
   readonly lives = Array.from({ length: RANKS }, () => LatestLife.create());
   readonly engines: HeldEngines;
 
-  constructor(readonly random: Random) {
+  constructor(
+    readonly random: Random,
+    private readonly faults: Faults,
+  ) {
     this.engines = HeldEngines.create(RANKS, random);
   }
 
-  anyRank(): number {
+  /** A turn of the engines, with what goes wrong in it. */
+  turn(): void {
+    const { engines, random, faults } = this;
+    if (random() < 0.5) engines.pass();
+    engines.deliver();
+    if (random() < faults.crash) engines.crash();
+    if (random() < faults.restart) engines.restart(this.anyRank());
+    if (random() < 0.2) engines.form();
+    if (random() < faults.unnoticedRestart) {
+      this.restartUnnoticed(this.anyRank());
+    }
+  }
+
+  /** A rank may start again while an answer is on the way. */
+  waitForAnswer(): void {
+    const isRestart = this.random() < this.faults.restartWhileAnswering;
+    if (isRestart) this.restartUnnoticed(this.anyRank());
+  }
+
+  private anyRank(): number {
     return Math.floor(this.random() * RANKS);
   }
 
@@ -46,7 +97,7 @@
   }
 
   /** A rank is seen to have started again, in the epoch of before. */
-  restartUnnoticed(rank: number): void {
+  private restartUnnoticed(rank: number): void {
     if (!this.engines.restartUnnoticed(rank)) return;
     this.lives[rank].see(this.engines.stateOf(rank).startedAtMs);
   }
@@ -109,13 +160,12 @@
     states: readonly RankState[],
     { rank, order }: AddressedOrder,
   ): boolean {
-    const { engines, lives, random } = this.world;
+    const { engines, lives } = this.world;
     const { fencing } = this.run;
     const seen = states.find((state) => state.rank === rank);
     engines.send(rank, order, { epoch: states[0].epoch, fencing });
     const answers = engines.deliver();
-    // The rank starts again while its answer is on the way.
-    if (random() < 0.01) this.world.restartUnnoticed(rank);
+    this.world.waitForAnswer();
     const admitted = answers.filter(
       (one) => lives[one.rank].see(one.startedAtMs) !== "earlier",
     );
@@ -134,21 +184,18 @@
  * Plays a history in which every order may be lost, late or both, and ranks may
  * start again at any moment.
  */
-function play(seed: number): { world: World; history: History } {
+function play(
+  seed: number,
+  faults: Faults = USUAL_FAULTS,
+): { world: World; history: History } {
   const random: Random = createRandom(seed);
-  const world = new World(random);
-  const { engines } = world;
+  const world = new World(random, faults);
   let generation = 1;
   let planners = [Planner.create(world, generation)];
   for (let turn = 0; turn < 120; turn += 1) {
     const planner = planners[Math.floor(random() * planners.length)];
     planner.step();
-    if (random() < 0.5) engines.pass();
-    engines.deliver();
-    if (random() < 0.01) engines.crash();
-    if (random() < 0.01) engines.restart(world.anyRank());
-    if (random() < 0.2) engines.form();
-    if (random() < 0.05) world.restartUnnoticed(world.anyRank());
+    world.turn();
     if (random() < 0.02) {
       // Another planner takes the seat; the old one doesn't know for a while.
       generation += 1;
@@ -156,7 +203,7 @@
     }
     if (random() < 0.2) planners = planners.slice(-1);
   }
-  return { world, history: engines.history };
+  return { world, history: world.engines.history };
 }
 
 describe("orders of a map switch", () => {
@@ -174,6 +221,16 @@
     assert.ok(switches > HISTORIES, `${switches} switches`);
   });
 
+  it("never lets a pass run with two maps while ranks start again and again", () => {
+    // A rank that starts again has forgotten what it prepared, was armed for
+    // and held, and which fencing number it took; late answers and reports of
+    // before say otherwise.
+    for (let seed = 1; seed <= HISTORIES; seed += 1) {
+      const { history } = play(seed, MANY_RESTARTS);
+      assert.is(history.mixedPasses, 0, `seed ${seed}`);
+    }
+  });
+
   it("lets the group go on after whatever was lost", () => {
     // The last planner is left alone with engines that answer in time: it has
     // to finish what the others began, or the group would stand still.
@@ -204,18 +261,42 @@
     engines.deliver();
     assert.is(pendingSwitch(engines.states()).kind, "call-off");
     const run = SwitchRun.create(1);
+    const fence = (): OrderFence => ({ epoch: 1, fencing: run.fencing });
+    const holder = run.nextOrders(engines.states(), undefined);
+    assert.equal(
+      holder.map(({ rank, order }) => [rank, order.kind]),
+      [[2, "disarm"]],
+    );
+    run.onAccepted(2, fence(), engines.stateOf(2).startedAtMs);
     const first = run.nextOrders(engines.states(), undefined);
     assert.equal(
-      first.map(({ order }) => order.kind),
-      ["disarm", "disarm", "disarm", "disarm"],
+      first.map(({ rank, order }) => [rank, order.kind]),
+      [
+        [0, "disarm"],
+        [1, "disarm"],
+        [3, "disarm"],
+      ],
     );
     for (const { rank, startedAtMs } of engines.states()) {
-      run.onAccepted(rank, { epoch: 1, fencing: run.fencing }, startedAtMs);
+      run.onAccepted(rank, fence(), startedAtMs);
     }
     const second = run.nextOrders(engines.states(), undefined);
     assert.equal(second, [{ rank: 2, order: { kind: "release", step: 5 } }]);
   });
 
+  it("calls a switch off under a higher number than the step's guard has", () => {
+    // The guard of a held step arms or releases under the number after the
+    // hold's. A call-off under that number wouldn't make its late orders void.
+    const engines = HeldEngines.create(RANKS, createRandom(1));
+    engines.calm();
+    const run = SwitchRun.create(1);
+    const held = run.fencing;
+    engines.send(2, { kind: "hold", step: 5 }, { epoch: 1, fencing: held });
+    engines.deliver();
+    run.nextOrders(engines.states(), undefined);
+    assert.ok(run.fencing > held + 1);
+  });
+
   it("arms the holder first and the planner's own rank last", () => {
     // Another planner gave a step up, and its release is carried out late. If
     // others were armed by then and the holder not, the step would begin with
