Find a group's ranks anew in each epoch, and plan for the seat's group alone

An agent that doesn't plan kept the ranks' addresses of before: a rank that had started again at another address could be neither seen nor armed by the agent that watches a held step. It now looks for them when the group's epoch is a new one, once while the store is away. What is known of the group is a module of its own now.

A planner whose own runner came back in another group went on for that group, with the fencing numbers of its old group's seat. It orders nothing there now.

Tests: known-group, new (the behaviour of before by reading, not run); group planner, 'orders nothing in another group than that of its seat', which fails without the check.

--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -34,6 +34,7 @@
 import { RankAgentService } from "../wire/generated/rankmaps.js";
 import { GroupPlanner, type GroupRank } from "./group-planner.js";
 import { HoldGuard } from "./hold-guard.js";
+import { KnownGroup } from "./known-group.js";
 import { PaceReporter } from "./pace-reporter.js";
 import { PlannerSeat, type SeatService } from "./planner-seat.js";
 import { RankAgent } from "./rank-agent.js";
@@ -72,8 +73,7 @@
   private readonly stop = new AbortController();
   private readonly clients = new Map<string, RankClient>();
   private readonly ranks = new Map<string, GroupRank>();
-  private group: readonly GroupRank[] = [];
-  private isGroupStale = true;
+  private readonly group: KnownGroup;
   private engine: EngineFigures | undefined;
   private readonly seat: PlannerSeat;
   private readonly runs = SwitchRuns.create();
@@ -100,10 +100,17 @@
       now: () => performance.now(),
       emit: this.emit,
     });
+    this.group = KnownGroup.create({
+      observeOwn: () => port.observe(),
+      find: (own) => this.findGroup(own, this.stop.signal),
+      onFailure: (error) => {
+        this.noteUnreachable(error);
+      },
+    });
     const guard = HoldGuard.create({
       port,
       emit: this.emit,
-      group: () => this.knownGroup(),
+      group: () => this.group.read(),
       signal: this.stop.signal,
       isFencingChecked: settings.isFencingChecked,
     });
@@ -169,37 +176,12 @@
       if (this.seat.generation === undefined) {
         planner = undefined;
         const { turn } = this.seat;
-        await this.prepareForHolds(own);
+        await this.group.prepare(own.size);
         await Promise.race([turn, pause(SEARCH_INTERVAL_MS, signal)]);
         continue;
       }
-      planner = await this.plan(planner, signal);
-    }
-  }
-
-  private async prepareForHolds({ size }: RankState): Promise<void> {
-    if (this.group.length === size && !this.isGroupStale) return;
-    try {
-      await this.knownGroup();
-    } catch (error) {
-      this.noteUnreachable(error);
-    }
-  }
-
-  /** Found before it is needed: the store may be away by then. */
-  private async knownGroup(): Promise<readonly GroupRank[]> {
-    const own = await this.port.observe();
-    const isWhole = this.group.length === own.size;
-    if (isWhole && !this.isGroupStale) return this.group;
-    try {
-      this.group = await this.findGroup(own, this.stop.signal);
-      this.isGroupStale = false;
-    } catch (error) {
-      // While the store is away the ranks known last are the best guess.
-      if (!isWhole) throw error;
-      this.noteUnreachable(error);
+      planner = await this.plan(planner, own, signal);
     }
-    return this.group;
   }
 
   /** Waits until the runner belongs to a group. */
@@ -218,20 +200,20 @@
 
   private async plan(
     known: GroupPlanner | undefined,
+    own: RankState,
     signal: AbortSignal,
   ): Promise<GroupPlanner | undefined> {
     try {
-      const planner = known ?? (await this.createPlanner(signal));
+      const planner = known ?? (await this.createPlanner(own, signal));
       if (planner === undefined) {
         await pause(SEARCH_INTERVAL_MS, signal);
         return undefined;
       }
-      await pause(await planner.step(this.group), signal);
+      await pause(await planner.step(this.group.ranks), signal);
       return planner;
     } catch (error) {
       this.noteUnreachable(error);
-      // Whichever rank is missing may have come back at another address.
-      this.isGroupStale = true;
+      this.group.markStale();
       await pause(INCOMPLETE_INTERVAL_MS, signal);
       return undefined;
     }
@@ -239,11 +221,12 @@
 
   /** Undefined where the service's engines have no expert maps. */
   private async createPlanner(
+    { group }: RankState,
     signal: AbortSignal,
   ): Promise<GroupPlanner | undefined> {
     const engine = await this.engineFigures(signal);
     if (engine === undefined || engine.expertSets === 0) return undefined;
-    await this.knownGroup();
+    await this.group.read();
     const { epoch, rank, size } = await this.port.observe();
     return GroupPlanner.create({
       seat: this.seat,
@@ -252,6 +235,7 @@
       measurements: this.measurements,
       pace: this.pace,
       engine,
+      group,
       epoch,
       planner: rank,
       holder: (rank + 1) % size,
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -57,6 +57,11 @@
   readonly measurements: Measurements;
   readonly pace: Pick<PaceReporter, "look">;
   readonly engine: EngineFigures;
+  /**
+   * The group whose seat it is. A runner may start again in another group, and
+   * fencing numbers of two groups' seats can't be compared.
+   */
+  readonly group: string;
   /** The ranks below are numbered for this epoch; the next may number anew. */
   readonly epoch: number;
   /** The own rank, armed after all others. */
@@ -113,7 +118,7 @@
   /**
    * One look at the group and what follows from it. Resolves with the time to
    * the next one, ms. Throws 1607 when a rank can't be reached, 1606 when they
-   * don't make up a whole group of the planner's epoch.
+   * don't make up the planner's group in its epoch.
    */
   async step(ranks: readonly GroupRank[]): Promise<number> {
     const run = this.currentRun();
@@ -125,7 +130,7 @@
       ranks.map((rank) => rank.observe({ withCounts, withExperts })),
     );
     const states = wholeGroup(seen.map(({ state }) => state));
-    if (states?.[0].epoch !== this.options.epoch) {
+    if (states === undefined || !this.isOwnGroup(states)) {
       this.forget();
       return raise(1606, { ranks: seen.length });
     }
@@ -195,6 +200,11 @@
     return run;
   }
 
+  private isOwnGroup(states: readonly RankState[]): boolean {
+    const { group, epoch } = this.options;
+    return states[0].group === group && states[0].epoch === epoch;
+  }
+
   private forget(): void {
     this.view = undefined;
     this.goal = undefined;
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -74,7 +74,7 @@
   }
 
   /** In the same process and generation of the seat, knowing no map. */
-  createPlanner(): GroupPlanner {
+  createPlanner(group = "g"): GroupPlanner {
     return GroupPlanner.create({
       seat: { generation: 1, onFenced: () => undefined },
       runs: this.runs,
@@ -82,6 +82,7 @@
       measurements: ignoreMeasurements,
       pace: { look: () => undefined },
       engine: ENGINE,
+      group,
       epoch: this.engines.epoch,
       planner: PLANNER,
       holder: HOLDER,
@@ -462,6 +463,16 @@
       });
     }
 
+    it("orders nothing in another group than that of its seat", async () => {
+      // The planner's own runner has come back in another group, which has a
+      // planner with a seat of its own. Fencing numbers of two seats say nothing
+      // about each other, and ranks could be armed by both.
+      const group = new Group();
+      const planner = group.createPlanner("another");
+      assert.ok((await errorOf(planner.step(group.ranks))) instanceof Error);
+      assert.equal(group.ordered, []);
+    });
+
     it("orders nothing in an epoch whose ranks it hasn't numbered", async () => {
       // The planner's own rank starts again, and in the new epoch the ranks are
       // numbered anew. By the old numbers another rank would be armed last than
