--- a/tests/direct/pace-inquiry.test.ts
+++ b/tests/direct/pace-inquiry.test.ts
@@ -47,7 +47,9 @@
     await site.looks(() => site.notes.length > 0);
     site.inquiry.onStoreRestored();
     assert.equal(site.asked, RUNNERS);
-    assert.equal(site.notes, [{ address: RUNNERS[0], slowness: 5 }]);
+    assert.equal(site.notes, [
+      { address: RUNNERS[0], slowness: 5, startedAtMs: undefined },
+    ]);
   });
 
   it("asks nobody while streams are in time, and not all the time", async () => {
