Take a life whose clock was set back once the known one is silent

A rank that starts again after its clock was set back seems to be the earlier of two lives. What it says would be passed over for as long as the agent's process runs. A life that goes on answering when the known one has said nothing for three seconds now takes its place; a call to a rank takes 250 ms at most, so nothing said before is that late. The same for counts, and for a note of pace once it has lapsed.

Tests: reachable rank and pace reporter, one each, new with the change.

--- a/src/rankmaps/count-deltas.ts
+++ b/src/rankmaps/count-deltas.ts
@@ -4,30 +4,34 @@
  * life is told: a life's counts as a whole would pass for the demand of one
  * moment, and the next map would be made for what is long over.
  */
-import { orderOfLives } from "../membership/life.js";
+import type { Now } from "../internal.js";
+import { LatestLife } from "./latest-life.js";
 import type { RankCounts } from "./types.js";
 
 export class CountDeltas {
   private known: RankCounts | undefined;
 
-  static create(): CountDeltas {
-    return new CountDeltas();
+  private constructor(private readonly lives: LatestLife) {}
+
+  static create(now: Now): CountDeltas {
+    return new CountDeltas(LatestLife.create(now));
   }
 
   /** None at the first look at a life, and for counts that come late. */
   take(counted: RankCounts): readonly number[] {
     const { known } = this;
-    if (known !== undefined && isLate(known, counted)) return [];
+    const order = this.lives.see(counted.startedAtMs);
+    if (order === "earlier") return [];
+    const isSame = order === "same" && known !== undefined;
+    if (isSame && isOvertaken(known, counted)) return [];
     this.known = counted;
-    if (known === undefined || !isContinued(known, counted)) return [];
+    if (!isSame || !isContinued(known, counted)) return [];
     return counted.counts.map((count, index) => count - countAt(known, index));
   }
 }
 
-/** Of an earlier life, or of this one and overtaken by what is known. */
-function isLate(known: RankCounts, counted: RankCounts): boolean {
-  const order = orderOfLives(known.startedAtMs, counted.startedAtMs);
-  if (order !== "same") return order === "earlier";
+/** By what is known of the same life. */
+function isOvertaken(known: RankCounts, counted: RankCounts): boolean {
   const isOneEpoch = known.epoch === counted.epoch;
   return isLifeTold(known, counted) && isOneEpoch && isLower(known, counted);
 }
--- a/src/rankmaps/pace-reporter.ts
+++ b/src/rankmaps/pace-reporter.ts
@@ -52,10 +52,12 @@
     const noted = this.noted.get(address);
     if (noted === undefined) return slowness >= SLOW_FROM;
     const order = orderOfLives(noted.startedAtMs, startedAtMs);
-    if (order === "earlier") return false;
+    const sinceMs = this.options.now() - noted.atMs;
+    // Unless the note has lapsed unrenewed: then a clock was set back.
+    if (order === "earlier") return sinceMs >= NOTE_LASTS_MS;
     // The note of an earlier life says nothing of this one.
     if (order === "later" || slowness < NORMAL_BELOW) return true;
-    return this.options.now() - noted.atMs >= REFRESH_MS;
+    return sinceMs >= REFRESH_MS;
   }
 
   private async write(changed: readonly PaceNote[]): Promise<void> {
--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -39,7 +39,7 @@
 };
 
 export class RankAgent {
-  private readonly deltas = CountDeltas.create();
+  private readonly deltas = CountDeltas.create(() => performance.now());
   private countedAtMs = performance.now();
 
   private constructor(private readonly options: RankAgentOptions) {}
--- a/src/rankmaps/reachable-rank.ts
+++ b/src/rankmaps/reachable-rank.ts
@@ -53,7 +53,7 @@
 
 export function createReachableRank(options: ReachableRankOptions): GroupRank {
   const { address, agent, runner, now } = options;
-  const lives = LatestLife.create();
+  const lives = LatestLife.create(now);
   let retryAtMs = Number.NEGATIVE_INFINITY;
   const admit = (startedAtMs: LifeStart): void => {
     const order = lives.see(startedAtMs);
--- a/tests/rankmaps/pace-reporter.test.ts
+++ b/tests/rankmaps/pace-reporter.test.ts
@@ -96,5 +96,15 @@
       await notes.look(9, 1000);
       assert.equal(notes.written, [5]);
     });
+
+    it("writes again once the known life's note has lapsed", async () => {
+      // The rank's clock was set back before it started again: what seems to be
+      // the earlier life is the present one, and slow.
+      const notes = new Notes();
+      await notes.look(5, 2000);
+      notes.nowMs = 9000;
+      await notes.look(4, 1000);
+      assert.equal(notes.lives, [2000, 1000]);
+    });
   });
 });
--- a/tests/rankmaps/reachable-rank.test.ts
+++ b/tests/rankmaps/reachable-rank.test.ts
@@ -208,6 +208,19 @@
       assert.equal(rank.asked, ["agent"]);
     });
 
+    it("is reached again when its clock was set back before its start", async () => {
+      // The present life seems to be the earlier one. The other one is gone and
+      // says nothing more; the rank must not be out of reach for good.
+      const rank = await reborn();
+      rank.runnersLife = 1000;
+      rank.nowMs = 2900;
+      assert.ok((await errorOf(rank.reach.observe(LOOK))) instanceof Error);
+      rank.nowMs = 3000;
+      const { state } = await rank.reach.observe(LOOK);
+      assert.is(state.startedAtMs, 1000);
+      assert.is(rank.reach.isOver(1000), false);
+    });
+
     it("tells which life is over", async () => {
       const rank = await reborn();
       assert.is(rank.reach.isOver(1000), true);
--- a/tests/rankmaps/switch-orders.test.ts
+++ b/tests/rankmaps/switch-orders.test.ts
@@ -48,7 +48,9 @@
 
 /** Engines, and the lives that have been seen of them, by rank. */
 class World {
-  readonly lives = Array.from({ length: RANKS }, () => LatestLife.create());
+  readonly lives = Array.from({ length: RANKS }, () =>
+    LatestLife.create(() => 0),
+  );
   readonly engines: HeldEngines;
 
   constructor(
