--- a/src/membership/slow-runners.ts
+++ b/src/membership/slow-runners.ts
@@ -8,8 +8,11 @@
  * and writes down what is out of the ordinary.
  */
 import { z } from "zod";
-import { raise, type Emit, type Now } from "../internal.js";
+import { raise, toFailure, type Emit, type Now } from "../internal.js";
+import { decodeJson } from "../platform/json-value.js";
 import type { KeyedRecord } from "../platform/keyed-topic.js";
+import type { RecordFindings } from "../platform/record-findings.js";
+import { isHostPort } from "./host-port.js";
 import type { LifeStart } from "./life.js";
 
 /** One rank's pace. */
@@ -31,9 +34,12 @@
  */
 export const NOTE_LASTS_MS = 9000;
 
+/** The name under which findings on notes are told. */
+export const PACE_STREAM = "pace";
+
 /** An older reader passes over the start; an older writer gives none. */
 const valueSchema = z.object({
-  slowness: z.number(),
+  slowness: z.number().positive(),
   startedAtMs: z.int().optional(),
 });
 
@@ -47,12 +53,29 @@
   value,
 }: KeyedRecord): PaceNote | undefined {
   if (value === undefined) return undefined;
-  const result = valueSchema.safeParse(JSON.parse(value.toString()));
-  if (!result.success) return raise(1903, { reason: result.error.message });
-  const { slowness, startedAtMs } = result.data;
+  if (!isHostPort(key))
+    return raise(1903, { reason: "the key is no host:port" });
+  const { slowness, startedAtMs } = decodeJson(valueSchema, value);
   return { address: key, slowness, startedAtMs };
 }
 
+/** The notes that can be read; the others are findings. Doesn't throw. */
+export function readPaceNotes(
+  records: readonly KeyedRecord[],
+  findings: RecordFindings,
+): readonly PaceNote[] {
+  return records.flatMap((record) => {
+    try {
+      return decodePaceNote(record) ?? [];
+    } catch (error) {
+      const { key, value = Buffer.alloc(0) } = record;
+      const reason = toFailure(error, 1903).message;
+      findings.note({ stream: PACE_STREAM, key, content: value, reason });
+      return [];
+    }
+  });
+}
+
 export class SlowRunners {
   /** Address to the monotonic time until which its note counts, ms. */
   private readonly slowUntilMs = new Map<string, number>();
@@ -71,10 +94,18 @@
     if (isSlow !== this.isSlow(address)) {
       this.emit(217, { address, slowness });
     }
+    this.forgetLapsed();
     if (isSlow) this.slowUntilMs.set(address, this.now() + NOTE_LASTS_MS);
     else this.slowUntilMs.delete(address);
   }
 
+  /** Addresses come and go; nobody takes back a note of one that is gone. */
+  private forgetLapsed(): void {
+    for (const address of this.slowUntilMs.keys()) {
+      if (!this.isSlow(address)) this.slowUntilMs.delete(address);
+    }
+  }
+
   isSlow(address: string): boolean {
     const untilMs = this.slowUntilMs.get(address);
     return untilMs !== undefined && untilMs > this.now();
