--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -3,6 +3,7 @@
  * ranks, follows demand, and takes each better map through its switch.
  */
 import { raise, toFailure, type Emit, type Measurements } from "../internal.js";
+import { orderOfLives, type LifeStart } from "../membership/life.js";
 import type { PaceNote } from "../membership/slow-runners.js";
 import type { EngineFigures } from "../routing/types.js";
 import { ExpertDemand } from "./demand.js";
@@ -17,12 +18,13 @@
   wholeGroup,
   type AddressedOrder,
 } from "./switch-orders.js";
-import type { SwitchRun } from "./switch-run.js";
+import type { SwitchRun, SwitchRuns } from "./switch-run.js";
 import type { WatchedHold } from "./hold-guard.js";
 import type {
   AgentOrder,
   MapGoal,
   MapSets,
+  OfLife,
   OrderFence,
   OrderResult,
   RankOrder,
@@ -43,19 +45,25 @@
   ) => Promise<OrderResult>;
   /** Has the rank hold a step, with its agent watching over it. */
   readonly hold: (hold: WatchedHold) => Promise<OrderResult>;
+  /** Whether a later life of the runner than this one has been seen. */
+  readonly isOver: (startedAtMs: LifeStart) => boolean;
 }
 
 export interface GroupPlannerOptions {
   readonly seat: Pick<PlannerSeat, "generation" | "onFenced">;
-  /**
-   * The switches of a generation of the seat, those of an earlier planner of
-   * the same generation included.
-   */
-  readonly runOf: (generation: number) => SwitchRun;
+  /** Those of the process: they outlast this planner. */
+  readonly runs: SwitchRuns;
   readonly emit: Emit;
   readonly measurements: Measurements;
   readonly pace: Pick<PaceReporter, "look">;
   readonly engine: EngineFigures;
+  /**
+   * The group whose seat it is. A runner may start again in another group, and
+   * fencing numbers of two groups' seats can't be compared.
+   */
+  readonly group: string;
+  /** The ranks below are numbered for this epoch; the next may number anew. */
+  readonly epoch: number;
   /** The own rank, armed after all others. */
   readonly planner: number;
   /**
@@ -65,9 +73,10 @@
   readonly holder: number;
 }
 
-/** What is known of the group in its present epoch. */
+/** What is known of the group while no rank of it starts anew. */
 interface GroupView {
-  readonly epoch: number;
+  /** By rank. */
+  readonly lives: readonly LifeStart[];
   readonly planner: MapPlanner;
   readonly demand: ExpertDemand;
   map: MapSets;
@@ -109,7 +118,7 @@
   /**
    * One look at the group and what follows from it. Resolves with the time to
    * the next one, ms. Throws 1607 when a rank can't be reached, 1606 when they
-   * don't make up a whole group.
+   * don't make up the planner's group in its epoch.
    */
   async step(ranks: readonly GroupRank[]): Promise<number> {
     const run = this.currentRun();
@@ -121,7 +130,7 @@
       ranks.map((rank) => rank.observe({ withCounts, withExperts })),
     );
     const states = wholeGroup(seen.map(({ state }) => state));
-    if (states === undefined) {
+    if (states === undefined || !this.isOwnGroup(states)) {
       this.forget();
       return raise(1606, { ranks: seen.length });
     }
@@ -142,6 +151,8 @@
   ): Promise<number> {
     let states = seen;
     for (let round = 0; round < MOST_ROUNDS; round += 1) {
+      // What an earlier life had prepared, armed or held is gone with it.
+      if (isOutdated(ranks, states)) return URGENT_INTERVAL_MS;
       const due = run.nextOrders(states, this.goal);
       if (due.length === 0) return this.calmInterval();
       const orders = isArming(due) ? armingWave(due, this.options) : due;
@@ -150,9 +161,11 @@
       if (isPreparing) return SWITCH_INTERVAL_MS;
       if (!done) return URGENT_INTERVAL_MS;
       const isHold = orders.some(({ order }) => order.kind === "hold");
-      states = isHold
+      const next = isHold
         ? await this.lookAgain(ranks)
         : afterOrders(states, orders);
+      if (next === undefined) return URGENT_INTERVAL_MS;
+      states = next;
     }
     return URGENT_INTERVAL_MS;
   }
@@ -179,16 +192,19 @@
 
   /** One run for each generation of the seat. */
   private currentRun(): SwitchRun | undefined {
-    const { seat, runOf } = this.options;
-    if (seat.generation === undefined) return undefined;
-    const run = runOf(seat.generation);
-    if (run !== this.run) {
-      this.run = run;
-      this.goal = undefined;
-    }
+    const generation = this.options.seat.generation;
+    if (generation === undefined) return undefined;
+    const run = this.options.runs.of(generation);
+    if (this.run !== run) this.goal = undefined;
+    this.run = run;
     return run;
   }
 
+  private isOwnGroup(states: readonly RankState[]): boolean {
+    const { group, epoch } = this.options;
+    return states[0].group === group && states[0].epoch === epoch;
+  }
+
   private forget(): void {
     this.view = undefined;
     this.goal = undefined;
@@ -200,8 +216,8 @@
     withCounts: boolean,
     nowMs: number,
   ): void {
-    const { epoch, mapVersion } = states[0];
-    if (this.view !== undefined && this.view.epoch !== epoch) this.forget();
+    const { mapVersion } = states[0];
+    if (this.view !== undefined && !isOfLives(states, this.view)) this.forget();
     const isStale = this.view?.mapVersion !== mapVersion;
     if (this.view === undefined || isStale) this.learnMap(seen, states);
     if (!withCounts) return;
@@ -218,7 +234,7 @@
     seen: readonly Observation[],
     states: readonly RankState[],
   ): void {
-    const { epoch, mapVersion, size } = states[0];
+    const { mapVersion, size } = states[0];
     if (!isInForce(states, mapVersion)) return;
     if (this.view !== undefined && this.goal?.version === mapVersion) {
       this.view.map = this.goal.plan.sets;
@@ -240,7 +256,7 @@
       slotsPerRank: engine.slotsPerRank,
     };
     this.view = {
-      epoch,
+      lives: byRank.map(({ state }) => state.startedAtMs),
       map,
       mapVersion,
       planner: MapPlanner.create(shape, limitsOf(engine)),
@@ -292,9 +308,11 @@
     const confirmed = await Promise.all(
       orders.map(async ({ rank, order }) => {
         const index = states.findIndex((state) => state.rank === rank);
-        const result = await this.sendOne(ranks[index], order, fence);
+        const { startedAtMs } = states[index];
+        const addressed = { order, startedAtMs };
+        const result = await this.sendOne(ranks[index], addressed, fence);
         if (result?.kind !== "accepted") return false;
-        run.onAccepted(rank, fence);
+        run.onAccepted(rank, fence, result.startedAtMs);
         return result.isDone;
       }),
     );
@@ -304,14 +322,14 @@
   /** An order without an answer is sent again after the next look. */
   private async sendOne(
     rank: GroupRank,
-    order: RankOrder,
+    { order, startedAtMs }: OfLife & { readonly order: RankOrder },
     fence: OrderFence,
   ): Promise<OrderResult | undefined> {
     const { emit, seat, planner } = this.options;
     try {
       const result =
         order.kind === "hold"
-          ? await rank.hold({ step: order.step, fence, planner })
+          ? await rank.hold({ step: order.step, fence, planner, startedAtMs })
           : await rank.order(order, fence);
       if (result.kind === "fenced") {
         emit(171, { fencing: fence.fencing, highest: null, error: 1701 });
@@ -333,6 +351,25 @@
   }
 }
 
+function isOfLives(
+  states: readonly RankState[],
+  { lives }: GroupView,
+): boolean {
+  return states.every(
+    ({ rank, startedAtMs }) =>
+      orderOfLives(lives[rank], startedAtMs) === "same",
+  );
+}
+
+function isOutdated(
+  ranks: readonly GroupRank[],
+  states: readonly RankState[],
+): boolean {
+  return states.some(({ startedAtMs }, index) =>
+    ranks[index].isOver(startedAtMs),
+  );
+}
+
 function isArming(orders: readonly AddressedOrder[]): boolean {
   return orders.every(({ order }) => order.kind === "arm");
 }
@@ -344,7 +381,7 @@
   return ranks.map(({ address }, index) => ({
     address,
     slowness: seen[index].state.slowness,
-    startedAtMs: undefined,
+    startedAtMs: seen[index].state.startedAtMs,
   }));
 }
 
--- a/tests/direct/attempt.test.ts
+++ b/tests/direct/attempt.test.ts
@@ -60,7 +60,7 @@
     }, 1000);
     const { kind } = await attempt.run();
     clearTimeout(late);
-    await connections.destroy();
+    connections.endAll();
     process.off("uncaughtException", onFault);
     assert.equal(faults, []);
     assert.is(kind, "streamed");
--- a/tests/rankmaps/group-search.test.ts
+++ b/tests/rankmaps/group-search.test.ts
@@ -24,13 +24,15 @@
   armed: undefined,
   heldStep: undefined,
   slowness: 1,
+  startedAtMs: undefined,
 };
 
+const startedAtMs = undefined;
 const port: RankPort = {
   observe: () => Promise.resolve(state),
-  counts: () => Promise.resolve({ epoch: 1, counts: [] }),
-  experts: () => Promise.resolve([]),
-  order: () => Promise.resolve({ kind: "refused", status: 409 }),
+  counts: () => Promise.resolve({ epoch: 1, counts: [], startedAtMs }),
+  experts: () => Promise.resolve({ experts: [], startedAtMs }),
+  order: () => Promise.resolve({ kind: "refused", status: 409, startedAtMs }),
 };
 
 function registrationAt(address: string): Readonly<Record<string, unknown>> {
