Hold a late caller's stream ourselves, not in the HTTP client

Cause: the client library was paused for a caller that reads late. Where the runner then closed a connection that isn't kept alive, the library failed an assertion outside of any request, and the whole entry ended with every answer under way.

Change: an attempt keeps the bytes and the end of its stream until the caller has read what was written, up to the limit of answers that are held; the library is never paused.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -7,6 +7,7 @@
 import type { Dispatcher } from "undici";
 import { createDeferred } from "../internal.js";
 import { endMarkOf } from "../shared/answer-end.js";
+import { HeldStream } from "./held-stream.js";
 import type { RunnerConnections } from "./runner-connections.js";
 import type {
   AttemptEnd,
@@ -15,6 +16,9 @@
   HeaderCodec,
 } from "./types.js";
 
+/** Lets a stream's bytes and its end wait for a caller that reads late. */
+export type Flow = Pick<HeldStream, "pause" | "resume">;
+
 /** Takes a stream's bytes. */
 export interface StreamSink {
   /** A success has begun. */
@@ -24,10 +28,7 @@
     endMark: EndMark,
   ) => void;
   /** Undefined when all is well, else why the attempt has to end. */
-  readonly onData: (
-    chunk: Buffer,
-    flow: Dispatcher.DispatchController,
-  ) => string | undefined;
+  readonly onData: (chunk: Buffer, flow: Flow) => string | undefined;
   /** Undefined when the stream is whole. */
   readonly onEnd: () => string | undefined;
 }
@@ -57,10 +58,20 @@
   private endMark: EndMark = "connection";
   private isStream = false;
   private isNotRun = false;
+  private readonly held: HeldStream;
   private readonly parts: Buffer[] = [];
   private size = 0;
 
-  private constructor(private readonly options: AttemptOptions) {}
+  private constructor(private readonly options: AttemptOptions) {
+    this.held = HeldStream.create({
+      onData: (chunk) => {
+        this.passOn(chunk);
+      },
+      onEnd: () => {
+        this.onEnd();
+      },
+    });
+  }
 
   static create(options: AttemptOptions): Attempt {
     return new Attempt(options);
@@ -97,7 +108,7 @@
         this.onData(controller, chunk);
       },
       onResponseEnd: () => {
-        this.onEnd();
+        this.held.end();
       },
       onResponseError: (_controller, error) => {
         this.onError(error.message);
@@ -151,10 +162,12 @@
     chunk: Buffer,
   ): void {
     if (this.isEnded) return;
-    const { sink, maximumBytes } = this.options;
+    const { maximumBytes } = this.options;
     if (this.isStream) {
-      const fault = sink?.onData(chunk, controller);
-      if (fault !== undefined) this.break(controller, fault);
+      this.held.push(chunk);
+      if (this.held.bytes > maximumBytes) {
+        this.break(controller, "caller reads too late");
+      }
       return;
     }
     this.parts.push(chunk);
@@ -162,6 +175,14 @@
     if (this.size > maximumBytes) this.break(controller, "answer too large");
   }
 
+  private passOn(chunk: Buffer): void {
+    if (this.isEnded) return;
+    const fault = this.options.sink?.onData(chunk, this.held);
+    if (fault === undefined) return;
+    this.end({ kind: "broken", reason: fault });
+    this.controller?.abort(new Error(fault));
+  }
+
   private onEnd(): void {
     if (this.isEnded) return;
     const { status, headers, endMark } = this;
--- a/src/direct/event-relay.ts
+++ b/src/direct/event-relay.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { endWithConnection } from "../daemon/entry/answer-framing.js";
-import type { StreamSink } from "./attempt.js";
+import type { Flow, StreamSink } from "./attempt.js";
 import { answerHeaders } from "./end-to-end-headers.js";
 import { EventSplitter } from "./event-splitter.js";
 
@@ -79,14 +79,14 @@
     };
   }
 
-  private pass(bytes: Buffer, flow: Parameters<StreamSink["onData"]>[1]): void {
+  private pass(bytes: Buffer, flow: Flow): void {
     const { response, onEvent } = this.options;
     this.sendHead();
     const nowMs = performance.now();
     onEvent(nowMs - this.lastAtMs);
     this.lastAtMs = nowMs;
     if (response.write(bytes)) return;
-    // A caller that doesn't read must not make us hold its whole answer.
+    // What a caller hasn't read yet is held up to the attempt's limit.
     flow.pause();
     response.once("drain", () => {
       flow.resume();
