--- a/tests/platform/rank-port.test.ts
+++ b/tests/platform/rank-port.test.ts
@@ -4,6 +4,7 @@
 import { createRankPort } from "../../platform/runner.js";
 import { listen } from "../../src/daemon/listening.js";
 import { describe, it } from "../support/describe.js";
+import { outcomeWithin } from "../support/outcome.js";
 
 const REPORT = JSON.stringify({
   group: { name: "g", epoch: 3, rank: 1, state: "open" },
@@ -29,20 +30,6 @@
   };
 }
 
-async function outcome(work: Promise<unknown>): Promise<string> {
-  let timer: NodeJS.Timeout | undefined;
-  const late = new Promise<string>((resolve) => {
-    timer = setTimeout(resolve, SOON_MS, "late");
-  });
-  const done = work.then(
-    () => "answered",
-    () => "failed",
-  );
-  const first = await Promise.race([done, late]);
-  clearTimeout(timer);
-  return first;
-}
-
 describe("port of a rank", () => {
   it("fails in time while a connection doesn't come about, and tries anew", async () => {
     // The rank's VM is behind a cut: its opening packets are lost and sent again
@@ -61,8 +48,8 @@
           },
         }),
     );
-    assert.is(await outcome(port.observe()), "failed");
-    assert.is(await outcome(port.observe()), "failed");
+    assert.is(await outcomeWithin(port.observe(), SOON_MS), "failed");
+    assert.is(await outcomeWithin(port.observe(), SOON_MS), "failed");
     isCut = false;
     const state = await port.observe();
     assert.is(state.epoch, 3);
--- a/tests/platform/store-client.test.ts
+++ b/tests/platform/store-client.test.ts
@@ -4,6 +4,7 @@
 import { StoreClient } from "../../platform/store.js";
 import { KeyedStore } from "../../standins/keyed-store.js";
 import { describe, it } from "../support/describe.js";
+import { outcomeWithin } from "../support/outcome.js";
 
 /** A time by which a call has to have ended, ms. */
 const SOON_MS = 2000;
@@ -27,22 +28,8 @@
     );
     const topic = client.keyedTopic(topics.operator);
     const { signal } = new AbortController();
-    assert.is(await outcome(topic.newest(signal)), "failed");
+    assert.is(await outcomeWithin(topic.newest(signal), SOON_MS), "failed");
     isCut = false;
     assert.is((await topic.newest(signal)).records.length, 1);
   });
 });
-
-async function outcome(work: Promise<unknown>): Promise<string> {
-  let timer: NodeJS.Timeout | undefined;
-  const late = new Promise<string>((resolve) => {
-    timer = setTimeout(resolve, SOON_MS, "late");
-  });
-  const done = work.then(
-    () => "answered",
-    () => "failed",
-  );
-  const first = await Promise.race([done, late]);
-  clearTimeout(timer);
-  return first;
-}
