Wait for the agents too before a test proposes a map

Cause of the switch test that failed once ("waited in vain"): an agent hears of its engine's group one look later than the engine makes its first step, and refuses proposals until then. The test waited for the steps only; its proposal was refused with 1606 after 0.5 ms, the refusal was kept for later, and the wait for a vote ran out. Change: a group counts as settled once every agent knows the version, and the wait for the vote ends with the proposal.

--- a/tests/expertmap/group-site.ts
+++ b/tests/expertmap/group-site.ts
@@ -169,18 +169,21 @@
     });
   }
 
-  /** Waits until every member steps on this version. */
+  /**
+   * Waits until every member steps on this version and every agent knows it.
+   * An agent hears of its engine's group one look later than the engine makes
+   * its first step, and refuses proposals until then.
+   */
   async settled(version: number): Promise<void> {
     await waitFor(() => {
-      const names = [...this.agents.keys()];
-      const recent = this.steps.slice(-2 * names.length);
-      return (
-        this.steps.length > 0 &&
-        names.every((name) =>
+      const agents = [...this.agents.values()];
+      const recent = this.steps.slice(-2 * agents.length);
+      return agents.every(
+        ({ name, maps }) =>
+          maps.status.version === version &&
           recent.some(
             (step) => step.member === name && step.version === version,
           ),
-        )
       );
     });
   }
--- a/tests/expertmap/sockets.test.ts
+++ b/tests/expertmap/sockets.test.ts
@@ -61,7 +61,10 @@
     const proposing = maps
       .proposeMap(site.otherMap(1), PROPOSAL_TIMEOUT_MS)
       .catch((error: unknown) => error);
-    await waitFor(() => site.agent("r2").events(161).length > 0);
+    const voted = waitFor(() => site.agent("r2").events(161).length > 0);
+    const early = await Promise.race([proposing, voted]);
+    assert.not(early instanceof ApricotdeckError);
+    await voted;
     await site.agent("r2").stop();
     await site.startAgent("r2");
     const end = await proposing;
