--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -53,10 +53,6 @@
     runner: address.describe("The runner beside this process."),
     peers: address.describe("Where the planner of the group asks this agent."),
     service: z.string().min(1),
-    isFencingChecked: z
-      .boolean()
-      .default(false)
-      .describe("Whether runners refuse orders with an old fencing number."),
   })
   .readonly();
 
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -49,6 +49,7 @@
 import { RankAgent } from "./rank-agent.js";
 import { RankClient } from "./rank-client.js";
 import { createReachableRank } from "./reachable-rank.js";
+import { RelayedMaps } from "./relayed-maps.js";
 import { SwitchRuns } from "./switch-run.js";
 import type { RankPort, RankState } from "./types.js";
 
@@ -89,6 +90,7 @@
   private readonly registerReader: RegisterReader;
   private readonly seat: PlannerSeat;
   private readonly runs = SwitchRuns.create();
+  private readonly maps = RelayedMaps.create();
   private readonly port: RankPort;
   private readonly pace: PaceReporter;
   private readonly incarnation = randomUUID();
@@ -132,10 +134,11 @@
       emit: this.emit,
       group: () => this.group.read(),
       signal: this.stop.signal,
-      isFencingChecked: settings.isFencingChecked,
+      maps: this.maps,
     });
     this.agent = RankAgent.create({
       port,
+      maps: this.maps,
       onHold: (hold) => {
         guard.watch(hold);
       },
@@ -257,7 +260,6 @@
       engine,
       group,
       epoch,
-      planner: rank,
       holder: (rank + 1) % size,
     });
   }
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -13,7 +13,6 @@
 import type { Observation } from "./rank-messages.js";
 import {
   afterOrders,
-  armingWave,
   isInForce,
   wholeGroup,
   type AddressedOrder,
@@ -64,11 +63,9 @@
   readonly group: string;
   /** The ranks below are numbered for this epoch; the next may number anew. */
   readonly epoch: number;
-  /** The own rank, armed after all others. */
-  readonly planner: number;
   /**
    * Rank that holds steps. Not the planner's own: when this process freezes,
-   * the holder's agent finishes what was begun.
+   * the holder's agent ends what was begun.
    */
   readonly holder: number;
 }
@@ -153,9 +150,9 @@
     for (let round = 0; round < MOST_ROUNDS; round += 1) {
       // What an earlier life had prepared, armed or held is gone with it.
       if (isOutdated(ranks, states)) return URGENT_INTERVAL_MS;
-      const due = run.nextOrders(states, this.goal);
-      if (due.length === 0) return this.calmInterval();
-      const orders = isArming(due) ? armingWave(due, this.options) : due;
+      const spareMap = this.view?.map ?? this.goal?.sets;
+      const orders = run.nextOrders(states, this.goal, spareMap);
+      if (orders.length === 0) return this.calmInterval();
       const done = await this.send(ranks, states, orders, run);
       const isPreparing = orders.some(({ order }) => order.kind === "prepare");
       if (isPreparing) return SWITCH_INTERVAL_MS;
@@ -174,8 +171,7 @@
    * Looks at all ranks once more before the first is armed. From then on a rank
    * that falls silent keeps the whole group at the held step until it answers
    * again; up to here the holder's agent can give the step up. Throws 1607 when
-   * a rank is silent. The step isn't let go from here: by the time that this
-   * order arrives the agent may have begun to arm ranks.
+   * a rank is silent.
    */
   private async lookAgain(
     ranks: readonly GroupRank[],
@@ -311,9 +307,7 @@
         const { startedAtMs } = states[index];
         const addressed = { order, startedAtMs };
         const result = await this.sendOne(ranks[index], addressed, fence);
-        if (result?.kind !== "accepted") return false;
-        run.onAccepted(rank, fence, result.startedAtMs);
-        return result.isDone;
+        return result?.kind === "accepted" && result.isDone;
       }),
     );
     return confirmed.every((isDone) => isDone);
@@ -325,11 +319,11 @@
     { order, startedAtMs }: OfLife & { readonly order: RankOrder },
     fence: OrderFence,
   ): Promise<OrderResult | undefined> {
-    const { emit, seat, planner } = this.options;
+    const { emit, seat } = this.options;
     try {
       const result =
         order.kind === "hold"
-          ? await rank.hold({ step: order.step, fence, planner, startedAtMs })
+          ? await rank.hold({ step: order.step, fence, startedAtMs })
           : await rank.order(order, fence);
       if (result.kind === "fenced") {
         emit(171, { fencing: fence.fencing, highest: null, error: 1701 });
@@ -370,10 +364,6 @@
   );
 }
 
-function isArming(orders: readonly AddressedOrder[]): boolean {
-  return orders.every(({ order }) => order.kind === "arm");
-}
-
 function paceOf(
   ranks: readonly GroupRank[],
   seen: readonly Observation[],
--- a/src/rankmaps/hold-guard.ts
+++ b/src/rankmaps/hold-guard.ts
@@ -1,27 +1,17 @@
 /**
  * Watches over a step that this agent's rank holds for the planner. A planner
- * that dies or freezes between hold and release would keep the whole group
- * waiting until another one has the seat, seconds later; callers give their
- * streams up by then. The holder finishes the switch in its place, or gives it
- * up when the planner's rank can't be reached.
- *
- * Finishing is safe without the seat: it only arms ranks for the step that is
- * held already, and releases it once all are armed, which is what any planner
- * would do. Giving up needs engines that check fencing numbers.
+ * that dies or freezes between hold and release, or that can't go on because
+ * another rank fell silent, would keep the whole group waiting until another
+ * one has the seat, seconds later; callers give their streams up by then. The
+ * holder's agent ends the step in its place, as any planner would.
  */
 import { pause } from "../daemon/background-task.js";
 import { toFailure, type Emit } from "../internal.js";
 import { orderOfLives } from "../membership/life.js";
-import { backOutOrders } from "./back-out.js";
-import { FencedRanks } from "./fenced-ranks.js";
 import type { GroupRank } from "./group-planner.js";
-import {
-  armingWave,
-  pendingSwitch,
-  wholeGroup,
-  type AddressedOrder,
-} from "./switch-orders.js";
-import { EACH_GENERATION } from "./switch-run.js";
+import { endHeldStep } from "./held-step.js";
+import type { RelayedMaps } from "./relayed-maps.js";
+import { isArmedHolder, type AddressedOrder } from "./switch-orders.js";
 import type {
   AgentOrder,
   OfLife,
@@ -35,27 +25,21 @@
   readonly emit: Emit;
   /** All ranks of the group. Throws 1901 or 1607. */
   readonly group: () => Promise<readonly GroupRank[]>;
+  /** What the own rank was told to prepare. */
+  readonly maps: RelayedMaps;
   readonly signal: AbortSignal;
-  /** Whether the engines refuse orders with an old fencing number. */
-  readonly isFencingChecked: boolean;
 }
 
 /** A hold that the planner is about to order, at one life of the runner. */
 export interface WatchedHold extends OfLife {
   readonly step: number;
   readonly fence: OrderFence;
-  /** The planner's own rank. */
-  readonly planner: number;
 }
 
-/** A hold, and who has accepted the number that gives its step up. */
-interface Watch {
-  readonly hold: WatchedHold;
-  readonly voided: FencedRanks;
-}
-
-interface Acceptance extends OfLife {
-  readonly rank: number;
+/** A rank, and what it showed; undefined while it can't be reached. */
+interface Look {
+  readonly rank: Pick<GroupRank, "order">;
+  readonly state: RankState | undefined;
 }
 
 /**
@@ -67,14 +51,15 @@
 const LOOK_INTERVAL_MS = 25;
 /**
  * A rank whose agent takes longer to answer counts as out of reach for this
- * look, ms: an agent answers in under ten, and the group is waiting.
+ * look, ms: an agent answers in under ten, and the group is waiting. The next
+ * look doesn't wait for it: giving a step up takes five.
  */
 const LOOK_TIMEOUT_MS = 80;
 /** A group that can't be finished by then needs a planner, ms. */
 const GIVE_UP_MS = 6000;
 
 export class HoldGuard {
-  private readonly watched = new Set<Watch>();
+  private readonly watched = new Set<WatchedHold>();
 
   private constructor(private readonly options: HoldGuardOptions) {}
 
@@ -89,139 +74,110 @@
    */
   watch(hold: WatchedHold): void {
     const watched = [...this.watched];
-    if (watched.some((watch) => isSameHold(watch.hold, hold))) return;
-    void this.run({ hold, voided: FencedRanks.create() });
+    if (watched.some((known) => isSameHold(known, hold))) return;
+    void this.run(hold);
   }
 
-  private async run(watch: Watch): Promise<void> {
-    this.watched.add(watch);
-    await this.keepWatch(watch);
-    this.watched.delete(watch);
+  private async run(hold: WatchedHold): Promise<void> {
+    this.watched.add(hold);
+    await this.keepWatch(hold);
+    this.watched.delete(hold);
   }
 
-  private async keepWatch(watch: Watch): Promise<void> {
+  private async keepWatch(hold: WatchedHold): Promise<void> {
     const { signal, emit } = this.options;
-    const { step } = watch.hold;
+    const { step } = hold;
     const startedAtMs = performance.now();
     const elapsedMs = (): number => performance.now() - startedAtMs;
     await pause(PATIENCE_MS, signal);
+    const silent = new Set<string>();
     let isTold = false;
     while (!signal.aborted && elapsedMs() < GIVE_UP_MS) {
-      if (!(await this.isHeld(watch.hold))) return;
-      if (!isTold) emit(164, { step, heldMs: Math.round(elapsedMs()) });
-      isTold = true;
-      await this.act(watch);
+      try {
+        const own = await this.options.port.observe();
+        if (!isHeldBy(own, hold)) return;
+        if (!isTold) emit(164, { step, heldMs: Math.round(elapsedMs()) });
+        isTold = true;
+        await this.end(own, hold, silent);
+      } catch (error) {
+        this.note(error);
+      }
       await pause(LOOK_INTERVAL_MS, signal);
     }
   }
 
-  private async isHeld({
-    step,
-    fence,
-    startedAtMs,
-  }: WatchedHold): Promise<boolean> {
-    try {
-      const state = await this.options.port.observe();
-      // The step of a later life or epoch may have the same number.
-      const order = orderOfLives(startedAtMs, state.startedAtMs);
-      const isGone = order === "later" || state.epoch !== fence.epoch;
-      return !isGone && state.heldStep === step;
-    } catch (error) {
-      this.note(error);
-      return true;
-    }
-  }
-
-  private async act(watch: Watch): Promise<void> {
-    try {
-      const ranks = await this.options.group();
-      const timeout = pause(LOOK_TIMEOUT_MS, this.options.signal);
-      const looks = await Promise.all(
-        ranks.map((rank) => this.stateOf(rank, timeout)),
-      );
-      // Of an earlier life by now: as good as out of reach for this look.
-      const seen = looks.map((state, index) =>
-        ranks[index].isOver(state?.startedAtMs) ? undefined : state,
-      );
-      const reached = seen.filter((state) => state !== undefined);
-      const states = wholeGroup(reached);
-      const isWhole = states !== undefined && reached.length === ranks.length;
-      if (isWhole) await this.finish(ranks, seen, states, watch);
-      else await this.backOut(ranks, seen, reached, watch);
-    } catch (error) {
-      this.note(error);
-    }
-  }
-
-  private async finish(
-    ranks: readonly GroupRank[],
-    seen: readonly (RankState | undefined)[],
-    states: readonly RankState[],
-    { hold, voided }: Watch,
+  /** `silent`: addresses that gave no answer to the last look. */
+  private async end(
+    own: RankState,
+    { fence }: WatchedHold,
+    silent: Set<string>,
   ): Promise<void> {
-    const { step, fence, planner } = hold;
-    const pending = pendingSwitch(states);
-    if (pending.kind !== "orders") return;
-    const holder = states.find(({ heldStep }) => heldStep === step)?.rank;
-    if (holder === undefined) return;
-    const orders = armingWave(pending.orders, { planner, holder });
-    // Ranks that were to give the step up refuse the planner's own number.
-    const own = voided.isEmpty ? fence : raised(fence);
-    await this.send(ranks, seen, orders, own);
+    const { maps, port } = this.options;
+    const spareMap = maps.spareMap(own.mapVersion);
+    // This agent was started after the map was prepared: a planner's turn.
+    if (spareMap === undefined) return;
+    // Without a look at others, who may be out of reach: nobody is armed.
+    const looks = isArmedHolder(own)
+      ? await this.look(own, silent)
+      : [{ rank: port, state: own }];
+    const reached = looks.flatMap(({ state }) => state ?? []);
+    const holder = reached.find(({ rank }) => rank === own.rank);
+    if (holder === undefined || holder.heldStep !== own.heldStep) return;
+    const { highestVersion } = maps;
+    const inputs = { reached, holder, spareMap, highestVersion };
+    await this.send(looks, endHeldStep(inputs), fence);
   }
 
-  private async backOut(
-    ranks: readonly GroupRank[],
-    seen: readonly (RankState | undefined)[],
-    reached: readonly RankState[],
-    { hold, voided }: Watch,
-  ): Promise<void> {
-    if (!this.options.isFencingChecked) return;
-    const { step, fence, planner } = hold;
-    const generation = Math.floor(fence.fencing / EACH_GENERATION);
-    const unusedVersion = (generation + 1) * EACH_GENERATION - 1;
-    const orders = backOutOrders({
-      reached,
-      planner,
-      step,
-      voided: voided.among(reached),
-      unusedVersion,
+  /** What can be reached of the own group in its present epoch. */
+  private async look(
+    own: RankState,
+    silent: Set<string>,
+  ): Promise<readonly Look[]> {
+    const ranks = await this.options.group();
+    const seen = new Map<GroupRank, RankState>();
+    const asked = ranks.map(async (rank) => {
+      const state = await this.stateOf(rank);
+      if (state !== undefined) seen.set(rank, state);
+    });
+    const isAwaited = ({ address }: GroupRank): boolean => !silent.has(address);
+    const awaited = asked.filter((_, index) => isAwaited(ranks[index]));
+    const timeout = pause(LOOK_TIMEOUT_MS, this.options.signal);
+    await Promise.race([Promise.all(awaited), timeout]);
+    for (const rank of ranks) {
+      if (seen.has(rank)) silent.delete(rank.address);
+      else silent.add(rank.address);
+    }
+    return ranks.map((rank) => {
+      const state = seen.get(rank);
+      // Of an earlier life by now: as good as out of reach for this look.
+      const isOver = rank.isOver(state?.startedAtMs);
+      const isPresent = state !== undefined && isSameGroup(state, own);
+      return { rank, state: isPresent && !isOver ? state : undefined };
     });
-    const accepted = await this.send(ranks, seen, orders, raised(fence));
-    for (const { rank, startedAtMs } of accepted) voided.add(rank, startedAtMs);
   }
 
-  /** Resolves with the ranks, and their lives, that have taken their order. */
   private async send(
-    ranks: readonly GroupRank[],
-    seen: readonly (RankState | undefined)[],
+    looks: readonly Look[],
     orders: readonly AddressedOrder<AgentOrder>[],
     fence: OrderFence,
-  ): Promise<readonly Acceptance[]> {
-    const accepted: Acceptance[] = [];
+  ): Promise<void> {
     await Promise.all(
       orders.map(async ({ rank, order }) => {
-        const index = seen.findIndex((state) => state?.rank === rank);
+        const to = looks.find(({ state }) => state?.rank === rank)?.rank;
         try {
-          const result = await ranks[index].order(order, fence);
-          const { kind, startedAtMs } = result;
-          if (kind === "accepted") accepted.push({ rank, startedAtMs });
+          await to?.order(order, fence);
         } catch (error) {
           this.note(error);
         }
       }),
     );
-    return accepted;
   }
 
-  private async stateOf(
-    rank: GroupRank,
-    timeout: Promise<void>,
-  ): Promise<RankState | undefined> {
+  private async stateOf(rank: GroupRank): Promise<RankState | undefined> {
     const request = { withCounts: false, withExperts: false };
     try {
-      const seen = await Promise.race([rank.observe(request), timeout]);
-      return seen?.state;
+      const seen = await rank.observe(request);
+      return seen.state;
     } catch (error) {
       this.note(error);
       return undefined;
@@ -234,17 +190,25 @@
   }
 }
 
+/** The step of a later life or epoch may have the same number. */
+function isHeldBy(
+  own: RankState,
+  { step, fence, startedAtMs }: WatchedHold,
+): boolean {
+  const order = orderOfLives(startedAtMs, own.startedAtMs);
+  if (order === "later" || own.epoch !== fence.epoch) return false;
+  return own.heldStep === step;
+}
+
+function isSameGroup(state: RankState, own: RankState): boolean {
+  return state.isOpen && state.group === own.group && state.epoch === own.epoch;
+}
+
 function isSameHold(known: WatchedHold, hold: WatchedHold): boolean {
   return (
     known.step === hold.step &&
-    known.planner === hold.planner &&
     known.startedAtMs === hold.startedAtMs &&
     known.fence.epoch === hold.fence.epoch &&
     known.fence.fencing === hold.fence.fencing
   );
 }
-
-/** Makes all orders under the fence void where it is accepted. */
-function raised(fence: OrderFence): OrderFence {
-  return { ...fence, fencing: fence.fencing + 1 };
-}
--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -22,10 +22,12 @@
   writeResult,
   type Observation,
 } from "./rank-messages.js";
+import type { RelayedMaps } from "./relayed-maps.js";
 import type { RankPort } from "./types.js";
 
 export interface RankAgentOptions {
   readonly port: RankPort;
+  readonly maps: RelayedMaps;
   /** The planner is about to have a step held at the own rank. */
   readonly onHold: (hold: WatchedHold) => void;
 }
@@ -95,6 +97,7 @@
     if (order === undefined) return REFUSED;
     const { epoch, fencing } = request;
     const fence = { epoch, fencing };
+    if (order.kind === "prepare") this.options.maps.note(order);
     return writeResult(await this.options.port.order(order, fence));
   }
 
--- a/src/rankmaps/switch-orders.ts
+++ b/src/rankmaps/switch-orders.ts
@@ -5,27 +5,21 @@
  *
  * A rank that was told to arm may carry that out seconds after its answer was
  * due. So a step is held before the first rank is armed for it, and released
- * only when all ranks show that they are armed. Where that can't be reached,
- * because another planner's order has replaced what a rank had prepared, the
- * switch is called off: every rank first accepts an order with a higher fencing
- * number, which makes all earlier orders void, and only then the step is
- * released. A hold costs the group a pause at worst, two maps in one step a
- * wrong answer.
+ * only when all ranks show that they are armed, or when none can be any more.
+ * A hold costs the group a pause at worst, two maps in one step a wrong answer.
+ *
+ * The rank that holds the step is armed first, and by nobody but the planner
+ * that had it held; the rank before it is armed last, once all others are. So a
+ * holder that isn't armed tells that nobody is, and a rank that can't be armed
+ * any more tells that the last one isn't.
  */
-import type { AgentOrder, MapGoal, RankOrder, RankState } from "./types.js";
+import type { AgentOrder, RankOrder, RankState } from "./types.js";
 
 export interface AddressedOrder<Order extends RankOrder = RankOrder> {
   readonly rank: number;
   readonly order: Order;
 }
 
-/**
- * Steps between the last one begun and the one that is held. From the hold to
- * the release it takes about 70 ms (a second look, all other ranks, the own
- * one), and a step 30 ms at least. With three, groups waited 4 ms a switch.
- */
-const STEPS_AHEAD = 4;
-
 /** All ranks of one epoch; undefined while they don't show that. */
 export function wholeGroup(
   states: readonly RankState[],
@@ -51,16 +45,20 @@
       readonly kind: "orders";
       readonly orders: readonly AddressedOrder<AgentOrder>[];
     }
-  /** It can't be finished any more. */
-  | { readonly kind: "call-off" };
+  /** Held by ranks that aren't armed for what they hold: nobody is. */
+  | { readonly kind: "unarmed"; readonly holders: readonly RankState[] }
+  /** Some rank can't be armed any more for what this holder is armed for. */
+  | { readonly kind: "call-off"; readonly holder: RankState };
 
 export function pendingSwitch(states: readonly RankState[]): PendingSwitch {
-  const armed = states.find((state) => state.armed !== undefined)?.armed;
-  const held = states.find(({ heldStep }) => heldStep !== undefined)?.heldStep;
-  if (armed === undefined && held === undefined) return { kind: "none" };
-  const version = armed?.version ?? commonPrepared(states);
-  const step = armed?.step ?? held;
-  if (version === undefined || step === undefined) return { kind: "call-off" };
+  const holders = states.filter(({ heldStep }) => heldStep !== undefined);
+  const holder = holders.find(isArmedHolder);
+  if (holder === undefined && holders.length > 0) {
+    return { kind: "unarmed", holders };
+  }
+  const armed = holder ?? states.find((state) => state.armed !== undefined);
+  if (armed?.armed === undefined) return { kind: "none" };
+  const { version, step } = armed.armed;
   const unarmed = states.filter((state) => !isBound(state, version, step));
   if (unarmed.length === 0) {
     const orders = releases(states);
@@ -71,73 +69,28 @@
   const isArmable = unarmed.every(
     (state) => state.preparedVersion === version && state.armed === undefined,
   );
-  if (!isArmable) return { kind: "call-off" };
-  const order = { kind: "arm", version, step } as const;
-  return {
-    kind: "orders",
-    orders: unarmed.map(({ rank }) => ({ rank, order })),
-  };
-}
-
-/**
- * The orders that call a switch off; none when it is called off. `voided` are
- * the ranks that have accepted an order with the present fencing number in
- * their present life: what was ordered before can't be carried out there any
- * more.
- */
-export function callOffOrders(
-  states: readonly RankState[],
-  voided: ReadonlySet<number>,
-  unusedVersion: number,
-): readonly AddressedOrder[] {
-  const left = states.filter(
-    ({ rank, armed }) => armed !== undefined || !voided.has(rank),
-  );
-  if (left.length === 0) return releases(states);
-  return left.map(({ rank, armed }) => ({
-    rank,
-    order: { kind: "disarm", version: armed?.version ?? unusedVersion },
-  }));
-}
-
-/** The next orders towards a new map, when nothing is under way. */
-export function goalOrders(
-  states: readonly RankState[],
-  { version, sets, holder }: MapGoal,
-): readonly AddressedOrder[] {
-  const prepare = { kind: "prepare", version, sets } as const;
-  const missing = states.filter(
-    ({ preparedVersion }) => preparedVersion !== version,
-  );
-  if (missing.length > 0) {
-    return missing.map(({ rank }) => ({ rank, order: prepare }));
+  if (!isArmable) {
+    return holder === undefined
+      ? { kind: "coming" }
+      : { kind: "call-off", holder };
   }
-  const begun = Math.max(...states.map(({ step }) => step));
-  const order = { kind: "hold", step: begun + STEPS_AHEAD } as const;
-  return [{ rank: holder, order }];
+  const order = { kind: "arm", version, step } as const;
+  const wave = armingWave(unarmed, holder);
+  return { kind: "orders", orders: wave.map(({ rank }) => ({ rank, order })) };
 }
 
-/** Ranks with a part of their own in a switch. */
-export interface SwitchRanks {
-  readonly planner: number;
-  readonly holder: number;
+/** Whether the rank is armed for the very step that it holds. */
+export function isArmedHolder({ armed, heldStep }: RankState): boolean {
+  return heldStep !== undefined && armed?.step === heldStep;
 }
 
 /**
- * Which of the due arms go out now. The holder comes first: once it has taken
- * an order of this planner, a release that an earlier one has sent, and that is
- * carried out late, is refused there and can't let the step begin half armed.
- * The planner's own rank comes last, so that a switch can be given up while one
- * of the others is unarmed.
+ * The rank that is armed once all others are. That of the planner that orders a
+ * hold: it sees the others' confirmations first, and while its VM stands still
+ * it can't be asked.
  */
-export function armingWave<Order extends RankOrder>(
-  orders: readonly AddressedOrder<Order>[],
-  { planner, holder }: SwitchRanks,
-): readonly AddressedOrder<Order>[] {
-  const first = orders.filter(({ rank }) => rank === holder);
-  if (first.length > 0) return first;
-  const others = orders.filter(({ rank }) => rank !== planner);
-  return others.length > 0 ? others : orders;
+export function lastArmed({ rank, size }: RankState): number {
+  return (rank + size - 1) % size;
 }
 
 export function isInForce(
@@ -147,25 +100,10 @@
   return states.every(({ mapVersion }) => mapVersion === version);
 }
 
-/**
- * Armed for the step, or changed to the map already: ranks are looked at one
- * after the other, and the step may begin in between.
- */
-function isBound(
-  { armed, mapVersion }: RankState,
-  version: number,
-  step: number,
-): boolean {
-  if (mapVersion === version) return true;
-  return armed?.version === version && armed.step === step;
-}
-
 /**
  * The group as it is once the orders are carried out; undefined where only
- * another look can tell. A disarm makes void what was ordered before, but an
- * arm may have been carried out between the last look and the disarm, for
- * another version. Taken for unarmed, its rank would begin the released step on
- * another map than the rest.
+ * another look can tell: an arm may have been carried out between the last look
+ * and a disarm, and a version is prepared once its copies are there.
  */
 export function afterOrders(
   states: readonly RankState[],
@@ -198,6 +136,30 @@
   }
 }
 
+/** The holder is armed already; the last rank waits for all others. */
+function armingWave(
+  unarmed: readonly RankState[],
+  holder: RankState | undefined,
+): readonly RankState[] {
+  if (holder === undefined) return unarmed;
+  const last = lastArmed(holder);
+  const others = unarmed.filter(({ rank }) => rank !== last);
+  return others.length > 0 ? others : unarmed;
+}
+
+/**
+ * Armed for the step, or changed to the map already: ranks are looked at one
+ * after the other, and the step may begin in between.
+ */
+function isBound(
+  { armed, mapVersion }: RankState,
+  version: number,
+  step: number,
+): boolean {
+  if (mapVersion === version) return true;
+  return armed?.version === version && armed.step === step;
+}
+
 function releases(
   states: readonly RankState[],
 ): readonly AddressedOrder<AgentOrder>[] {
@@ -205,9 +167,3 @@
     step === undefined ? [] : [{ rank, order: { kind: "release", step } }],
   );
 }
-
-function commonPrepared(states: readonly RankState[]): number | undefined {
-  const version = states.at(0)?.preparedVersion;
-  const isCommon = states.every((state) => state.preparedVersion === version);
-  return isCommon ? version : undefined;
-}
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -1,175 +1,130 @@
 /**
- * The switches of one holder of the planner's seat: which orders come next,
- * under which fencing number and versions. Keeps what can't be read back from
- * the ranks: which of them have accepted the present fencing number.
+ * The switches of one holder of the planner's seat: which orders come next, and
+ * under which versions. Keeps what can't be read back from the ranks: which
+ * versions are used, and what this planner had held.
  */
-import type { LifeStart } from "../membership/life.js";
-import { FencedRanks } from "./fenced-ranks.js";
+import { HoldSteps } from "./hold-steps.js";
+import { endHeldStep } from "./held-step.js";
+import { EACH_GENERATION, versionOf } from "./map-versions.js";
 import {
-  callOffOrders,
-  goalOrders,
   pendingSwitch,
   type AddressedOrder,
   type PendingSwitch,
 } from "./switch-orders.js";
-import type { MapGoal, OrderFence, RankState } from "./types.js";
+import type { ArmedMap, MapGoal, MapSets, RankState } from "./types.js";
 
-/** Versions, and fencing numbers, that one generation of the seat can use. */
-export const EACH_GENERATION = 1_000_000;
-
-/**
- * From one fencing number of a run to the next. The one in between is for the
- * guard of a held step, which gives the step up under the number after the
- * hold's: a call-off under the same number wouldn't make void what it ordered.
- */
-const EACH_VOIDING = 2;
+type Orders = readonly AddressedOrder[];
 
 export class SwitchRun {
   private versions = 0;
-  /** How often the run has left a fencing number behind. */
-  private voidings = 0;
-  private isCallingOff = false;
-  private readonly voided = FencedRanks.create();
-  private epoch = 0;
+  /** The hold that was ordered last, and the version that it is for. */
+  private held: ArmedMap | undefined;
 
-  private constructor(readonly generation: number) {}
+  private constructor(
+    readonly generation: number,
+    private readonly steps: HoldSteps,
+  ) {}
 
-  static create(generation: number): SwitchRun {
-    return new SwitchRun(generation);
+  static create(generation: number, steps = HoldSteps.create()): SwitchRun {
+    return new SwitchRun(generation, steps);
   }
 
-  /** Higher than that of any earlier holder, and of own orders now void. */
+  /** Higher than that of any earlier holder of the seat. */
   get fencing(): number {
-    return this.generation * EACH_GENERATION + this.voidings * EACH_VOIDING;
+    return this.generation * EACH_GENERATION;
   }
 
   /** A version that no rank has had. */
   takeVersion(): number {
     this.versions += 1;
-    return this.generation * EACH_GENERATION + this.versions;
+    return versionOf(this.generation, this.versions);
   }
 
   /** Whether a new map may be begun. */
   isIdle(states: readonly RankState[]): boolean {
-    return !this.isCallingOff && pendingSwitch(states).kind === "none";
+    return pendingSwitch(states).kind === "none";
   }
 
+  /**
+   * `spareMap`: any map that the ranks can prepare, best the one in use; while
+   * it is undefined no switch is called off.
+   */
   nextOrders(
     states: readonly RankState[],
     goal: MapGoal | undefined,
-  ): readonly AddressedOrder[] {
-    this.noteEpoch(states);
+    spareMap: MapSets | undefined,
+  ): Orders {
+    this.steps.look(states[0].epoch, lastBegun(states));
     const pending = pendingSwitch(states);
-    if (this.isCallingOff) {
-      const orders = isArmedWhole(pending) ? [] : this.callOff(states);
-      if (orders.length > 0) return orders;
-      this.endCallOff();
-    }
     switch (pending.kind) {
       case "none":
-        return goal === undefined ? [] : goalOrders(states, goal);
+        return goal === undefined ? [] : this.towards(goal, states);
       case "coming":
         return [];
       case "orders":
-        return this.finish(states, pending.orders);
+        return pending.orders;
+      case "unarmed":
       case "call-off":
-        this.beginCallOff();
-        return this.callOff(states);
+        return (
+          this.armOwn(states, pending) ?? this.end(states, pending, spareMap)
+        );
     }
   }
 
-  /**
-   * A life of the rank took an order: what has a lower fencing number is void
-   * there for as long as this life lasts.
-   */
-  onAccepted(
-    rank: number,
-    { epoch, fencing }: OrderFence,
-    startedAtMs: LifeStart,
-  ): void {
-    const isPresent = epoch === this.epoch && fencing === this.fencing;
-    if (isPresent) this.voided.add(rank, startedAtMs);
-  }
-
-  /** Ranks of a new epoch take no orders of an older one. */
-  private noteEpoch(states: readonly RankState[]): void {
-    const epoch = states.at(0)?.epoch ?? 0;
-    if (epoch === this.epoch) return;
-    this.epoch = epoch;
-    this.isCallingOff = false;
-    this.voided.clear();
-  }
-
-  /**
-   * An earlier planner may still call the switch off, or let the step go, and
-   * doesn't make void what has a higher number than its own. So before any rank
-   * is armed, the one that holds the step takes an order with the present
-   * number: only there the step can be let go, and an arm of this planner, late,
-   * would leave one rank armed for it. And before the step is let go, every rank
-   * does: a late disarm of before would leave one rank unarmed. The order does
-   * nothing else. In a switch of its own a run's orders are accepted by then.
-   */
-  private finish(
+  private towards(
+    { version, sets, holder }: MapGoal,
     states: readonly RankState[],
-    orders: readonly AddressedOrder[],
-  ): readonly AddressedOrder[] {
-    const isArming = orders.some(({ order }) => order.kind === "arm");
-    const needed = isArming ? holdersOf(states) : states;
-    const voided = this.voided.among(needed);
-    const left = needed.filter(({ rank }) => !voided.has(rank));
-    return left.length === 0 ? orders : this.raiseAt(left);
-  }
-
-  private beginCallOff(): void {
-    this.isCallingOff = true;
-    this.voidings += 1;
-    this.voided.clear();
-  }
-
-  /**
-   * Orders of the call-off may still be carried out late: a disarm of a version
-   * that is armed again, or the release of a step that is held again, which an
-   * idle group hasn't begun. Either could let a step begin half armed. Under a
-   * number of its own the next switch makes them void, rank by rank.
-   */
-  private endCallOff(): void {
-    this.isCallingOff = false;
-    this.voidings += 1;
-    this.voided.clear();
+  ): Orders {
+    const prepare = { kind: "prepare", version, sets } as const;
+    const missing = states.filter(
+      ({ preparedVersion }) => preparedVersion !== version,
+    );
+    if (missing.length > 0) {
+      return missing.map(({ rank }) => ({ rank, order: prepare }));
+    }
+    const step = this.steps.next(lastBegun(states));
+    if (step === undefined) return [];
+    this.steps.take(step);
+    this.held = { version, step };
+    return [{ rank: holder, order: { kind: "hold", step } }];
   }
 
   /**
-   * The rank that holds the step takes the number first: an earlier planner's
-   * release, late, would let it begin while some ranks are disarmed and others
-   * not.
+   * The hold is this planner's own, and all ranks still have what it is for:
+   * the holder may be armed. Nobody else does that, so that whoever makes an
+   * unarmed holder void can let its step go.
    */
-  private callOff(states: readonly RankState[]): readonly AddressedOrder[] {
-    const voided = this.voided.among(states);
-    const left = holdersOf(states).filter(({ rank }) => !voided.has(rank));
-    if (left.length > 0) return this.raiseAt(left);
-    return callOffOrders(states, voided, this.takeVersion());
+  private armOwn(
+    states: readonly RankState[],
+    pending: PendingSwitch,
+  ): Orders | undefined {
+    if (pending.kind !== "unarmed" || this.held === undefined) return undefined;
+    const [{ rank, heldStep }, ...more] = pending.holders;
+    const { version, step } = this.held;
+    const isReady = states.every(
+      (state) => state.preparedVersion === version && state.armed === undefined,
+    );
+    if (more.length > 0 || heldStep !== step || !isReady) return undefined;
+    return [{ rank, order: { kind: "arm", version, step } }];
   }
 
-  /** Orders that do nothing but make void what has a lower number. */
-  private raiseAt(states: readonly RankState[]): readonly AddressedOrder[] {
-    const order = { kind: "disarm", version: this.takeVersion() } as const;
-    return states.map(({ rank }) => ({ rank, order }));
+  private end(
+    states: readonly RankState[],
+    pending: Extract<PendingSwitch, { kind: "unarmed" | "call-off" }>,
+    spareMap: MapSets | undefined,
+  ): Orders {
+    if (spareMap === undefined) return [];
+    const holders =
+      pending.kind === "unarmed" ? pending.holders : [pending.holder];
+    const highestVersion = this.takeVersion();
+    return holders.flatMap((holder) =>
+      endHeldStep({ reached: states, holder, spareMap, highestVersion }),
+    );
   }
 }
 
-/**
- * All ranks are armed. What was to be called off was finished by somebody else,
- * or another switch has taken its place: to disarm ranks now, one after the
- * other, could let the step begin half armed.
- */
-function isArmedWhole(pending: PendingSwitch): boolean {
-  if (pending.kind === "coming") return true;
-  if (pending.kind !== "orders") return false;
-  return pending.orders.every(({ order }) => order.kind === "release");
-}
-
-function holdersOf(states: readonly RankState[]): readonly RankState[] {
-  return states.filter(({ heldStep }) => heldStep !== undefined);
+function lastBegun(states: readonly RankState[]): number {
+  return Math.max(...states.map(({ step }) => step));
 }
 
 /**
@@ -184,6 +139,7 @@
  */
 export class SwitchRuns {
   private latest: SwitchRun | undefined;
+  private readonly steps = HoldSteps.create();
 
   static create(): SwitchRuns {
     return new SwitchRuns();
@@ -191,7 +147,7 @@
 
   of(generation: number): SwitchRun {
     if (this.latest?.generation !== generation) {
-      this.latest = SwitchRun.create(generation);
+      this.latest = SwitchRun.create(generation, this.steps);
     }
     return this.latest;
   }
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -86,7 +86,6 @@
       engine: ENGINE,
       group,
       epoch: this.engines.epoch,
-      planner: PLANNER,
       holder: HOLDER,
     });
   }
@@ -167,11 +166,8 @@
 describe("planner of a group", () => {
   it("arms its own rank after all others, under a held step", async () => {
     const group = new Group();
-    for (let step = 0; step < 4; step += 1) {
-      await group.planner.step(group.ranks);
-      group.engines.pass();
-    }
-    for (let pass = 0; pass < 4; pass += 1) group.engines.pass();
+    await group.play(4);
+    group.passUntilHeld();
     const arms = group.ordered.filter(({ kind }) => kind === "arm");
     assert.is(arms.length, RANKS);
     assert.is(arms.at(0)?.rank, HOLDER);
@@ -188,13 +184,12 @@
 
   it("arms nobody when a rank falls silent after the hold", async () => {
     // The VM of a rank stands still right after the hold. Armed or not, nobody
-    // could tell, so no rank is armed; and the step isn't let go from here,
-    // because the holder's agent may have taken the switch over by then.
+    // could tell, so no rank is armed; the holder's agent lets the step go.
     const group = new Group();
     group.onOrder = (_, { kind }) => {
       if (kind === "hold") group.silent.add(3);
     };
-    await group.planner.step(group.ranks);
+    await group.play(1);
     const failed = await errorOf(group.planner.step(group.ranks));
     assert.ok(failed instanceof Error);
     assert.equal(group.kindsAt(HOLDER), ["prepare", "hold"]);
@@ -207,7 +202,7 @@
     // one map after the other is refused while the streams are late. And one
     // version may not stand for two maps.
     const group = new Group();
-    await group.play(8);
+    await group.play(14);
     const [first] = group.versions;
     assert.is(group.engines.states()[0].mapVersion, first);
     group.silent.add(2);
@@ -218,7 +213,7 @@
     group.silent.delete(2);
     group.versions.length = 0;
     group.planner = group.createPlanner();
-    await group.play(8);
+    await group.play(14);
     assert.ok(group.versions.length > 0);
     assert.ok(group.versions.every((version) => version > first));
     assert.ok(
@@ -279,35 +274,38 @@
 
   it("lets no late release of a call-off through in the next switch", async () => {
     // A step is held with nothing prepared, and the planner lets it go. The
-    // group is idle, so the next switch holds the same step. The release of
-    // before is carried out once more, when one rank is armed: the step would
-    // begin with this rank alone on the new map.
+    // group makes hardly any steps. The release of before is carried out once
+    // more, when one rank is armed for the next switch: had that one held the
+    // same step, it would begin with this rank alone on the new map.
     const group = new Group();
     const { engines } = group;
     engines.send(HOLDER, { kind: "hold", step: 4 }, { epoch: 1, fencing: 2 });
     engines.deliver();
-    let released: OrderFence | undefined;
-    group.onOrder = (_, { kind }, fence) => {
-      if (kind === "release") released ??= fence;
-      if (kind !== "arm" || released === undefined) return;
-      engines.send(HOLDER, { kind: "release", step: 4 }, released);
+    const released = new Set<number>();
+    group.onOrder = (_, order, fence) => {
+      if (order.kind === "release") released.add(order.step);
+      if (order.kind !== "arm") return;
+      for (const step of released) {
+        engines.send(HOLDER, { kind: "release", step }, fence);
+      }
       engines.deliver();
-      for (let pass = 0; pass < 5; pass += 1) engines.pass();
+      group.passUntilHeld();
     };
-    for (let step = 0; step < 6; step += 1) {
-      await group.planner.step(group.ranks);
-    }
+    await group.play(8);
+    group.passUntilHeld();
     assert.ok(group.ordered.some(({ kind }) => kind === "arm"));
+    assert.ok(engines.history.switches > 0);
     assert.is(engines.history.mixedPasses, 0);
   });
 
   describe("that goes on from where an earlier planner was", () => {
     const EARLIER = { epoch: 1, fencing: 2 };
+    const VERSION = 4;
 
     /** Prepared and held; `armed` are the ranks that are armed. */
     function begun(
       armed: readonly number[],
-      versions: readonly number[] = [5, 5, 5, 5],
+      versions: readonly number[] = [VERSION, VERSION, VERSION, VERSION],
     ): Group {
       const group = new Group();
       const { engines } = group;
@@ -315,13 +313,13 @@
         engines.send(rank, { kind: "prepare", version, sets: [] }, EARLIER);
       }
       engines.send(HOLDER, { kind: "hold", step: 3 }, EARLIER);
-      for (const rank of armed) {
-        engines.send(rank, { kind: "arm", version: 5, step: 3 }, EARLIER);
-      }
+      for (const rank of armed) carryOutLate(group, rank, ARM);
       engines.deliver();
       return group;
     }
 
+    const ARM = { kind: "arm", version: VERSION, step: 3 } as const;
+
     /** An order of the earlier planner is carried out only now. */
     function carryOutLate(group: Group, rank: number, order: RankOrder): void {
       group.engines.send(rank, order, EARLIER);
@@ -329,58 +327,60 @@
     }
 
     async function finish(group: Group): Promise<void> {
-      for (let step = 0; step < 5; step += 1) {
+      for (let step = 0; step < 7; step += 1) {
         await group.planner.step(group.ranks);
         group.passUntilHeld();
       }
     }
 
-    it("has the holder refuse it before others are armed", async () => {
-      // The earlier planner isn't gone: it calls the switch off at the holder
-      // and lets the step go, while one of the others is being armed. The step
-      // would begin with this rank alone on the new map.
-      const group = begun([HOLDER]);
+    it("lets the step of an unarmed holder go, which refuses a late arm", async () => {
+      // The earlier planner isn't gone: it arms the holder late, at any moment
+      // of the call-off. Armed after the step was let go, it would begin with
+      // this rank alone on the new map.
+      const group = begun([]);
+      let lateArms = 0;
       group.onOrder = (rank) => {
-        if (rank === HOLDER) return;
-        carryOutLate(group, HOLDER, { kind: "disarm", version: 5 });
-        carryOutLate(group, HOLDER, { kind: "release", step: 3 });
+        if (rank !== HOLDER || lateArms > 2) return;
+        lateArms += 1;
+        carryOutLate(group, HOLDER, ARM);
         group.passUntilHeld();
       };
       await finish(group);
+      assert.equal(group.kindsAt(HOLDER).slice(0, 2), ["prepare", "release"]);
+      assert.ok(lateArms > 0);
       assert.is(group.engines.history.mixedPasses, 0);
-      assert.ok(
-        group.engines.states().every(({ mapVersion }) => mapVersion === 5),
-      );
+      assert.ok(group.engines.history.passes > 3);
     });
 
-    it("has every rank refuse it before the step is let go", async () => {
-      // All ranks are armed. The earlier planner had begun to call the switch
-      // off, and one of its orders is carried out right after the release. The
-      // step would begin with this rank alone on the old map.
-      const group = begun([0, 1, 2, 3]);
-      group.onOrder = (_, { kind }) => {
-        if (kind !== "release") return;
-        carryOutLate(group, 2, { kind: "disarm", version: 5 });
+    it("finishes what it had armed, beside it", async () => {
+      // Its arms are carried out late, also for ranks that are armed by now.
+      const group = begun([HOLDER]);
+      group.onOrder = () => {
+        for (const rank of [2, 3]) carryOutLate(group, rank, ARM);
         group.passUntilHeld();
       };
       await finish(group);
-      assert.is(group.engines.history.mixedPasses, 0);
-      assert.ok(
-        group.engines.states().every(({ mapVersion }) => mapVersion === 5),
-      );
+      const { switches, mixedPasses } = group.engines.history;
+      assert.is(mixedPasses, 0);
+      assert.ok(switches > 0);
     });
 
-    it("calls the switch off at the holder before the others", async () => {
-      // The earlier planner's release is carried out late, while ranks are told
-      // one after another that the switch is off. The step would begin with the
-      // ranks on the new map that hadn't been told yet.
-      const group = begun([HOLDER, 2], [5, 5, 5, 6]);
-      group.onOrder = (rank) => {
-        if (rank === HOLDER) return;
-        carryOutLate(group, HOLDER, { kind: "release", step: 3 });
+    it("calls the switch off with the holder last", async () => {
+      // One rank has been told of another map, so the step can't be used. An
+      // unarmed holder tells everybody that nobody else is armed: disarmed
+      // first, its step would be let go while another rank is armed.
+      const group = begun([HOLDER, 2], [VERSION, VERSION, VERSION, 6]);
+      const before: (readonly (number | undefined)[])[] = [];
+      group.onOrder = (rank, { kind }) => {
+        carryOutLate(group, 0, ARM);
+        if (rank === HOLDER && kind === "disarm") {
+          const states = group.engines.states();
+          before.push(states.map(({ armed }) => armed?.version));
+        }
         group.passUntilHeld();
       };
       await finish(group);
+      assert.equal(before[0], [undefined, undefined, undefined, undefined]);
       assert.is(group.engines.history.mixedPasses, 0);
       assert.ok(group.engines.history.passes > 3);
     });
@@ -444,7 +444,7 @@
         await group.startAgain(HOLDER);
       };
       for (let step = 0; step < 6; step += 1) {
-        await group.planner.step(group.ranks);
+        await group.play(1);
         await pause(COUNT_INTERVAL_MS / 2, new AbortController().signal);
       }
       const kinds = group.kindsAt(HOLDER);
@@ -476,7 +476,7 @@
           engines.restart(kind === "release" ? 3 : rank);
         };
         for (let step = 0; step < 3; step += 1) {
-          await errorOf(group.planner.step(group.ranks));
+          await errorOf(group.play(1));
         }
         assert.ok(isBroken);
         assert.ok(
--- a/tests/rankmaps/group-search.test.ts
+++ b/tests/rankmaps/group-search.test.ts
@@ -80,7 +80,6 @@
         runner: OWN,
         peers: "127.0.0.1:0",
         service: "model",
-        isFencingChecked: false,
       },
       connectRunner: (address) => {
         asked.add(address);
--- a/tests/rankmaps/held-engines.ts
+++ b/tests/rankmaps/held-engines.ts
@@ -1,8 +1,9 @@
 /**
  * Engines of one group that hold a step by order, as the platform states them:
- * an order may get no answer and be carried out later, after newer ones. An
- * engine may start again under its id; it then knows nothing of before, and
- * reports of its earlier life may still arrive.
+ * an order may get no answer and be carried out later, after newer ones, and a
+ * report may be out of date. Some engines refuse old fencing numbers, others
+ * ignore them. An engine may start again under its id; it then knows nothing of
+ * before, and reports of its earlier life may still arrive.
  */
 import type { LifeStart } from "../../src/membership/life.js";
 import type { Random } from "../../src/internal.js";
@@ -53,6 +54,10 @@
 const PAST_SHARE = 0.1;
 /** Lives of which what they said last may still arrive. */
 const PAST_LIVES = 3;
+/** Looks at a rank that are out of date. */
+const STALE_SHARE = 0.05;
+/** How many changes of a rank a look may be behind. */
+const KEPT_REPORTS = 4;
 
 export class HeldEngines {
   epoch = 1;
@@ -61,21 +66,31 @@
   private flying: Flying[] = [];
   private isCalm = false;
   private isOpen = true;
+  /** A rank of the group has started again since it was formed. */
+  private isStalled = false;
   private startedAtMs = 1000;
   private readonly past: (readonly RankState[])[];
+  /** Reports of the present life and epoch, the newest last. */
+  private recent: (readonly RankState[])[];
   private accepted: Acceptance[] = [];
   private readonly counted = { passes: 0, switches: 0, mixedPasses: 0 };
 
   private constructor(
     private readonly size: number,
     private readonly random: Random,
+    private readonly isFencingChecked: boolean,
   ) {
     this.engines = this.fresh();
     this.past = this.engines.map(() => []);
+    this.recent = this.engines.map(() => []);
   }
 
-  static create(size: number, random: Random): HeldEngines {
-    return new HeldEngines(size, random);
+  static create(
+    size: number,
+    random: Random,
+    isFencingChecked = false,
+  ): HeldEngines {
+    return new HeldEngines(size, random, isFencingChecked);
   }
 
   get history(): History {
@@ -92,12 +107,29 @@
     return states;
   }
 
-  /** What is shown to a look, at times what an earlier life said last. */
+  /** What is shown to a look, at times what is over. */
   private reportOf(rank: number): RankState {
+    if (this.isCalm) return this.stateOf(rank);
+    const recent = this.recent[rank];
+    if (recent.length > 0 && this.random() < STALE_SHARE)
+      return this.anyOf(recent);
     const past = this.past[rank];
-    const isLate = past.length > 0 && !this.isCalm;
-    if (!isLate || this.random() >= PAST_SHARE) return this.stateOf(rank);
-    return past[Math.floor(this.random() * past.length)];
+    if (past.length > 0 && this.random() < PAST_SHARE) return this.anyOf(past);
+    return this.stateOf(rank);
+  }
+
+  private anyOf(reports: readonly RankState[]): RankState {
+    return reports[Math.floor(this.random() * reports.length)];
+  }
+
+  /** The rank is about to change. */
+  private keepReport(rank: number): void {
+    const reports = [...this.recent[rank], this.stateOf(rank)];
+    this.recent[rank] = reports.slice(-KEPT_REPORTS);
+  }
+
+  private forgetReports(): void {
+    this.recent = this.engines.map(() => []);
   }
 
   /** What the engine is in now. */
@@ -148,18 +180,19 @@
 
   /** Begins the next pass, unless a rank holds it. */
   pass(): void {
-    if (!this.isOpen) return;
+    if (!this.isOpen || this.isStalled) return;
     const next = this.step + 1;
     if (this.engines.some(({ held }) => held === next)) return;
-    this.step = next;
     let switched = 0;
-    for (const engine of this.engines) {
+    for (const [rank, engine] of this.engines.entries()) {
+      this.keepReport(rank);
       if (engine.armed?.step !== next) continue;
       engine.map = engine.armed.version;
       engine.armed = undefined;
       engine.prepared = undefined;
       switched += 1;
     }
+    this.step = next;
     const maps = new Set(this.engines.map(({ map }) => map));
     this.counted.passes += 1;
     if (switched > 0) this.counted.switches += 1;
@@ -170,7 +203,9 @@
   crash(): void {
     this.epoch += 1;
     this.isOpen = true;
+    this.isStalled = false;
     this.engines = this.fresh();
+    this.forgetReports();
   }
 
   /** A rank starts again: the group breaks, and makes no passes. */
@@ -181,30 +216,21 @@
 
   /**
    * A rank starts again, and shows it before the platform has noticed: the
-   * group is still open, in its old epoch. Only while that alone does no harm:
-   * all ranks are on the first map, and another one holds the step that ranks
-   * are or may yet be armed for, whose release isn't under way. Otherwise only
-   * the new epoch keeps a late arm from the rank that has forgotten its fence.
-   * False where it would do harm.
+   * group still shows that it is open, in its old epoch. It makes no steps
+   * without the life that it was formed with, until it is formed anew.
    */
-  restartUnnoticed(rank: number): boolean {
-    const others = this.engines.filter((_, index) => index !== rank);
-    const held = others.find((engine) => engine.held !== undefined)?.held;
-    const isHarmless =
-      this.isOpen &&
-      held !== undefined &&
-      this.engines.every(({ map }) => map === 0) &&
-      this.engines.every(({ armed }) => (armed?.step ?? held) === held) &&
-      this.flying.every(({ order }) => isHarmlessBelow(order, held));
-    if (isHarmless) this.startAgain(rank);
-    return isHarmless;
+  restartUnnoticed(rank: number): void {
+    this.isStalled = true;
+    this.startAgain(rank);
   }
 
   /** The broken group is formed anew; who went on keeps its numbers. */
   form(): void {
-    if (this.isOpen) return;
+    if (this.isOpen && !this.isStalled) return;
     this.isOpen = true;
+    this.isStalled = false;
     this.epoch += 1;
+    this.forgetReports();
     for (const engine of this.engines) {
       engine.map = 0;
       engine.prepared = undefined;
@@ -217,6 +243,7 @@
   startAgain(rank: number): void {
     const said = [this.stateOf(rank), ...this.past[rank]];
     this.past[rank] = said.slice(0, PAST_LIVES);
+    this.recent[rank] = [];
     this.engines[rank] = this.start();
   }
 
@@ -239,7 +266,9 @@
 
   private carryOut(rank: number, order: RankOrder, fence: OrderFence): void {
     const engine = this.engines[rank];
-    if (fence.epoch !== this.epoch || fence.fencing < engine.fencing) return;
+    if (fence.epoch !== this.epoch) return;
+    if (this.isFencingChecked && fence.fencing < engine.fencing) return;
+    this.keepReport(rank);
     if (!this.apply(engine, order)) return;
     // An order that doesn't fit the engine's state leaves no trace.
     engine.fencing = fence.fencing;
@@ -277,9 +306,3 @@
     }
   }
 }
-
-/** Whether it lets no step begin, nor arms for another one than the held. */
-function isHarmlessBelow(order: RankOrder, held: number): boolean {
-  if (order.kind === "arm") return order.step === held;
-  return order.kind !== "release";
-}
--- a/tests/rankmaps/hold-guard.test.ts
+++ b/tests/rankmaps/hold-guard.test.ts
@@ -3,6 +3,7 @@
 import { pause } from "../../src/daemon/background-task.js";
 import type { GroupRank } from "../../src/rankmaps/group-planner.js";
 import { HoldGuard } from "../../src/rankmaps/hold-guard.js";
+import { RelayedMaps } from "../../src/rankmaps/relayed-maps.js";
 import type {
   OrderFence,
   RankOrder,
@@ -14,8 +15,30 @@
 const RANKS = 4;
 const PLANNER = 0;
 const HOLDER = 1;
-const always = (): boolean => true;
+/** The planner's VM stands still. */
+const isPlanner = (rank: number): boolean => rank === PLANNER;
 const FENCE = { epoch: 1, fencing: 9 };
+const VERSION = 6;
+/** No VM may keep its group waiting for longer, ms. */
+const LONGEST_HOLD_MS = 500;
+
+/** What the holder's agent has relayed. */
+function relayed(): RelayedMaps {
+  const maps = RelayedMaps.create();
+  maps.note({ version: VERSION, sets: [] });
+  return maps;
+}
+
+function armAt(
+  engines: HeldEngines,
+  ranks: readonly number[],
+  fence: OrderFence = FENCE,
+): void {
+  for (const rank of ranks) {
+    engines.send(rank, { kind: "arm", version: VERSION, step: 3 }, fence);
+  }
+  engines.deliver();
+}
 
 const never = new Promise<never>(() => undefined);
 
@@ -71,7 +94,7 @@
 function prepared(): HeldEngines {
   const engines = HeldEngines.create(RANKS, createRandom(1));
   engines.calm();
-  prepareAll(engines, 5, FENCE);
+  prepareAll(engines, VERSION, FENCE);
   engines.send(HOLDER, { kind: "hold", step: 3 }, FENCE);
   engines.deliver();
   return engines;
@@ -80,23 +103,22 @@
 async function watchUntil(
   engines: HeldEngines,
   isDone: () => boolean,
-  isPlannerFrozen: () => boolean = () => false,
+  isFrozen: (rank: number) => boolean = () => false,
   beforeOrder?: BeforeOrder,
 ): Promise<void> {
   const stop = new AbortController();
-  const ranks = Array.from({ length: RANKS }, (_, index) => {
-    const isFrozen = (): boolean => index === PLANNER && isPlannerFrozen();
-    return rankOf(engines, index, isFrozen, beforeOrder);
-  });
+  const ranks = Array.from({ length: RANKS }, (_, index) =>
+    rankOf(engines, index, () => isFrozen(index), beforeOrder),
+  );
   const guard = HoldGuard.create({
     port: ranks[HOLDER],
     emit: ignoreEvents,
     group: () => Promise.resolve(ranks),
     signal: stop.signal,
-    isFencingChecked: true,
+    maps: relayed(),
   });
   const { startedAtMs } = engines.states()[HOLDER];
-  guard.watch({ step: 3, fence: FENCE, planner: PLANNER, startedAtMs });
+  guard.watch({ step: 3, fence: FENCE, startedAtMs });
   while (!isDone()) {
     engines.pass();
     await new Promise((resolve) => {
@@ -107,37 +129,33 @@
 }
 
 describe("guard of a held step", () => {
-  it("finishes a switch whose planner died after the hold", async () => {
+  it("lets a step go whose planner died before any arm", async () => {
     // The planner is killed between hold and arms. Without the guard the group
     // stands still until another planner has the seat, and callers give up.
     const engines = prepared();
     await watchUntil(engines, () => engines.history.passes > 6);
     assert.is(engines.history.mixedPasses, 0);
-    assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 5));
+    assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 0));
   });
 
-  it("gives a step up whose planner's VM stands still, before any arm", async () => {
+  it("lets a step go whose planner's VM stands still, before any arm", async () => {
     // The VM freezes right after the hold, its own rank unarmed and out of
     // reach. Without the guard the group stands still until the VM wakes; with
-    // it, passes go on with the old map, and what the planner sends when it
-    // wakes is refused.
+    // it, passes go on with the old map, and what the planner arms first when
+    // it wakes refuses that.
     const engines = prepared();
-    await watchUntil(engines, () => engines.history.passes > 6, always);
-    for (let rank = 0; rank < RANKS; rank += 1) {
-      if (rank === PLANNER) continue;
-      engines.send(rank, { kind: "arm", version: 5, step: 9 }, FENCE);
-    }
+    await watchUntil(engines, () => engines.history.passes > 6, isPlanner);
+    const order = { kind: "arm", version: VERSION, step: 99 } as const;
+    engines.send(HOLDER, order, FENCE);
     assert.equal(engines.deliver(), []);
-    for (let pass = 0; pass < 10; pass += 1) engines.pass();
     assert.is(engines.history.mixedPasses, 0);
     assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 0));
   });
 
   it("gives one up between two arms", async () => {
     const engines = prepared();
-    engines.send(2, { kind: "arm", version: 5, step: 3 }, FENCE);
-    engines.deliver();
-    await watchUntil(engines, () => engines.history.passes > 6, always);
+    armAt(engines, [HOLDER, 2]);
+    await watchUntil(engines, () => engines.history.passes > 6, isPlanner);
     assert.is(engines.history.mixedPasses, 0);
     assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 0));
   });
@@ -146,66 +164,97 @@
     // All others are armed, so the planner may have come to its own rank. Let
     // go without it, a pass would run with two maps.
     const engines = prepared();
-    for (const rank of [1, 2, 3]) {
-      engines.send(rank, { kind: "arm", version: 5, step: 3 }, FENCE);
-    }
-    engines.deliver();
+    armAt(engines, [1, 2, 3]);
     const until = performance.now() + 600;
-    await watchUntil(engines, () => performance.now() > until, always);
+    await watchUntil(engines, () => performance.now() > until, isPlanner);
+    assert.is(engines.states()[HOLDER].heldStep, 3);
+    assert.is(engines.history.mixedPasses, 0);
+  });
+
+  it("keeps the step when another rank out of reach may be armed", async () => {
+    // The VM of a rank stands still that was told to arm together with others.
+    const engines = prepared();
+    armAt(engines, [HOLDER, 2]);
+    const until = performance.now() + 600;
+    const isThird = (rank: number): boolean => rank === 3;
+    await watchUntil(engines, () => performance.now() > until, isThird);
     assert.is(engines.states()[HOLDER].heldStep, 3);
     assert.is(engines.history.mixedPasses, 0);
   });
 
   it("finishes the switch when the planner's VM wakes with all others armed", async () => {
-    // The guard has raised the fencing number to give the step up, and couldn't:
-    // the planner's rank may be armed. Now it can be reached and isn't. Ranks
-    // refuse the planner's own number by now.
+    // The step couldn't be given up: the planner's rank may be armed. Now it
+    // can be reached and isn't.
     const engines = prepared();
-    for (const rank of [1, 2, 3]) {
-      engines.send(rank, { kind: "arm", version: 5, step: 3 }, FENCE);
-    }
-    engines.deliver();
+    armAt(engines, [1, 2, 3]);
     const wakesAt = performance.now() + 500;
     await watchUntil(
       engines,
       () => engines.history.passes > 6,
-      () => performance.now() < wakesAt,
+      (rank) => isPlanner(rank) && performance.now() < wakesAt,
     );
     assert.is(engines.history.mixedPasses, 0);
-    assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 5));
+    assert.ok(
+      engines.states().every(({ mapVersion }) => mapVersion === VERSION),
+    );
   });
 
   it("finishes one whose planner died between two arms", async () => {
     const engines = prepared();
-    engines.send(0, { kind: "arm", version: 5, step: 3 }, FENCE);
-    engines.deliver();
+    armAt(engines, [HOLDER]);
     await watchUntil(engines, () => engines.history.passes > 6);
     assert.is(engines.history.mixedPasses, 0);
-    assert.ok(engines.states().every(({ mapVersion }) => mapVersion === 5));
+    assert.ok(
+      engines.states().every(({ mapVersion }) => mapVersion === VERSION),
+    );
+  });
+
+  describe("while one VM stands still", () => {
+    // Streams: no event for as long as the step is held; callers leave after
+    // two seconds. The VM stands still at any moment of the switch, and what
+    // its rank was told and whether it took it can't be seen.
+    const moments = [
+      { name: "before any arm", armed: [], frozen: [0, 2, 3] },
+      { name: "after the holder's", armed: [HOLDER], frozen: [0] },
+      { name: "between the others'", armed: [HOLDER, 2], frozen: [0] },
+    ];
+    for (const { name, armed, frozen } of moments) {
+      for (const still of frozen) {
+        it(`goes on soon, ${name} arm and without rank ${still}`, async () => {
+          const engines = prepared();
+          armAt(engines, armed);
+          const startedAtMs = performance.now();
+          const isFrozen = (rank: number): boolean => rank === still;
+          await watchUntil(engines, () => engines.history.passes > 3, isFrozen);
+          assert.ok(performance.now() - startedAtMs < LONGEST_HOLD_MS);
+          assert.is(engines.history.mixedPasses, 0);
+        });
+      }
+    }
   });
 
   describe("when a rank starts again", () => {
-    it("asks its new life to refuse the planner's orders as well", async () => {
-      // The planner's VM stands still, and all other ranks have taken the higher
-      // number. One of them starts again and has forgotten it: what the planner
-      // had sent it is carried out there now. Let go by then, the step would
-      // begin with this rank alone on the new map.
+    it("makes its new life void as well", async () => {
+      // The planner's VM stands still, and the rank that it hadn't come to is
+      // void. It starts again and has forgotten that: what the planner had sent
+      // it is carried out there now. Let go by then, the step would begin with
+      // this rank alone on the new map.
       const engines = prepared();
       let isBorn = false;
       const beforeOrder: BeforeOrder = ({ kind }) => {
-        if (kind === "disarm" && !isBorn && isFenced(engines, 2)) {
+        const { preparedVersion = 0 } = engines.stateOf(2);
+        if (kind === "disarm" && !isBorn && preparedVersion > VERSION) {
           isBorn = true;
           engines.startAgain(2);
         }
         if (kind !== "release") return;
-        engines.send(2, { kind: "prepare", version: 5, sets: [] }, FENCE);
-        engines.send(2, { kind: "arm", version: 5, step: 3 }, FENCE);
-        engines.deliver();
+        const order = { kind: "prepare", version: VERSION, sets: [] } as const;
+        engines.send(2, order, FENCE);
+        armAt(engines, [2]);
       };
-      engines.send(3, { kind: "arm", version: 5, step: 3 }, FENCE);
-      engines.deliver();
+      armAt(engines, [HOLDER, 3]);
       const isDone = (): boolean => engines.history.passes > 6;
-      await watchUntil(engines, isDone, always, beforeOrder);
+      await watchUntil(engines, isDone, isPlanner, beforeOrder);
       assert.ok(isBorn);
       assert.is(engines.history.mixedPasses, 0);
     });
@@ -233,11 +282,11 @@
         group: () =>
           isHolderAway ? Promise.reject(failure(1607)) : Promise.resolve(ranks),
         signal: stop.signal,
-        isFencingChecked: true,
+        maps: relayed(),
       });
       const watch = (fence: OrderFence): void => {
         const { startedAtMs } = engines.stateOf(HOLDER);
-        guard.watch({ step: 3, fence, planner: PLANNER, startedAtMs });
+        guard.watch({ step: 3, fence, startedAtMs });
       };
       watch(FENCE);
       isHolderAway = true;
@@ -245,7 +294,7 @@
       engines.restart(HOLDER);
       engines.form();
       const next = { epoch: engines.epoch, fencing: 10 };
-      prepareAll(engines, 6, next);
+      prepareAll(engines, VERSION + 2, next);
       watch(next);
       engines.send(HOLDER, { kind: "hold", step: 3 }, next);
       engines.deliver();
@@ -272,12 +321,16 @@
         emit: ignoreEvents,
         group: () => Promise.resolve(ranks),
         signal: stop.signal,
-        isFencingChecked: true,
+        maps: relayed(),
       });
       const { startedAtMs } = engines.stateOf(HOLDER);
-      guard.watch({ step: 3, fence: FENCE, planner: PLANNER, startedAtMs });
+      guard.watch({ step: 3, fence: FENCE, startedAtMs });
       engines.startAgain(HOLDER);
-      engines.send(HOLDER, { kind: "prepare", version: 5, sets: [] }, FENCE);
+      engines.send(
+        HOLDER,
+        { kind: "prepare", version: VERSION, sets: [] },
+        FENCE,
+      );
       engines.send(HOLDER, { kind: "hold", step: 3 }, FENCE);
       engines.deliver();
       await sleep(400);
@@ -290,10 +343,3 @@
 async function sleep(durationMs: number): Promise<void> {
   await pause(durationMs, new AbortController().signal);
 }
-
-/** Whether the rank refuses what the planner orders. */
-function isFenced(engines: HeldEngines, rank: number): boolean {
-  const order = { kind: "disarm", version: 999 } as const;
-  engines.send(rank, order, FENCE);
-  return !engines.deliver().some((one) => one.rank === rank);
-}
--- a/tests/rankmaps/rank-agent.test.ts
+++ b/tests/rankmaps/rank-agent.test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import { failure } from "../../src/internal.js";
 import { RankAgent } from "../../src/rankmaps/rank-agent.js";
+import { RelayedMaps } from "../../src/rankmaps/relayed-maps.js";
 import type {
   HeldExperts,
   RankCounts,
@@ -46,6 +47,7 @@
       experts: () => Promise.resolve(this.held),
       order: () => Promise.reject(failure(1607)),
     },
+    maps: RelayedMaps.create(),
     onHold: () => undefined,
   });
 
--- a/tests/rankmaps/switch-orders.test.ts
+++ b/tests/rankmaps/switch-orders.test.ts
@@ -2,9 +2,11 @@
 import { createRandom, type Random } from "../../src/internal.js";
 import { orderOfLives } from "../../src/membership/life.js";
 import { LatestLife } from "../../src/rankmaps/latest-life.js";
+import { endHeldStep } from "../../src/rankmaps/held-step.js";
+import { HoldSteps, MOST_STEPS_AHEAD } from "../../src/rankmaps/hold-steps.js";
 import {
   afterOrders,
-  armingWave,
+  isArmedHolder,
   pendingSwitch,
   wholeGroup,
   type AddressedOrder,
@@ -46,24 +48,66 @@
   restartWhileAnswering: 0.1,
 };
 
+/** Turns at which a group falls idle. */
+const IDLE_SHARE = 0.01;
+/** Turns at which an idle group has work again. */
+const WORK_SHARE = 0.1;
+
 /** Engines, and the lives that have been seen of them, by rank. */
 class World {
   readonly lives = Array.from({ length: RANKS }, () =>
     LatestLife.create(() => 0),
   );
   readonly engines: HeldEngines;
+  /** Those of the process beside each rank. */
+  readonly holdSteps = Array.from({ length: RANKS }, () => HoldSteps.create());
+  private isIdle = false;
+  /** The highest version that each rank was told to prepare. */
+  readonly toldVersions = Array.from({ length: RANKS }, () => 0);
 
   constructor(
     readonly random: Random,
     private readonly faults: Faults,
+    isFencingChecked: boolean,
   ) {
-    this.engines = HeldEngines.create(RANKS, random);
+    this.engines = HeldEngines.create(RANKS, random, isFencingChecked);
+  }
+
+  /** Whether the life that was seen confirms the order. */
+  send(
+    states: readonly RankState[],
+    { rank, order }: AddressedOrder,
+    fence: OrderFence,
+  ): boolean {
+    const { engines, lives, toldVersions } = this;
+    if (order.kind === "prepare") {
+      toldVersions[rank] = Math.max(toldVersions[rank], order.version);
+    }
+    const seen = states.find((state) => state.rank === rank);
+    engines.send(rank, order, fence);
+    const answers = engines.deliver();
+    this.waitForAnswer();
+    return answers.some(
+      (one) =>
+        one.rank === rank &&
+        lives[rank].see(one.startedAtMs) !== "earlier" &&
+        orderOfLives(seen?.startedAtMs, one.startedAtMs) === "same",
+    );
+  }
+
+  /** Of the same group and epoch, and no life that is over. */
+  isPresent(state: RankState, own: RankState): boolean {
+    if (!state.isOpen || state.epoch !== own.epoch) return false;
+    return this.lives[state.rank].see(state.startedAtMs) !== "earlier";
   }
 
   /** A turn of the engines, with what goes wrong in it. */
   turn(): void {
     const { engines, random, faults } = this;
-    if (random() < 0.5) engines.pass();
+    // Without work of its own a group makes no steps.
+    const changes = this.isIdle ? WORK_SHARE : IDLE_SHARE;
+    if (random() < changes) this.isIdle = !this.isIdle;
+    if (!this.isIdle && random() < 0.5) engines.pass();
     engines.deliver();
     if (random() < faults.crash) engines.crash();
     if (random() < faults.restart) engines.restart(this.anyRank());
@@ -74,7 +118,7 @@
   }
 
   /** A rank may start again while an answer is on the way. */
-  waitForAnswer(): void {
+  private waitForAnswer(): void {
     const isRestart = this.random() < this.faults.restartWhileAnswering;
     if (isRestart) this.restartUnnoticed(this.anyRank());
   }
@@ -100,7 +144,7 @@
 
   /** A rank is seen to have started again, in the epoch of before. */
   private restartUnnoticed(rank: number): void {
-    if (!this.engines.restartUnnoticed(rank)) return;
+    this.engines.restartUnnoticed(rank);
     this.lives[rank].see(this.engines.stateOf(rank).startedAtMs);
   }
 }
@@ -108,17 +152,29 @@
 /** A planner that may be replaced at any moment, knowing only what it sees. */
 class Planner {
   private goal: MapGoal | undefined;
-  private readonly run: SwitchRun;
+  private readonly generation: number;
+  private started: SwitchRun | undefined;
 
   private constructor(
     private readonly world: World,
+    readonly rank: number,
     generation: number,
   ) {
-    this.run = SwitchRun.create(generation);
+    this.generation = generation;
+  }
+
+  /** The steps are those of the process, which may have started again. */
+  private get run(): SwitchRun {
+    this.started ??= SwitchRun.create(
+      this.generation,
+      this.world.holdSteps[this.rank],
+    );
+    return this.started;
   }
 
   static create(world: World, generation: number): Planner {
-    return new Planner(world, generation);
+    const rank = Math.floor(world.random() * RANKS);
+    return new Planner(world, rank, generation);
   }
 
   /** Orders on what it sees at this moment. */
@@ -131,7 +187,8 @@
     );
     if (isDone) this.goal = undefined;
     if (run.isIdle(states)) {
-      this.goal ??= { version: run.takeVersion(), sets: [], holder: 0 };
+      const holder = (this.rank + 1) % RANKS;
+      this.goal ??= { version: run.takeVersion(), sets: [], holder };
     }
     this.carryOut(states);
     // Refused as not higher than what the rank has had: a new version.
@@ -147,39 +204,37 @@
     let states = seen;
     for (;;) {
       if (world.isOutdated(states)) return;
-      const orders = run.nextOrders(states, this.goal);
+      const orders = run.nextOrders(states, this.goal, []);
       if (orders.length === 0) return;
-      const confirmed = orders.filter((order) => this.send(states, order));
+      const fence = { epoch: states[0].epoch, fencing: run.fencing };
+      const confirmed = orders.filter((order) =>
+        world.send(states, order, fence),
+      );
       if (confirmed.length < orders.length) return;
-      const next = afterOrders(states, orders);
+      const isHold = orders.some(({ order }) => order.kind === "hold");
+      const next = isHold ? world.look() : afterOrders(states, orders);
       if (next === undefined) return;
       states = next;
     }
   }
+}
 
-  /** Whether the life that was seen confirms it. */
-  private send(
-    states: readonly RankState[],
-    { rank, order }: AddressedOrder,
-  ): boolean {
-    const { engines, lives } = this.world;
-    const { fencing } = this.run;
-    const seen = states.find((state) => state.rank === rank);
-    engines.send(rank, order, { epoch: states[0].epoch, fencing });
-    const answers = engines.deliver();
-    this.world.waitForAnswer();
-    const admitted = answers.filter(
-      (one) => lives[one.rank].see(one.startedAtMs) !== "earlier",
-    );
-    for (const one of admitted) {
-      this.run.onAccepted(one.rank, one.fence, one.startedAtMs);
-    }
-    return admitted.some(
-      (one) =>
-        one.rank === rank &&
-        orderOfLives(seen?.startedAtMs, one.startedAtMs) === "same",
-    );
-  }
+/** The agent of a rank that holds a step, which others may be out of reach of. */
+function guard(world: World, rank: number, fencing: number): void {
+  const { engines, random } = world;
+  const own = engines.stateOf(rank);
+  if (own.heldStep === undefined) return;
+  const away = random() < 0.5 ? Math.floor(random() * RANKS) : undefined;
+  const seen = isArmedHolder(own) ? engines.states() : [own];
+  const reached = seen.filter(
+    (state) => state.rank !== away && world.isPresent(state, own),
+  );
+  const holder = reached.find((state) => state.rank === rank);
+  if (holder?.heldStep !== own.heldStep) return;
+  const highestVersion = world.toldVersions[rank];
+  const orders = endHeldStep({ reached, holder, spareMap: [], highestVersion });
+  const fence = { epoch: own.epoch, fencing };
+  for (const order of orders) world.send(reached, order, fence);
 }
 
 /**
@@ -191,17 +246,28 @@
   faults: Faults = USUAL_FAULTS,
 ): { world: World; history: History } {
   const random: Random = createRandom(seed);
-  const world = new World(random, faults);
+  const world = new World(random, faults, seed % 2 === 0);
   let generation = 1;
   let planners = [Planner.create(world, generation)];
   for (let turn = 0; turn < 120; turn += 1) {
     const planner = planners[Math.floor(random() * planners.length)];
     planner.step();
     world.turn();
+    if (random() < 0.05) {
+      const { fencing } = SwitchRun.create(generation);
+      guard(world, Math.floor(random() * RANKS), fencing);
+    }
     if (random() < 0.02) {
       // Another planner takes the seat; the old one doesn't know for a while.
       generation += 1;
-      planners = [...planners.slice(-1), Planner.create(world, generation)];
+      const next = Planner.create(world, generation);
+      planners = planners.slice(-1);
+      if (random() < 0.5) {
+        // Its process has started again, and knows nothing of earlier holds.
+        world.holdSteps[next.rank] = HoldSteps.create();
+        planners = planners.filter(({ rank }) => rank !== next.rank);
+      }
+      planners = [...planners, next];
     }
     if (random() < 0.2) planners = planners.slice(-1);
   }
@@ -246,6 +312,7 @@
       for (let turn = 0; turn < 40; turn += 1) {
         planner.step();
         engines.deliver();
+        engines.form();
         engines.pass();
       }
       assert.ok(engines.history.passes >= before + 30, `seed ${seed}`);
@@ -253,82 +320,74 @@
     }
   });
 
-  it("calls a switch off before it releases a step that can't be used", () => {
-    // A hold is carried out seconds late, when nothing is prepared. Orders to
-    // arm for that step may be late as well, so it is released only once every
-    // rank has taken a newer fencing number.
+  it("lets a step go once its unarmed holder is void", () => {
+    // A hold is carried out seconds late. Its planner arms the holder before
+    // anybody else, so one order there makes sure that nobody will be armed.
     const engines = HeldEngines.create(RANKS, createRandom(1));
     engines.calm();
     engines.send(2, { kind: "hold", step: 5 }, { epoch: 1, fencing: 1 });
     engines.deliver();
-    assert.is(pendingSwitch(engines.states()).kind, "call-off");
     const run = SwitchRun.create(1);
-    const fence = (): OrderFence => ({ epoch: 1, fencing: run.fencing });
-    const holder = run.nextOrders(engines.states(), undefined);
-    assert.equal(
-      holder.map(({ rank, order }) => [rank, order.kind]),
-      [[2, "disarm"]],
-    );
-    run.onAccepted(2, fence(), engines.stateOf(2).startedAtMs);
-    const first = run.nextOrders(engines.states(), undefined);
+    const first = run.nextOrders(engines.states(), undefined, []);
     assert.equal(
       first.map(({ rank, order }) => [rank, order.kind]),
-      [
-        [0, "disarm"],
-        [1, "disarm"],
-        [3, "disarm"],
-      ],
+      [[2, "prepare"]],
     );
-    for (const { rank, startedAtMs } of engines.states()) {
-      run.onAccepted(rank, fence(), startedAtMs);
+    for (const { rank, order } of first) {
+      engines.send(rank, order, { epoch: 1, fencing: 1 });
     }
-    const second = run.nextOrders(engines.states(), undefined);
+    engines.deliver();
+    const second = run.nextOrders(engines.states(), undefined, []);
     assert.equal(second, [{ rank: 2, order: { kind: "release", step: 5 } }]);
   });
 
-  it("calls a switch off under a higher number than the step's guard has", () => {
-    // The guard of a held step arms or releases under the number after the
-    // hold's. A call-off under that number wouldn't make its late orders void.
+  it("arms the holder first and the rank before it last", () => {
+    // Whoever finds the holder unarmed lets the step go, and whoever can't
+    // reach the last rank takes it for unarmed while another one is.
     const engines = HeldEngines.create(RANKS, createRandom(1));
     engines.calm();
     const run = SwitchRun.create(1);
-    const held = run.fencing;
-    engines.send(2, { kind: "hold", step: 5 }, { epoch: 1, fencing: held });
-    engines.deliver();
-    run.nextOrders(engines.states(), undefined);
-    assert.ok(run.fencing > held + 1);
-  });
-
-  it("arms the holder first and the planner's own rank last", () => {
-    // Another planner gave a step up, and its release is carried out late. If
-    // others were armed by then and the holder not, the step would begin with
-    // two maps; an armed holder has a newer fencing number and refuses it.
-    const engines = HeldEngines.create(RANKS, createRandom(1));
-    engines.calm();
-    for (let rank = 0; rank < RANKS; rank += 1) {
-      const order = { kind: "prepare", version: 5, sets: [] } as const;
-      engines.send(rank, order, { epoch: 1, fencing: 1 });
-    }
-    engines.send(1, { kind: "hold", step: 3 }, { epoch: 1, fencing: 1 });
-    engines.deliver();
+    const goal = { version: run.takeVersion(), sets: [], holder: 1 };
     const waves: (readonly number[])[] = [];
-    for (let wave = 0; wave < 3; wave += 1) {
-      const pending = pendingSwitch(engines.states());
-      if (pending.kind !== "orders") break;
-      const orders = armingWave(pending.orders, { planner: 0, holder: 1 });
-      waves.push(orders.map(({ rank }) => rank));
+    for (let wave = 0; wave < 12; wave += 1) {
+      const orders = run.nextOrders(engines.states(), goal, []);
+      const arms = orders.filter(({ order }) => order.kind === "arm");
+      if (arms.length > 0) waves.push(arms.map(({ rank }) => rank));
       for (const { rank, order } of orders) {
         engines.send(rank, order, { epoch: 1, fencing: 2 });
       }
       engines.deliver();
-      engines.send(1, { kind: "release", step: 3 }, { epoch: 1, fencing: 1 });
-      engines.deliver();
-      for (let pass = 0; pass < 4; pass += 1) engines.pass();
+      engines.pass();
     }
     assert.equal(waves, [[1], [2, 3], [0]]);
+    assert.is(engines.history.switches, 1);
     assert.is(engines.history.mixedPasses, 0);
   });
 
+  it("holds no step twice", () => {
+    // The group makes no steps. A late release of the first hold would let the
+    // second one's step begin while ranks are being armed.
+    const steps = HoldSteps.create();
+    const held: number[] = [];
+    let begun = 7;
+    steps.look(1, begun);
+    for (let turn = 0; turn < 40; turn += 1) {
+      const step = steps.next(begun);
+      if (step === undefined) begun += 1;
+      else {
+        held.push(step);
+        steps.take(step);
+      }
+    }
+    assert.is(new Set(held).size, held.length);
+    assert.equal(
+      held,
+      held.toSorted((a, b) => a - b),
+    );
+    // Nor one that an earlier process on the same VM can have held.
+    assert.ok(held[0] > 7 + MOST_STEPS_AHEAD);
+  });
+
   it("takes a rank that has changed already for one that is armed", () => {
     // Ranks are asked one after the other, and the step begins in between: the
     // first still shows that it is armed, the second that it has changed.
@@ -350,34 +409,32 @@
   });
 
   describe("when a rank starts again while a switch is called off", () => {
-    it("has its new life take a number as well before the step is let go", () => {
-      // It has forgotten the fencing number that its earlier life took: what was
+    it("has its new life made void as well before the holder is disarmed", () => {
+      // It has forgotten the versions that its earlier life had: what was
       // ordered before could still be carried out there, and the step would
       // begin with this rank alone on the new map.
       const engines = HeldEngines.create(RANKS, createRandom(1));
       engines.calm();
-      engines.send(2, { kind: "hold", step: 5 }, { epoch: 1, fencing: 1 });
+      const fence = { epoch: 1, fencing: 1 };
+      for (const [rank, version] of [4, 4, 4, 6].entries()) {
+        engines.send(rank, { kind: "prepare", version, sets: [] }, fence);
+      }
+      engines.send(2, { kind: "hold", step: 5 }, fence);
+      engines.send(2, { kind: "arm", version: 4, step: 5 }, fence);
       engines.deliver();
       const run = SwitchRun.create(1);
-      run.nextOrders(engines.states(), undefined);
-      const fence = { epoch: 1, fencing: run.fencing };
-      for (const { rank, startedAtMs } of engines.states()) {
-        run.onAccepted(rank, fence, startedAtMs);
-      }
-      const before = engines.stateOf(3).startedAtMs;
+      const carryOut = (): readonly string[] => {
+        const orders = run.nextOrders(engines.states(), undefined, []);
+        for (const { rank, order } of orders) engines.send(rank, order, fence);
+        engines.deliver();
+        return orders.map(({ rank, order }) => `${order.kind} ${rank}`);
+      };
+      assert.equal(carryOut(), ["prepare 0", "prepare 1"]);
       engines.startAgain(3);
-      const next = run.nextOrders(engines.states(), undefined);
-      assert.equal(
-        next.map(({ rank, order }) => [rank, order.kind]),
-        [[3, "disarm"]],
-      );
-      // What the earlier life took, and is told of late, proves nothing.
-      run.onAccepted(3, fence, before);
-      assert.is(run.nextOrders(engines.states(), undefined).at(0)?.rank, 3);
-      run.onAccepted(3, fence, engines.stateOf(3).startedAtMs);
-      run.onAccepted(3, fence, before);
-      const last = run.nextOrders(engines.states(), undefined);
-      assert.equal(last, [{ rank: 2, order: { kind: "release", step: 5 } }]);
+      assert.equal(carryOut(), ["prepare 3"]);
+      assert.equal(carryOut(), ["disarm 2"]);
+      assert.equal(carryOut(), ["prepare 2"]);
+      assert.equal(carryOut(), ["release 2"]);
     });
   });
 });
