Plan from the last demand after a loss of all VMs

Change: the planner notes its demand every two seconds in a keyed topic of ours, and a planner without counts begins from the note.

--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -41,6 +41,7 @@
 } from "../routing/newest-configuration.js";
 import type { EngineFigures, SiteConfiguration } from "../routing/types.js";
 import { RankAgentService } from "../wire/generated/rankmaps.js";
+import { DemandNotes } from "./demand-notes.js";
 import { GroupPlanner, type GroupRank } from "./group-planner.js";
 import { HoldGuard } from "./hold-guard.js";
 import { KnownGroup } from "./known-group.js";
@@ -65,6 +66,8 @@
   /** Throws 1903 for a record that can't be decoded. */
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
   readonly paceNotes: KeyedWriter;
+  readonly demand: KeyedTopic;
+  readonly demandNotes: KeyedWriter;
 }
 
 /** Between two looks at a runner that belongs to no group yet, ms. */
@@ -93,6 +96,7 @@
   private readonly maps = RelayedMaps.create();
   private readonly port: RankPort;
   private readonly pace: PaceReporter;
+  private readonly demand: DemandNotes;
   private readonly incarnation = randomUUID();
   private readonly registry;
   private readonly measurements: Measurements;
@@ -122,6 +126,12 @@
       now: () => performance.now(),
       emit: this.emit,
     });
+    this.demand = DemandNotes.create({
+      topic: options.demand,
+      writer: options.demandNotes,
+      now: () => performance.now(),
+      emit: this.emit,
+    });
     this.group = KnownGroup.create({
       observeOwn: () => port.observe(),
       find: (own) => this.findGroup(own, this.stop.signal),
@@ -247,7 +257,11 @@
     { group }: RankState,
     signal: AbortSignal,
   ): Promise<GroupPlanner | undefined> {
-    const engine = await this.engineFigures(signal);
+    const key = `${this.options.settings.service}.${group}`;
+    const [engine, rememberedDemand] = await Promise.all([
+      this.engineFigures(signal),
+      this.demand.read(key, signal),
+    ]);
     if (engine === undefined || engine.expertSets === 0) return undefined;
     await this.group.read();
     const { epoch, rank, size } = await this.port.observe();
@@ -257,6 +271,10 @@
       emit: this.emit,
       measurements: this.measurements,
       pace: this.pace,
+      rememberedDemand,
+      onDemand: (tokens) => {
+        this.demand.note(key, tokens);
+      },
       engine,
       group,
       epoch,
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -55,6 +55,10 @@
   readonly emit: Emit;
   readonly measurements: Measurements;
   readonly pace: Pick<PaceReporter, "look">;
+  /** Shares of the experts in an earlier demand, if there are any. */
+  readonly rememberedDemand: readonly number[] | undefined;
+  /** Called with the present demand after each count. */
+  readonly onDemand: (tokens: ArrayLike<number>) => void;
   readonly engine: EngineFigures;
   /**
    * The group whose seat it is. A runner may start again in another group, and
@@ -219,10 +223,13 @@
     if (!withCounts) return;
     const elapsedMs = Math.min(nowMs - this.countedAtMs, 60_000);
     this.countedAtMs = nowMs;
-    this.view?.demand.add(
+    const demand = this.view?.demand;
+    if (demand === undefined) return;
+    demand.add(
       seen.map(({ counts }) => counts),
       elapsedMs,
     );
+    if (demand.isTelling) this.options.onDemand(demand.tokens);
   }
 
   /** The map of the goal once it is in force, else what the ranks hold. */
@@ -240,7 +247,7 @@
     }
     this.view = undefined;
     if (seen.some(({ experts }) => experts.length === 0)) return;
-    const { engine } = this.options;
+    const { engine, rememberedDemand } = this.options;
     const byRank = seen.toSorted((a, b) => a.state.rank - b.state.rank);
     const map = Array.from({ length: engine.expertSets }, (_, set) =>
       byRank.map(({ experts }) => experts[set] ?? []),
@@ -256,7 +263,10 @@
       map,
       mapVersion,
       planner: MapPlanner.create(shape, limitsOf(engine)),
-      demand: ExpertDemand.create(engine.expertSets * engine.experts),
+      demand: ExpertDemand.create(
+        engine.expertSets * engine.experts,
+        rememberedDemand,
+      ),
     };
   }
 
