--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -42,7 +42,7 @@
 import type { EngineFigures, SiteConfiguration } from "../routing/types.js";
 import { RankAgentService } from "../wire/generated/rankmaps.js";
 import { DemandNotes } from "./demand-notes.js";
-import { GroupPlanner, type GroupRank } from "./group-planner.js";
+import { GroupPlanner } from "./group-planner.js";
 import { HoldGuard } from "./hold-guard.js";
 import { KnownGroup } from "./known-group.js";
 import { PaceReporter } from "./pace-reporter.js";
@@ -52,7 +52,7 @@
 import { createReachableRank } from "./reachable-rank.js";
 import { RelayedMaps } from "./relayed-maps.js";
 import { SwitchRuns } from "./switch-run.js";
-import type { RankPort, RankState } from "./types.js";
+import type { GroupRank, RankPort, RankState } from "./types.js";
 
 export interface AgentOptions {
   readonly settings: RankAgentSettings;
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -10,7 +10,6 @@
 import { MapPlanner, type MapLimits, type MapPlan } from "./map-planner.js";
 import type { PaceReporter } from "./pace-reporter.js";
 import type { PlannerSeat } from "./planner-seat.js";
-import type { Observation } from "./rank-messages.js";
 import {
   afterOrders,
   isInForce,
@@ -18,11 +17,11 @@
   type AddressedOrder,
 } from "./switch-orders.js";
 import type { SwitchRun, SwitchRuns } from "./switch-run.js";
-import type { WatchedHold } from "./hold-guard.js";
 import type {
-  AgentOrder,
+  GroupRank,
   MapGoal,
   MapSets,
+  Observation,
   OfLife,
   OrderFence,
   OrderResult,
@@ -30,24 +29,6 @@
   RankState,
 } from "./types.js";
 
-/** A rank that can be reached. */
-export interface GroupRank {
-  /** host:port of its runner. */
-  readonly address: string;
-  readonly observe: (request: {
-    readonly withCounts: boolean;
-    readonly withExperts: boolean;
-  }) => Promise<Observation>;
-  readonly order: (
-    order: AgentOrder,
-    fence: OrderFence,
-  ) => Promise<OrderResult>;
-  /** Has the rank hold a step, with its agent watching over it. */
-  readonly hold: (hold: WatchedHold) => Promise<OrderResult>;
-  /** Whether a later life of the runner than this one has been seen. */
-  readonly isOver: (startedAtMs: LifeStart) => boolean;
-}
-
 export interface GroupPlannerOptions {
   readonly seat: Pick<PlannerSeat, "generation" | "onFenced">;
   /** Those of the process: they outlast this planner. */
--- a/src/rankmaps/hold-guard.ts
+++ b/src/rankmaps/hold-guard.ts
@@ -8,16 +8,16 @@
 import { pause } from "../daemon/background-task.js";
 import { toFailure, type Emit } from "../internal.js";
 import { orderOfLives } from "../membership/life.js";
-import type { GroupRank } from "./group-planner.js";
 import { endHeldStep } from "./held-step.js";
 import type { RelayedMaps } from "./relayed-maps.js";
 import { isArmedHolder, type AddressedOrder } from "./switch-orders.js";
 import type {
   AgentOrder,
-  OfLife,
+  GroupRank,
   OrderFence,
   RankPort,
   RankState,
+  WatchedHold,
 } from "./types.js";
 
 export interface HoldGuardOptions {
@@ -30,12 +30,6 @@
   readonly signal: AbortSignal;
 }
 
-/** A hold that the planner is about to order, at one life of the runner. */
-export interface WatchedHold extends OfLife {
-  readonly step: number;
-  readonly fence: OrderFence;
-}
-
 /** A rank, and what it showed; undefined while it can't be reached. */
 interface Look {
   readonly rank: Pick<GroupRank, "order">;
--- a/src/rankmaps/known-group.ts
+++ b/src/rankmaps/known-group.ts
@@ -2,8 +2,7 @@
  * The ranks of the own runner's group, found before they are needed: the store
  * that names the runners may be away by then.
  */
-import type { GroupRank } from "./group-planner.js";
-import type { RankState } from "./types.js";
+import type { GroupRank, RankState } from "./types.js";
 
 export interface KnownGroupOptions {
   /** The own rank. Throws 1607. */
--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -14,16 +14,14 @@
   RankOrderRequest,
 } from "../wire/generated/rankmaps.js";
 import { CountDeltas } from "./count-deltas.js";
-import type { WatchedHold } from "./hold-guard.js";
 import {
   expertsOf,
   readOrder,
   writeObservation,
   writeResult,
-  type Observation,
 } from "./rank-messages.js";
 import type { RelayedMaps } from "./relayed-maps.js";
-import type { RankPort } from "./types.js";
+import type { Observation, RankPort, WatchedHold } from "./types.js";
 
 export interface RankAgentOptions {
   readonly port: RankPort;
--- a/src/rankmaps/rank-client.ts
+++ b/src/rankmaps/rank-client.ts
@@ -14,14 +14,14 @@
   type ObserveRequest,
   type RankOrderReply,
 } from "../wire/generated/rankmaps.js";
-import {
-  readObservation,
-  readResult,
-  writeOrder,
-  type Observation,
-} from "./rank-messages.js";
-import type { WatchedHold } from "./hold-guard.js";
-import type { AgentOrder, OrderFence, OrderResult } from "./types.js";
+import { readObservation, readResult, writeOrder } from "./rank-messages.js";
+import type {
+  AgentOrder,
+  Observation,
+  OrderFence,
+  OrderResult,
+  WatchedHold,
+} from "./types.js";
 
 /**
  * An agent answers in a few milliseconds; a rank whose answer takes longer is
--- a/src/rankmaps/rank-messages.ts
+++ b/src/rankmaps/rank-messages.ts
@@ -9,6 +9,7 @@
   AgentOrder,
   HeldExperts,
   MapSets,
+  Observation,
   OrderFence,
   OrderOutcome,
   OrderResult,
@@ -16,16 +17,6 @@
   RankState,
 } from "./types.js";
 
-/** What an agent answers, decoded. */
-export interface Observation {
-  readonly state: RankState;
-  /** Since the last observation with counts; empty unless asked for. */
-  readonly counts: readonly number[];
-  readonly countedMs: number;
-  /** By set; empty unless asked for. */
-  readonly experts: RankExperts;
-}
-
 /**
  * The experts that belong to the state: a rank may start anew between the two
  * answers, and the map of one life isn't that of the other.
--- a/src/rankmaps/reachable-rank.ts
+++ b/src/rankmaps/reachable-rank.ts
@@ -11,11 +11,17 @@
  */
 import { raise, type Now } from "../internal.js";
 import type { LifeStart } from "../membership/life.js";
-import type { GroupRank } from "./group-planner.js";
-import type { WatchedHold } from "./hold-guard.js";
 import { LatestLife } from "./latest-life.js";
-import { expertsOf, type Observation } from "./rank-messages.js";
-import type { AgentOrder, OrderFence, OrderResult, RankPort } from "./types.js";
+import { expertsOf } from "./rank-messages.js";
+import type {
+  AgentOrder,
+  GroupRank,
+  Observation,
+  OrderFence,
+  OrderResult,
+  RankPort,
+  WatchedHold,
+} from "./types.js";
 
 /**
  * An agent that didn't answer is asked again after this time, ms: every such
--- a/src/rankmaps/types.ts
+++ b/src/rankmaps/types.ts
@@ -110,3 +110,37 @@
   readonly experts: () => Promise<HeldExperts>;
   readonly order: (order: RankOrder, fence: OrderFence) => Promise<OrderResult>;
 }
+
+/** What an agent answers, decoded. */
+export interface Observation {
+  readonly state: RankState;
+  /** Since the last observation with counts; empty unless asked for. */
+  readonly counts: readonly number[];
+  readonly countedMs: number;
+  /** By set; empty unless asked for. */
+  readonly experts: RankExperts;
+}
+
+/** A hold that the planner is about to order, at one life of the runner. */
+export interface WatchedHold extends OfLife {
+  readonly step: number;
+  readonly fence: OrderFence;
+}
+
+/** A rank that can be reached. */
+export interface GroupRank {
+  /** host:port of its runner. */
+  readonly address: string;
+  readonly observe: (request: {
+    readonly withCounts: boolean;
+    readonly withExperts: boolean;
+  }) => Promise<Observation>;
+  readonly order: (
+    order: AgentOrder,
+    fence: OrderFence,
+  ) => Promise<OrderResult>;
+  /** Has the rank hold a step, with its agent watching over it. */
+  readonly hold: (hold: WatchedHold) => Promise<OrderResult>;
+  /** Whether a later life of the runner than this one has been seen. */
+  readonly isOver: (startedAtMs: LifeStart) => boolean;
+}
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -10,7 +10,6 @@
 import {
   COUNT_INTERVAL_MS,
   GroupPlanner,
-  type GroupRank,
 } from "../../src/rankmaps/group-planner.js";
 import {
   createReachableRank,
@@ -18,6 +17,7 @@
 } from "../../src/rankmaps/reachable-rank.js";
 import { SwitchRuns } from "../../src/rankmaps/switch-run.js";
 import type {
+  GroupRank,
   OrderFence,
   OrderResult,
   RankOrder,
--- a/tests/rankmaps/hold-guard.test.ts
+++ b/tests/rankmaps/hold-guard.test.ts
@@ -1,10 +1,10 @@
 import * as assert from "uvu/assert";
 import { createRandom, failure, ignoreEvents } from "../../src/internal.js";
 import { pause } from "../../src/daemon/background-task.js";
-import type { GroupRank } from "../../src/rankmaps/group-planner.js";
 import { HoldGuard } from "../../src/rankmaps/hold-guard.js";
 import { RelayedMaps } from "../../src/rankmaps/relayed-maps.js";
 import type {
+  GroupRank,
   OrderFence,
   RankOrder,
   RankPort,
--- a/tests/rankmaps/known-group.test.ts
+++ b/tests/rankmaps/known-group.test.ts
@@ -1,9 +1,9 @@
 import * as assert from "uvu/assert";
 import { createRandom, failure } from "../../src/internal.js";
-import type { GroupRank } from "../../src/rankmaps/group-planner.js";
 import { KnownGroup } from "../../src/rankmaps/known-group.js";
 import { describe, it } from "../support/describe.js";
 import { HeldEngines } from "./held-engines.js";
+import type { GroupRank } from "../../src/rankmaps/types.js";
 
 const RANKS = 2;
 
