--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -40,7 +40,6 @@
 
 export class RankAgent {
   private readonly deltas = CountDeltas.create(() => performance.now());
-  private countedAtMs = performance.now();
 
   private constructor(private readonly options: RankAgentOptions) {}
 
@@ -86,8 +85,7 @@
       withExperts ? port.experts() : undefined,
     ]);
     const counts = counted === undefined ? [] : this.deltas.take(counted);
-    const countedMs = counted === undefined ? 0 : this.elapsedMs();
-    return { state, counts, countedMs, experts: expertsOf(state, held) };
+    return { state, counts, experts: expertsOf(state, held) };
   }
 
   private async order(request: RankOrderRequest): Promise<RankOrderReply> {
@@ -98,13 +96,6 @@
     if (order.kind === "prepare") this.options.maps.note(order);
     return writeResult(await this.options.port.order(order, fence));
   }
-
-  private elapsedMs(): number {
-    const nowMs = performance.now();
-    const elapsedMs = nowMs - this.countedAtMs;
-    this.countedAtMs = nowMs;
-    return elapsedMs;
-  }
 }
 
 async function answer<T>(
