--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -47,18 +47,20 @@
 
   /**
    * `spareMap`: any map that the ranks can prepare, best the one in use; while
-   * it is undefined no switch is called off.
+   * it is undefined no switch is called off. `stepsAhead`: to the one that is
+   * held.
    */
   nextOrders(
     states: readonly RankState[],
     goal: MapGoal | undefined,
     spareMap: MapSets | undefined,
+    stepsAhead?: number,
   ): Orders {
     this.steps.look(states[0].epoch, lastBegun(states));
     const pending = pendingSwitch(states);
     switch (pending.kind) {
       case "none":
-        return goal === undefined ? [] : this.towards(goal, states);
+        return goal === undefined ? [] : this.towards(goal, states, stepsAhead);
       case "coming":
         return [];
       case "orders":
@@ -74,6 +76,7 @@
   private towards(
     { version, sets, holder }: MapGoal,
     states: readonly RankState[],
+    stepsAhead: number | undefined,
   ): Orders {
     const prepare = { kind: "prepare", version, sets } as const;
     const missing = states.filter(
@@ -82,7 +85,7 @@
     if (missing.length > 0) {
       return missing.map(({ rank }) => ({ rank, order: prepare }));
     }
-    const step = this.steps.next(lastBegun(states));
+    const step = this.steps.next(lastBegun(states), stepsAhead);
     if (step === undefined) return [];
     this.steps.take(step);
     this.held = { version, step };
@@ -123,7 +126,7 @@
   }
 }
 
-function lastBegun(states: readonly RankState[]): number {
+export function lastBegun(states: readonly RankState[]): number {
   return Math.max(...states.map(({ step }) => step));
 }
 
