--- a/src/direct/pace-limit.ts
+++ b/src/direct/pace-limit.ts
@@ -35,25 +35,18 @@
 const INCREASE_SHARE = 0.12;
 /** A change of the limit shows in the pauses after about this time, ms. */
 const INTERVAL_MS = 250;
-/**
- * Where the limit begins and how far it falls. Less than this and an entry can't
- * even tell that the pace is good again.
- */
+/** Less than this and an entry can't even tell that the pace is good again. */
 const LEAST_LIMIT = 4;
 /**
- * Until the first decrease the limit grows by this factor in place of that share.
- * After a loss of all VMs callers come back at once, the engines are on their
- * first map, and an entry knows neither their pace nor how many others there
- * are: let in by a share of the slots, all streams of the first seconds were
- * late, and kept the places of those behind them for as long.
+ * Part of the service's slots that one entry takes before it knows the pace.
+ * After a restart of everything all callers come back at once and the engines
+ * are at their slowest; with all slots taken every stream of the first seconds
+ * was late.
  */
-const PROBE_FACTOR = 2;
+const FIRST_SHARE = 1 / 6;
 
 export class PaceLimit {
-  private limit = LEAST_LIMIT;
-  /** The limit hasn't been found yet. */
-  private isProbing = true;
-  /** Zero until the first pause. */
+  private limit: number | undefined;
   private meanPauseMs = 0;
   private objectiveMs = Number.POSITIVE_INFINITY;
   private eventAtMs = Number.NEGATIVE_INFINITY;
@@ -66,6 +59,7 @@
   }
 
   hasRoom(running: number, slots: number): boolean {
+    this.limit ??= Math.max(LEAST_LIMIT, Math.ceil(slots * FIRST_SHARE));
     return running < Math.min(this.limit, Math.max(slots, 1));
   }
 
@@ -81,8 +75,8 @@
 
   /** A stream's event came `pauseMs` after the one before. */
   onPause(pauseMs: number, objectiveMs: number, running: number): void {
-    if (this.meanPauseMs === 0) this.meanPauseMs = pauseMs;
-    this.meanPauseMs += PAUSE_SHARE * (pauseMs - this.meanPauseMs);
+    const change = PAUSE_SHARE * (pauseMs - this.meanPauseMs);
+    this.meanPauseMs += change;
     this.objectiveMs = objectiveMs;
     const nowMs = this.inputs.now();
     this.eventAtMs = nowMs;
@@ -95,13 +89,12 @@
   }
 
   private lower(running: number, nowMs: number): void {
-    const { limit } = this;
+    const { limit = running } = this;
     // Not in effect yet: the pauses still show what ran before it.
     if (running > limit) return;
     const lowered = Math.max(LEAST_LIMIT, Math.floor(running * DECREASE));
     if (lowered >= limit) return;
     this.limit = lowered;
-    this.isProbing = false;
     this.changedAtMs = nowMs;
     const { emit, service } = this.inputs;
     const pauseMs = Math.round(this.meanPauseMs);
@@ -112,8 +105,7 @@
     const { limit } = this;
     this.changedAtMs = nowMs;
     // Room that nobody uses must not grow: a burst would fill it at once.
-    if (running < limit - 1) return;
-    const share = Math.max(1, Math.floor(limit * INCREASE_SHARE));
-    this.limit = this.isProbing ? limit * PROBE_FACTOR : limit + share;
+    if (limit === undefined || running < limit - 1) return;
+    this.limit = limit + Math.max(1, Math.floor(limit * INCREASE_SHARE));
   }
 }
