--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -294,7 +294,6 @@
     while (!signal.aborted && this.seat.generation !== undefined) {
       const { isOpen } = await this.port.observe();
       if (isOpen) return;
-      this.runs.onForming();
       await pause(OPENING_INTERVAL_MS, signal);
     }
   }
--- a/src/rankmaps/hold-steps.ts
+++ b/src/rankmaps/hold-steps.ts
@@ -8,10 +8,9 @@
  */
 
 /**
- * Steps between the last one begun and the one that is held, while nothing is
- * known of how long they take. From the hold to the release it takes about 70 ms
- * (a second look, all other ranks, the own one), and a step 30 ms at least. With
- * three, groups waited 4 ms a switch.
+ * Steps between the last one begun and the one that is held, at least. From the
+ * hold to the release it takes about 70 ms (a second look, all other ranks, the
+ * own one), and a step 30 ms at least. With three, groups waited 4 ms a switch.
  */
 export const STEPS_AHEAD = 4;
 /**
@@ -23,28 +22,17 @@
 
 export class HoldSteps {
   private epoch: number | undefined;
-  private isForming = false;
   private floor = 0;
 
   static create(): HoldSteps {
     return new HoldSteps();
   }
 
-  /**
-   * The group isn't open: its next epoch begins within this process's life, and
-   * no earlier process can have held a step of it. After a loss of all VMs the
-   * first map would wait for eight of the slowest steps.
-   */
-  onForming(): void {
-    this.isForming = true;
-  }
-
   /** The group was seen; `begun`: the last step that it has begun. */
   look(epoch: number, begun: number): void {
     if (epoch === this.epoch) return;
     this.epoch = epoch;
-    this.floor = this.isForming ? begun : begun + MOST_STEPS_AHEAD;
-    this.isForming = false;
+    this.floor = begun + MOST_STEPS_AHEAD;
   }
 
   /** Undefined until the group has made a step since it was first seen. */
--- a/src/rankmaps/switch-pace.ts
+++ b/src/rankmaps/switch-pace.ts
@@ -12,12 +12,6 @@
 const STEP_SHARE = 0.2;
 /** What is left of the longest switch with each one that took less. */
 const FADE = 0.8;
-/**
- * A look, three waves of arms and the release, ms, measured with 16 ranks. At
- * 110 ms a step, near the objective, four steps in place of two kept a group on
- * its old map for 0.2 s longer with every switch.
- */
-const USUAL_SWITCH_MS = 110;
 /** The last step begun is as old as a look when the hold arrives. */
 const MARGIN_STEPS = 1;
 
@@ -29,7 +23,7 @@
 export class SwitchPace {
   private seen: Seen | undefined;
   private stepMs: number | undefined;
-  private switchMs = USUAL_SWITCH_MS;
+  private switchMs = 0;
   /** When the hold that isn't let go yet was ordered. */
   private heldAtMs: number | undefined;
 
@@ -40,7 +34,7 @@
   get stepsAhead(): number {
     if (this.stepMs === undefined) return STEPS_AHEAD;
     const needed = Math.ceil(this.switchMs / this.stepMs) + MARGIN_STEPS;
-    return Math.min(MOST_STEPS_AHEAD, needed);
+    return Math.min(MOST_STEPS_AHEAD, Math.max(STEPS_AHEAD, needed));
   }
 
   /** An idle group or a new epoch tells nothing of the time of a step. */
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -145,11 +145,6 @@
     return new SwitchRuns();
   }
 
-  /** The own rank shows that its group isn't open. */
-  onForming(): void {
-    this.steps.onForming();
-  }
-
   of(generation: number): SwitchRun {
     if (this.latest?.generation !== generation) {
       this.latest = SwitchRun.create(generation, this.steps);
--- a/tests/rankmaps/switch-orders.test.ts
+++ b/tests/rankmaps/switch-orders.test.ts
@@ -386,12 +386,6 @@
     );
     // Nor one that an earlier process on the same VM can have held.
     assert.ok(held[0] > 7 + MOST_STEPS_AHEAD);
-    // None can have in an epoch that begins while this one runs.
-    steps.onForming();
-    steps.look(2, 0);
-    assert.is(steps.next(0, 2), 2);
-    steps.look(3, 0);
-    assert.is(steps.next(0, 2), undefined);
   });
 
   it("takes a rank that has changed already for one that is armed", () => {
--- a/tests/rankmaps/switch-pace.test.ts
+++ b/tests/rankmaps/switch-pace.test.ts
@@ -51,17 +51,12 @@
 }
 
 describe("how far ahead a step is held", () => {
-  it("is a guess until the time of a step is known", () => {
-    assert.is(SwitchPace.create().stepsAhead, STEPS_AHEAD);
-  });
-
-  it("is less where steps are slow", () => {
-    // Streams: pauses near the objective, on a map that demand has turned from.
+  it("is the least while switches are quick", () => {
     const group = new Group();
-    const quick = group.pace.stepsAhead;
-    for (let step = 60; step < 100; step += 2) group.look(step, 280);
-    assert.is(group.pace.stepsAhead, 2);
-    assert.ok(quick > 2);
+    const { pace } = group;
+    assert.is(pace.stepsAhead, STEPS_AHEAD);
+    group.switchIn(70);
+    assert.is(pace.stepsAhead, STEPS_AHEAD);
   });
 
   it("covers a switch that took long", () => {
@@ -78,7 +73,7 @@
     const { pace } = group;
     group.switchIn(400);
     for (let turn = 0; turn < 12; turn += 1) group.switchIn(70);
-    assert.is(pace.stepsAhead, Math.ceil(70 / STEP_MS) + 1);
+    assert.is(pace.stepsAhead, STEPS_AHEAD);
   });
 
   it("is bounded, whatever a frozen VM made of a switch", () => {
@@ -91,9 +86,9 @@
   it("takes an idle group or a new epoch for no step time", () => {
     const group = new Group();
     const { pace } = group;
-    const before = pace.stepsAhead;
     group.look(45, 60_000);
     group.look(3, 1000);
-    assert.is(pace.stepsAhead, before);
+    group.switchIn(70);
+    assert.is(pace.stepsAhead, STEPS_AHEAD);
   });
 });
