--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -86,9 +86,6 @@
  */
 const LONGEST_COPY_MS = 2 * COPY_BUDGET_MS;
 
-/** A group forms anew in about 600 ms once its last rank is back, ms. */
-const LONGEST_FORMING_MS = 1000;
-
 /** Between two looks at ranks that copy or wait for a step, ms. */
 export const SWITCH_INTERVAL_MS = 60;
 /** Between two looks while the ranks are being armed, ms. */
@@ -101,8 +98,6 @@
   private goal: Goal | undefined;
   private run: SwitchRun | undefined;
   private readonly look: GroupLook;
-  /** When all ranks last made up the group; this planner's start at first. */
-  private formedAtMs = performance.now();
   private readonly switchPace = SwitchPace.create();
 
   private constructor(private readonly options: GroupPlannerOptions) {
@@ -126,13 +121,13 @@
     const { observations } = seen;
     if (!seen.isWhole) {
       this.count(seen);
-      return this.calmInterval();
+      return SWITCH_INTERVAL_MS;
     }
     const states = wholeGroup(observations.map(({ state }) => state));
-    if (states === undefined || !this.isOwnGroup(states)) this.forget();
-    if (states === undefined) return this.waitForGroup(seen);
-    if (!this.isOwnGroup(states)) return raise(1606, { ranks: states.length });
-    this.formedAtMs = seen.atMs;
+    if (states === undefined || !this.isOwnGroup(states)) {
+      this.forget();
+      return raise(1606, { ranks: observations.length });
+    }
     this.options.pace.look(paceOf(ranks, observations));
     this.switchPace.onLook(states, seen.atMs);
     this.takeIn(observations, states);
@@ -141,17 +136,6 @@
     return this.carryOut(ranks, states, run);
   }
 
-  /**
-   * Ranks show one after the other that their group is open. Throws 1606 once
-   * it has stayed apart for too long: a rank may have another address.
-   */
-  private waitForGroup({ atMs, observations }: Seen): number {
-    if (atMs - this.formedAtMs > LONGEST_FORMING_MS) {
-      raise(1606, { ranks: observations.length });
-    }
-    return SWITCH_INTERVAL_MS;
-  }
-
   private count({ observations, countedMs }: Seen): void {
     const demand = this.view?.demand;
     if (demand === undefined || countedMs === undefined) return;
