--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -74,8 +74,6 @@
 const SEARCH_INTERVAL_MS = 500;
 /** Between two attempts of a planner that doesn't reach its whole group, ms. */
 const INCOMPLETE_INTERVAL_MS = 300;
-/** Between two looks at the own runner while its group forms, ms. */
-const OPENING_INTERVAL_MS = 40;
 /** The seat's renewal gets this time to leave the group at the end, ms. */
 const LEAVE_MS = 100;
 /** Transport between agents lies inside the users' own network. */
@@ -265,7 +263,6 @@
       this.demand.read(key, signal),
     ]);
     if (engine === undefined || engine.expertSets === 0) return undefined;
-    await this.awaitOpenGroup(signal);
     await this.group.read();
     const { epoch, rank, size } = await this.port.observe();
     return GroupPlanner.create({
@@ -285,19 +282,6 @@
     });
   }
 
-  /**
-   * After a loss of all VMs the first map can be made as soon as the group is
-   * open, and callers wait for it: found 300 ms later, as many streams were late.
-   * The own runner's report costs nothing. Throws 1607.
-   */
-  private async awaitOpenGroup(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && this.seat.generation !== undefined) {
-      const { isOpen } = await this.port.observe();
-      if (isOpen) return;
-      await pause(OPENING_INTERVAL_MS, signal);
-    }
-  }
-
   /** Throws 1901 while the store is away and they aren't known yet. */
   private async engineFigures(
     signal: AbortSignal,
--- a/src/rankmaps/demand.ts
+++ b/src/rankmaps/demand.ts
@@ -19,8 +19,8 @@
  */
 const LEAST_CHOICES_EACH = 1000;
 
-/** Of the least total, so that rounding doesn't leave what is kept short. */
-const ROUNDING = 0.999;
+/** Above one, so that rounding doesn't leave a remembered demand short. */
+const REMEMBERED_SHARE = 1.01;
 
 export class ExpertDemand {
   readonly tokens: Float64Array;
@@ -46,7 +46,7 @@
 
   /** Whether a map can be made of what was counted so far. */
   get isTelling(): boolean {
-    return this.total >= this.leastTotal * ROUNDING;
+    return this.total >= this.leastTotal;
   }
 
   private get leastTotal(): number {
@@ -67,7 +67,8 @@
   }
 
   private remember(shares: readonly number[]): void {
-    const scale = this.leastTotal / sum(shares);
+    const all = sum(shares);
+    const scale = (REMEMBERED_SHARE * this.leastTotal) / all;
     shares.forEach((share, index) => {
       this.tokens[index] = share * scale;
     });
