--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -7,7 +7,6 @@
 import type { PaceNote } from "../membership/slow-runners.js";
 import type { EngineFigures } from "../routing/types.js";
 import { ExpertDemand } from "./demand.js";
-import { COUNT_INTERVAL_MS, GroupLook, type Seen } from "./group-look.js";
 import { MapPlanner, type MapLimits, type MapPlan } from "./map-planner.js";
 import type { PaceReporter } from "./pace-reporter.js";
 import type { PlannerSeat } from "./planner-seat.js";
@@ -18,7 +17,7 @@
   type AddressedOrder,
 } from "./switch-orders.js";
 import { SwitchPace } from "./switch-pace.js";
-import type { SwitchRun, SwitchRuns } from "./switch-run.js";
+import { lastBegun, type SwitchRun, type SwitchRuns } from "./switch-run.js";
 import type {
   GroupRank,
   MapGoal,
@@ -86,6 +85,20 @@
  */
 const LONGEST_COPY_MS = 2 * COPY_BUDGET_MS;
 
+/** Between two observations with counts, ms. */
+export const COUNT_INTERVAL_MS = 250;
+/**
+ * Counts that one look asks for, in numbers of a byte: about a tenth of a link
+ * of 5.6 Mbit/s at four looks a second. Where a group has more, its ranks take
+ * turns; each tells what has come together since its last one.
+ */
+const COUNTS_EACH_LOOK = 20_000;
+/**
+ * A rank may be silent for this time before the planner begins anew, ms. Its
+ * answer came too late, or its agent starts again; the group has lost it if it
+ * doesn't come back, and shows that by itself.
+ */
+const LONGEST_SILENCE_MS = 1000;
 /** Between two looks at ranks that copy or wait for a step, ms. */
 export const SWITCH_INTERVAL_MS = 60;
 /** Between two looks while the ranks are being armed, ms. */
@@ -97,13 +110,16 @@
   private view: GroupView | undefined;
   private goal: Goal | undefined;
   private run: SwitchRun | undefined;
-  private readonly look: GroupLook;
+  private countedAtMs = Number.NEGATIVE_INFINITY;
   private readonly switchPace = SwitchPace.create();
+  /** When the hold that isn't let go yet was ordered. */
+  private heldAtMs: number | undefined;
+  /** Index of the rank whose counts are asked for next. */
+  private nextToCount = 0;
+  /** When all ranks were last seen; this planner's start at first. */
+  private wholeAtMs = performance.now();
 
-  private constructor(private readonly options: GroupPlannerOptions) {
-    const { engine } = options;
-    this.look = GroupLook.create({ engine, now: () => performance.now() });
-  }
+  private constructor(private readonly options: GroupPlannerOptions) {}
 
   static create(options: GroupPlannerOptions): GroupPlanner {
     return new GroupPlanner(options);
@@ -117,35 +133,92 @@
   async step(ranks: readonly GroupRank[]): Promise<number> {
     const run = this.currentRun();
     if (run === undefined) return COUNT_INTERVAL_MS;
-    const seen = await this.look.look(ranks, this.view === undefined);
-    const { observations } = seen;
-    if (!seen.isWhole) {
-      this.count(seen);
-      return SWITCH_INTERVAL_MS;
+    const nowMs = performance.now();
+    const withCounts = nowMs - this.countedAtMs >= COUNT_INTERVAL_MS;
+    const looks = await this.lookAtAll(ranks, withCounts);
+    const seen = looks.flatMap((look) => (look instanceof Error ? [] : look));
+    if (seen.length < ranks.length) {
+      if (withCounts) this.count(seen, nowMs);
+      return this.waitForSilent(looks, nowMs);
     }
-    const states = wholeGroup(observations.map(({ state }) => state));
+    this.wholeAtMs = nowMs;
+    const states = wholeGroup(seen.map(({ state }) => state));
     if (states === undefined || !this.isOwnGroup(states)) {
       this.forget();
-      return raise(1606, { ranks: observations.length });
+      return raise(1606, { ranks: seen.length });
     }
-    this.options.pace.look(paceOf(ranks, observations));
-    this.switchPace.onLook(states, seen.atMs);
-    this.takeIn(observations, states);
-    this.count(seen);
+    this.options.pace.look(paceOf(ranks, seen));
+    this.notePace(states, nowMs);
+    this.takeIn(seen, states);
+    if (withCounts) this.count(seen, nowMs);
     if (run.isIdle(states)) this.goal ??= this.makeGoal(run, states);
     return this.carryOut(ranks, states, run);
   }
 
-  private count({ observations, countedMs }: Seen): void {
+  private notePace(states: readonly RankState[], nowMs: number): void {
+    this.switchPace.onLook(lastBegun(states), nowMs);
+    const isHeld = states.some(({ heldStep }) => heldStep !== undefined);
+    if (isHeld || this.heldAtMs === undefined) return;
+    this.switchPace.onSwitch(nowMs - this.heldAtMs);
+    this.heldAtMs = undefined;
+  }
+
+  /** By index of `ranks`: what each of them shows, or why it doesn't. */
+  private async lookAtAll(
+    ranks: readonly GroupRank[],
+    withCounts: boolean,
+  ): Promise<readonly (Observation | Error)[]> {
+    const withExperts = this.view === undefined;
+    const counted = withCounts ? this.nextCounted(ranks.length) : new Set();
+    return Promise.all(
+      ranks.map(async (rank, index) => {
+        const request = { withCounts: counted.has(index), withExperts };
+        try {
+          return await rank.observe(request);
+        } catch (error) {
+          return toFailure(error, 1607);
+        }
+      }),
+    );
+  }
+
+  /** The ranks whose turn it is to tell their counts. */
+  private nextCounted(ranks: number): ReadonlySet<number> {
+    const { expertSets, experts } = this.options.engine;
+    const fitting = Math.floor(COUNTS_EACH_LOOK / (expertSets * experts));
+    const size = Math.min(ranks, Math.max(1, fitting));
+    const first = this.nextToCount;
+    this.nextToCount = (first + size) % ranks;
+    return new Set(
+      Array.from({ length: size }, (_, index) => (first + index) % ranks),
+    );
+  }
+
+  /** A rank that is silent for a moment costs its own counts alone. */
+  private count(seen: readonly Observation[], nowMs: number): void {
+    const elapsedMs = Math.min(nowMs - this.countedAtMs, 60_000);
+    this.countedAtMs = nowMs;
     const demand = this.view?.demand;
-    if (demand === undefined || countedMs === undefined) return;
+    if (demand === undefined) return;
     demand.add(
-      observations.map(({ counts }) => counts),
-      countedMs,
+      seen.map(({ counts }) => counts),
+      elapsedMs,
     );
     if (demand.isTelling) this.options.onDemand(demand.tokens);
   }
 
+  /** Throws 1607 once a rank has been silent for too long. */
+  private waitForSilent(
+    looks: readonly (Observation | Error)[],
+    nowMs: number,
+  ): number {
+    const silent = looks.find((look) => look instanceof Error);
+    if (nowMs - this.wholeAtMs > LONGEST_SILENCE_MS && silent !== undefined) {
+      throw silent;
+    }
+    return SWITCH_INTERVAL_MS;
+  }
+
   /**
    * Goes on at once while ranks confirm what was ordered: between the hold and
    * the release the group depends on this process being alive.
@@ -165,7 +238,7 @@
       const orders = due.filter((order) => !this.isCopying(order));
       if (orders.length === 0) return this.calmInterval();
       const done = await this.send(ranks, states, orders, run);
-      this.switchPace.onOrders(orders, done, performance.now());
+      this.noteSent(orders, done);
       const isPreparing = orders.some(({ order }) => order.kind === "prepare");
       if (isPreparing) return SWITCH_INTERVAL_MS;
       if (!done) return URGENT_INTERVAL_MS;
@@ -194,6 +267,14 @@
     return states ?? raise(1606, { ranks: seen.length });
   }
 
+  private noteSent(orders: readonly AddressedOrder[], isDone: boolean): void {
+    const kind = orders[0].order.kind;
+    if (kind === "hold") this.heldAtMs = performance.now();
+    if (kind !== "release" || !isDone || this.heldAtMs === undefined) return;
+    this.switchPace.onSwitch(performance.now() - this.heldAtMs);
+    this.heldAtMs = undefined;
+  }
+
   /**
    * The rank has taken the order and needs time for its copies. Told again at
    * each look, 72 ranks would get 430 KB of maps every 60 ms.
--- a/src/rankmaps/switch-orders.ts
+++ b/src/rankmaps/switch-orders.ts
@@ -93,10 +93,6 @@
   return (rank + size - 1) % size;
 }
 
-export function lastBegun(states: readonly RankState[]): number {
-  return Math.max(...states.map(({ step }) => step));
-}
-
 export function isInForce(
   states: readonly RankState[],
   version: number,
--- a/src/rankmaps/switch-pace.ts
+++ b/src/rankmaps/switch-pace.ts
@@ -5,8 +5,6 @@
  * map. Orders without an answer cost 120 ms each, and many ranks more than few.
  */
 import { MOST_STEPS_AHEAD, STEPS_AHEAD } from "./hold-steps.js";
-import { lastBegun, type AddressedOrder } from "./switch-orders.js";
-import type { RankState } from "./types.js";
 
 /** Share of a new step time in the mean. */
 const STEP_SHARE = 0.2;
@@ -24,8 +22,6 @@
   private seen: Seen | undefined;
   private stepMs: number | undefined;
   private switchMs = 0;
-  /** When the hold that isn't let go yet was ordered. */
-  private heldAtMs: number | undefined;
 
   static create(): SwitchPace {
     return new SwitchPace();
@@ -37,25 +33,8 @@
     return Math.min(MOST_STEPS_AHEAD, Math.max(STEPS_AHEAD, needed));
   }
 
-  /** An idle group or a new epoch tells nothing of the time of a step. */
-  onLook(states: readonly RankState[], atMs: number): void {
-    this.onStep(lastBegun(states), atMs);
-    const isHeld = states.some(({ heldStep }) => heldStep !== undefined);
-    if (!isHeld) this.onReleased(atMs);
-  }
-
-  /** Orders were answered; `isDone`: all ranks are as ordered. */
-  onOrders(
-    orders: readonly AddressedOrder[],
-    isDone: boolean,
-    atMs: number,
-  ): void {
-    const { kind } = orders[0].order;
-    if (kind === "hold") this.heldAtMs = atMs;
-    if (kind === "release" && isDone) this.onReleased(atMs);
-  }
-
-  private onStep(step: number, atMs: number): void {
+  /** `step`: the last one begun. An idle group or a new epoch tells nothing. */
+  onLook(step: number, atMs: number): void {
     const { seen } = this;
     this.seen = { step, atMs };
     if (seen === undefined || step <= seen.step) return;
@@ -64,10 +43,8 @@
     this.stepMs = stepMs + STEP_SHARE * (eachMs - stepMs);
   }
 
-  private onReleased(atMs: number): void {
-    if (this.heldAtMs === undefined) return;
-    const tookMs = atMs - this.heldAtMs;
-    this.heldAtMs = undefined;
+  /** A step was let go so long after its hold was ordered. */
+  onSwitch(tookMs: number): void {
     this.switchMs = Math.max(tookMs, FADE * this.switchMs);
   }
 }
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -7,7 +7,6 @@
 import { endHeldStep } from "./held-step.js";
 import { EACH_GENERATION, versionOf } from "./map-versions.js";
 import {
-  lastBegun,
   pendingSwitch,
   type AddressedOrder,
   type PendingSwitch,
@@ -127,6 +126,10 @@
   }
 }
 
+export function lastBegun(states: readonly RankState[]): number {
+  return Math.max(...states.map(({ step }) => step));
+}
+
 /**
  * The runs of one process, a single one for each generation of the seat. A
  * planner begins anew within a generation whenever a rank was out of reach. A
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -7,8 +7,10 @@
 } from "../../src/internal.js";
 import { ignoreMeasurements } from "../../src/shared/metrics.js";
 import { pause } from "../../src/daemon/background-task.js";
-import { COUNT_INTERVAL_MS } from "../../src/rankmaps/group-look.js";
-import { GroupPlanner } from "../../src/rankmaps/group-planner.js";
+import {
+  COUNT_INTERVAL_MS,
+  GroupPlanner,
+} from "../../src/rankmaps/group-planner.js";
 import {
   createReachableRank,
   type AgentRank,
