--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -16,8 +16,7 @@
   wholeGroup,
   type AddressedOrder,
 } from "./switch-orders.js";
-import { SwitchPace } from "./switch-pace.js";
-import { lastBegun, type SwitchRun, type SwitchRuns } from "./switch-run.js";
+import type { SwitchRun, SwitchRuns } from "./switch-run.js";
 import type {
   GroupRank,
   MapGoal,
@@ -111,9 +110,6 @@
   private goal: Goal | undefined;
   private run: SwitchRun | undefined;
   private countedAtMs = Number.NEGATIVE_INFINITY;
-  private readonly switchPace = SwitchPace.create();
-  /** When the hold that isn't let go yet was ordered. */
-  private heldAtMs: number | undefined;
   /** Index of the rank whose counts are asked for next. */
   private nextToCount = 0;
   /** When all ranks were last seen; this planner's start at first. */
@@ -148,21 +144,12 @@
       return raise(1606, { ranks: seen.length });
     }
     this.options.pace.look(paceOf(ranks, seen));
-    this.notePace(states, nowMs);
     this.takeIn(seen, states);
     if (withCounts) this.count(seen, nowMs);
     if (run.isIdle(states)) this.goal ??= this.makeGoal(run, states);
     return this.carryOut(ranks, states, run);
   }
 
-  private notePace(states: readonly RankState[], nowMs: number): void {
-    this.switchPace.onLook(lastBegun(states), nowMs);
-    const isHeld = states.some(({ heldStep }) => heldStep !== undefined);
-    if (isHeld || this.heldAtMs === undefined) return;
-    this.switchPace.onSwitch(nowMs - this.heldAtMs);
-    this.heldAtMs = undefined;
-  }
-
   /** By index of `ranks`: what each of them shows, or why it doesn't. */
   private async lookAtAll(
     ranks: readonly GroupRank[],
@@ -233,12 +220,10 @@
       // What an earlier life had prepared, armed or held is gone with it.
       if (isOutdated(ranks, states)) return URGENT_INTERVAL_MS;
       const spareMap = this.view?.map ?? this.goal?.sets;
-      const { stepsAhead } = this.switchPace;
-      const due = run.nextOrders(states, this.goal, spareMap, stepsAhead);
+      const due = run.nextOrders(states, this.goal, spareMap);
       const orders = due.filter((order) => !this.isCopying(order));
       if (orders.length === 0) return this.calmInterval();
       const done = await this.send(ranks, states, orders, run);
-      this.noteSent(orders, done);
       const isPreparing = orders.some(({ order }) => order.kind === "prepare");
       if (isPreparing) return SWITCH_INTERVAL_MS;
       if (!done) return URGENT_INTERVAL_MS;
@@ -267,14 +252,6 @@
     return states ?? raise(1606, { ranks: seen.length });
   }
 
-  private noteSent(orders: readonly AddressedOrder[], isDone: boolean): void {
-    const kind = orders[0].order.kind;
-    if (kind === "hold") this.heldAtMs = performance.now();
-    if (kind !== "release" || !isDone || this.heldAtMs === undefined) return;
-    this.switchPace.onSwitch(performance.now() - this.heldAtMs);
-    this.heldAtMs = undefined;
-  }
-
   /**
    * The rank has taken the order and needs time for its copies. Told again at
    * each look, 72 ranks would get 430 KB of maps every 60 ms.
--- a/src/rankmaps/hold-steps.ts
+++ b/src/rankmaps/hold-steps.ts
@@ -8,14 +8,13 @@
  */
 
 /**
- * Steps between the last one begun and the one that is held, at least. From the
- * hold to the release it takes about 70 ms (a second look, all other ranks, the
- * own one), and a step 30 ms at least. With three, groups waited 4 ms a switch.
+ * Steps between the last one begun and the one that is held. From the hold to
+ * the release it takes about 70 ms (a second look, all other ranks, the own
+ * one), and a step 30 ms at least. With three, groups waited 4 ms a switch.
  */
 export const STEPS_AHEAD = 4;
 /**
- * No step further ahead is held: a quarter of a second at the usual 30 ms, which
- * covers an order without an answer. A group that makes no steps has no use for
+ * No step further ahead is held. A group that makes no steps has no use for
  * another map, and this bounds what an earlier process can have held.
  */
 export const MOST_STEPS_AHEAD = 8;
@@ -36,8 +35,8 @@
   }
 
   /** Undefined until the group has made a step since it was first seen. */
-  next(begun: number, ahead = STEPS_AHEAD): number | undefined {
-    const step = Math.max(begun + ahead, this.floor + 1);
+  next(begun: number): number | undefined {
+    const step = Math.max(begun + STEPS_AHEAD, this.floor + 1);
     return step > begun + MOST_STEPS_AHEAD ? undefined : step;
   }
 
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -47,20 +47,18 @@
 
   /**
    * `spareMap`: any map that the ranks can prepare, best the one in use; while
-   * it is undefined no switch is called off. `stepsAhead`: to the one that is
-   * held.
+   * it is undefined no switch is called off.
    */
   nextOrders(
     states: readonly RankState[],
     goal: MapGoal | undefined,
     spareMap: MapSets | undefined,
-    stepsAhead?: number,
   ): Orders {
     this.steps.look(states[0].epoch, lastBegun(states));
     const pending = pendingSwitch(states);
     switch (pending.kind) {
       case "none":
-        return goal === undefined ? [] : this.towards(goal, states, stepsAhead);
+        return goal === undefined ? [] : this.towards(goal, states);
       case "coming":
         return [];
       case "orders":
@@ -76,7 +74,6 @@
   private towards(
     { version, sets, holder }: MapGoal,
     states: readonly RankState[],
-    stepsAhead: number | undefined,
   ): Orders {
     const prepare = { kind: "prepare", version, sets } as const;
     const missing = states.filter(
@@ -85,7 +82,7 @@
     if (missing.length > 0) {
       return missing.map(({ rank }) => ({ rank, order: prepare }));
     }
-    const step = this.steps.next(lastBegun(states), stepsAhead);
+    const step = this.steps.next(lastBegun(states));
     if (step === undefined) return [];
     this.steps.take(step);
     this.held = { version, step };
@@ -126,7 +123,7 @@
   }
 }
 
-export function lastBegun(states: readonly RankState[]): number {
+function lastBegun(states: readonly RankState[]): number {
   return Math.max(...states.map(({ step }) => step));
 }
 
