--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -68,8 +68,6 @@
 interface Goal extends MapGoal {
   readonly plan: MapPlan;
   readonly startedAtMs: number;
-  /** Ranks that copy the map's experts since they were told, and since when. */
-  readonly copying: Map<number, number>;
 }
 
 /**
@@ -78,26 +76,8 @@
  */
 const COPY_BUDGET_MS = 450;
 
-/**
- * A rank that shows no prepared map after this time is told again, ms: twice
- * what its copies may take.
- */
-const LONGEST_COPY_MS = 2 * COPY_BUDGET_MS;
-
 /** Between two observations with counts, ms. */
 export const COUNT_INTERVAL_MS = 250;
-/**
- * Counts that one look asks for, in numbers of a byte: about a tenth of a link
- * of 5.6 Mbit/s at four looks a second. Where a group has more, its ranks take
- * turns; each tells what has come together since its last one.
- */
-const COUNTS_EACH_LOOK = 20_000;
-/**
- * A rank may be silent for this time before the planner begins anew, ms. Its
- * answer came too late, or its agent starts again; the group has lost it if it
- * doesn't come back, and shows that by itself.
- */
-const LONGEST_SILENCE_MS = 1000;
 /** Between two looks at ranks that copy or wait for a step, ms. */
 export const SWITCH_INTERVAL_MS = 60;
 /** Between two looks while the ranks are being armed, ms. */
@@ -110,10 +90,6 @@
   private goal: Goal | undefined;
   private run: SwitchRun | undefined;
   private countedAtMs = Number.NEGATIVE_INFINITY;
-  /** Index of the rank whose counts are asked for next. */
-  private nextToCount = 0;
-  /** When all ranks were last seen; this planner's start at first. */
-  private wholeAtMs = performance.now();
 
   private constructor(private readonly options: GroupPlannerOptions) {}
 
@@ -131,81 +107,21 @@
     if (run === undefined) return COUNT_INTERVAL_MS;
     const nowMs = performance.now();
     const withCounts = nowMs - this.countedAtMs >= COUNT_INTERVAL_MS;
-    const looks = await this.lookAtAll(ranks, withCounts);
-    const seen = looks.flatMap((look) => (look instanceof Error ? [] : look));
-    if (seen.length < ranks.length) {
-      if (withCounts) this.count(seen, nowMs);
-      return this.waitForSilent(looks, nowMs);
-    }
-    this.wholeAtMs = nowMs;
+    const withExperts = this.view === undefined;
+    const seen = await Promise.all(
+      ranks.map((rank) => rank.observe({ withCounts, withExperts })),
+    );
     const states = wholeGroup(seen.map(({ state }) => state));
     if (states === undefined || !this.isOwnGroup(states)) {
       this.forget();
       return raise(1606, { ranks: seen.length });
     }
     this.options.pace.look(paceOf(ranks, seen));
-    this.takeIn(seen, states);
-    if (withCounts) this.count(seen, nowMs);
+    this.takeIn(seen, states, withCounts, nowMs);
     if (run.isIdle(states)) this.goal ??= this.makeGoal(run, states);
     return this.carryOut(ranks, states, run);
   }
 
-  /** By index of `ranks`: what each of them shows, or why it doesn't. */
-  private async lookAtAll(
-    ranks: readonly GroupRank[],
-    withCounts: boolean,
-  ): Promise<readonly (Observation | Error)[]> {
-    const withExperts = this.view === undefined;
-    const counted = withCounts ? this.nextCounted(ranks.length) : new Set();
-    return Promise.all(
-      ranks.map(async (rank, index) => {
-        const request = { withCounts: counted.has(index), withExperts };
-        try {
-          return await rank.observe(request);
-        } catch (error) {
-          return toFailure(error, 1607);
-        }
-      }),
-    );
-  }
-
-  /** The ranks whose turn it is to tell their counts. */
-  private nextCounted(ranks: number): ReadonlySet<number> {
-    const { expertSets, experts } = this.options.engine;
-    const fitting = Math.floor(COUNTS_EACH_LOOK / (expertSets * experts));
-    const size = Math.min(ranks, Math.max(1, fitting));
-    const first = this.nextToCount;
-    this.nextToCount = (first + size) % ranks;
-    return new Set(
-      Array.from({ length: size }, (_, index) => (first + index) % ranks),
-    );
-  }
-
-  /** A rank that is silent for a moment costs its own counts alone. */
-  private count(seen: readonly Observation[], nowMs: number): void {
-    const elapsedMs = Math.min(nowMs - this.countedAtMs, 60_000);
-    this.countedAtMs = nowMs;
-    const demand = this.view?.demand;
-    if (demand === undefined) return;
-    demand.add(
-      seen.map(({ counts }) => counts),
-      elapsedMs,
-    );
-    if (demand.isTelling) this.options.onDemand(demand.tokens);
-  }
-
-  /** Throws 1607 once a rank has been silent for too long. */
-  private waitForSilent(
-    looks: readonly (Observation | Error)[],
-    nowMs: number,
-  ): number {
-    const silent = looks.find((look) => look instanceof Error);
-    if (nowMs - this.wholeAtMs > LONGEST_SILENCE_MS && silent !== undefined) {
-      throw silent;
-    }
-    return SWITCH_INTERVAL_MS;
-  }
-
   /**
    * Goes on at once while ranks confirm what was ordered: between the hold and
    * the release the group depends on this process being alive.
@@ -220,8 +136,7 @@
       // What an earlier life had prepared, armed or held is gone with it.
       if (isOutdated(ranks, states)) return URGENT_INTERVAL_MS;
       const spareMap = this.view?.map ?? this.goal?.sets;
-      const due = run.nextOrders(states, this.goal, spareMap);
-      const orders = due.filter((order) => !this.isCopying(order));
+      const orders = run.nextOrders(states, this.goal, spareMap);
       if (orders.length === 0) return this.calmInterval();
       const done = await this.send(ranks, states, orders, run);
       const isPreparing = orders.some(({ order }) => order.kind === "prepare");
@@ -252,16 +167,6 @@
     return states ?? raise(1606, { ranks: seen.length });
   }
 
-  /**
-   * The rank has taken the order and needs time for its copies. Told again at
-   * each look, 72 ranks would get 430 KB of maps every 60 ms.
-   */
-  private isCopying({ rank, order }: AddressedOrder): boolean {
-    if (!isGoalOf(order, this.goal)) return false;
-    const sinceMs = this.goal?.copying.get(rank) ?? Number.NEGATIVE_INFINITY;
-    return performance.now() - sinceMs < LONGEST_COPY_MS;
-  }
-
   private calmInterval(): number {
     return this.goal === undefined ? COUNT_INTERVAL_MS : SWITCH_INTERVAL_MS;
   }
@@ -289,11 +194,23 @@
   private takeIn(
     seen: readonly Observation[],
     states: readonly RankState[],
+    withCounts: boolean,
+    nowMs: number,
   ): void {
     const { mapVersion } = states[0];
     if (this.view !== undefined && !isOfLives(states, this.view)) this.forget();
     const isStale = this.view?.mapVersion !== mapVersion;
     if (this.view === undefined || isStale) this.learnMap(seen, states);
+    if (!withCounts) return;
+    const elapsedMs = Math.min(nowMs - this.countedAtMs, 60_000);
+    this.countedAtMs = nowMs;
+    const demand = this.view?.demand;
+    if (demand === undefined) return;
+    demand.add(
+      seen.map(({ counts }) => counts),
+      elapsedMs,
+    );
+    if (demand.isTelling) this.options.onDemand(demand.tokens);
   }
 
   /** The map of the goal once it is in force, else what the ranks hold. */
@@ -363,14 +280,7 @@
     const skews = { skewBefore, skewAfter };
     this.options.emit(220, { map: version, copies, tokens, ...skews });
     const { holder } = this.options;
-    return {
-      version,
-      sets,
-      holder,
-      plan,
-      startedAtMs: performance.now(),
-      copying: new Map(),
-    };
+    return { version, sets, holder, plan, startedAtMs: performance.now() };
   }
 
   /** True when every rank confirms that it is as ordered. */
@@ -388,11 +298,7 @@
         const { startedAtMs } = states[index];
         const addressed = { order, startedAtMs };
         const result = await this.sendOne(ranks[index], addressed, fence);
-        if (result?.kind !== "accepted") return false;
-        if (isGoalOf(order, this.goal)) {
-          this.goal?.copying.set(rank, performance.now());
-        }
-        return result.isDone;
+        return result?.kind === "accepted" && result.isDone;
       }),
     );
     return confirmed.every((isDone) => isDone);
@@ -440,10 +346,6 @@
   );
 }
 
-function isGoalOf(order: RankOrder, goal: Goal | undefined): boolean {
-  return order.kind === "prepare" && order.version === goal?.version;
-}
-
 function isOutdated(
   ranks: readonly GroupRank[],
   states: readonly RankState[],
--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -40,6 +40,7 @@
 
 export class RankAgent {
   private readonly deltas = CountDeltas.create(() => performance.now());
+  private countedAtMs = performance.now();
 
   private constructor(private readonly options: RankAgentOptions) {}
 
@@ -85,7 +86,8 @@
       withExperts ? port.experts() : undefined,
     ]);
     const counts = counted === undefined ? [] : this.deltas.take(counted);
-    return { state, counts, experts: expertsOf(state, held) };
+    const countedMs = counted === undefined ? 0 : this.elapsedMs();
+    return { state, counts, countedMs, experts: expertsOf(state, held) };
   }
 
   private async order(request: RankOrderRequest): Promise<RankOrderReply> {
@@ -96,6 +98,13 @@
     if (order.kind === "prepare") this.options.maps.note(order);
     return writeResult(await this.options.port.order(order, fence));
   }
+
+  private elapsedMs(): number {
+    const nowMs = performance.now();
+    const elapsedMs = nowMs - this.countedAtMs;
+    this.countedAtMs = nowMs;
+    return elapsedMs;
+  }
 }
 
 async function answer<T>(
--- a/src/rankmaps/rank-client.ts
+++ b/src/rankmaps/rank-client.ts
@@ -29,11 +29,6 @@
  */
 const CALL_TIMEOUT_MS = 250;
 
-/** A place of a map in a message, with its share of the lists' heads, bytes. */
-const BYTES_EACH_PLACE = 2.3;
-/** Half of a link of 5.6 Mbit/s. */
-const SLOWEST_BYTES_EACH_MS = 350;
-
 /**
  * Between two attempts to connect, ms. The library begins with a second, which
  * a group that restarts as a whole would have to wait for its last agent.
@@ -76,10 +71,9 @@
   /** Throws 1607: the order may have been carried out, or may yet be. */
   async order(order: AgentOrder, fence: OrderFence): Promise<OrderResult> {
     const message = writeOrder(order, fence);
-    const timeoutMs = CALL_TIMEOUT_MS + sendingMs(order);
     const reply = await this.call<RankOrderReply>((options, done) => {
       this.client.order(message, new Metadata(), options, done);
-    }, timeoutMs);
+    });
     return readResult(reply);
   }
 
@@ -96,30 +90,13 @@
 
   private call<T>(
     send: (options: { deadline: number }, done: Reply<T>) => void,
-    timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<T> {
     const { address } = this;
     return new Promise((resolve, reject) => {
-      send({ deadline: Date.now() + timeoutMs }, (error, value) => {
+      send({ deadline: Date.now() + CALL_TIMEOUT_MS }, (error, value) => {
         if (error === null) resolve(value);
         else reject(failure(1607, { address, reason: error.message }, error));
       });
     });
   }
 }
-
-/**
- * Time that a map takes to leave for all ranks of its group, ms: each gets the
- * whole of it at once. With 72 ranks, 12 sets and 3 places it is 430 KB, 0.6 s
- * on a link of 5.6 Mbit/s; 50 of 72 ranks were out of time before.
- */
-function sendingMs(order: AgentOrder): number {
-  if (order.kind !== "prepare") return 0;
-  const places = order.sets.reduce(
-    (total, ranks) =>
-      total + ranks.reduce((sum, { length }) => sum + length, 0),
-    0,
-  );
-  const ranks = order.sets.at(0)?.length ?? 0;
-  return (places * ranks * BYTES_EACH_PLACE) / SLOWEST_BYTES_EACH_MS;
-}
--- a/src/rankmaps/rank-messages.ts
+++ b/src/rankmaps/rank-messages.ts
@@ -17,8 +17,6 @@
   RankState,
 } from "./types.js";
 
-const HIGHEST_BYTE = 255;
-
 /**
  * The experts that belong to the state: a rank may start anew between the two
  * answers, and the map of one life isn't that of the other.
@@ -33,18 +31,17 @@
 }
 
 export function writeObservation(observation: Observation): ObserveReply {
-  const { state, counts, experts } = observation;
-  const { unit, bytes } = writeCounts(counts);
+  const { state, counts, countedMs, experts } = observation;
   return {
     ...state,
-    coarseCounts: bytes,
-    countUnit: unit,
+    counts,
+    countedMs,
     experts: experts.map((set) => ({ experts: set })),
   };
 }
 
 export function readObservation(reply: ObserveReply): Observation {
-  const { coarseCounts, countUnit, experts, ...state } = reply;
+  const { counts, countedMs, experts, ...state } = reply;
   return {
     state: {
       ...state,
@@ -53,27 +50,12 @@
       armed: state.armed,
       heldStep: state.heldStep,
     },
-    counts: Array.from(coarseCounts, (count) => count * countUnit),
+    counts,
+    countedMs,
     experts: experts.map((set) => set.experts),
   };
 }
 
-/**
- * A byte a count, of the highest one: what hardly anybody asks for needs no
- * more. As whole numbers the counts of 72 ranks, 12 sets and 144 experts took
- * 0.36 s of a planner's link of 5.6 Mbit/s at each look.
- */
-function writeCounts(counts: readonly number[]): {
-  readonly unit: number;
-  readonly bytes: Buffer;
-} {
-  const most = counts.reduce((high, count) => Math.max(high, count), 0);
-  if (most === 0) return { unit: 0, bytes: Buffer.alloc(0) };
-  const unit = most / HIGHEST_BYTE;
-  const bytes = Buffer.from(counts.map((count) => Math.round(count / unit)));
-  return { unit, bytes };
-}
-
 export function writeOrder(
   order: AgentOrder,
   fence: OrderFence,
--- a/src/rankmaps/reachable-rank.ts
+++ b/src/rankmaps/reachable-rank.ts
@@ -122,5 +122,5 @@
   const state = await runner.observe();
   const held = withExperts ? await runner.experts() : undefined;
   const experts = expertsOf(state, held);
-  return { state, counts: [], experts };
+  return { state, counts: [], countedMs: 0, experts };
 }
--- a/src/rankmaps/types.ts
+++ b/src/rankmaps/types.ts
@@ -116,6 +116,7 @@
   readonly state: RankState;
   /** Since the last observation with counts; empty unless asked for. */
   readonly counts: readonly number[];
+  readonly countedMs: number;
   /** By set; empty unless asked for. */
   readonly experts: RankExperts;
 }
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -135,7 +135,7 @@
       observe: async () => {
         const state = await runner.observe();
         const counts = rank === 0 ? this.counts : [];
-        return { state, counts, experts };
+        return { state, counts, countedMs: 250, experts };
       },
       order,
       guard: () => Promise.resolve(),
@@ -162,15 +162,6 @@
   }
 }
 
-/** Resolves without an error if the planner goes on for two seconds. */
-async function playUntilFailure(group: Group): Promise<void> {
-  const { signal } = new AbortController();
-  for (let look = 0; look < 40; look += 1) {
-    await group.play(1);
-    await pause(50, signal);
-  }
-}
-
 async function errorOf(work: Promise<unknown>): Promise<unknown> {
   return work.catch((error: unknown) => error);
 }
@@ -218,7 +209,9 @@
     const [first] = group.versions;
     assert.is(group.engines.states()[0].mapVersion, first);
     group.silent.add(2);
-    const failed = await errorOf(playUntilFailure(group));
+    const failed = await group.planner
+      .step(group.ranks)
+      .catch((error: unknown) => error);
     assert.ok(failed instanceof Error);
     group.silent.delete(2);
     group.versions.length = 0;
@@ -231,21 +224,6 @@
     );
   });
 
-  it("keeps what it knows while a rank misses a look", async () => {
-    // One rank's answer comes too late: its link or its processor is busy. Begun
-    // anew for that, the planner would count from nothing, and with many ranks
-    // there is nearly always one that is late: no map would ever be made.
-    const group = new Group();
-    group.counts = COUNTS.map((count) => count / 20);
-    for (let look = 0; look < 8; look += 1) {
-      if (look % 2 === 0) group.silent.add(3);
-      else group.silent.delete(3);
-      await group.play(1);
-      await pause(COUNT_INTERVAL_MS, new AbortController().signal);
-    }
-    assert.ok(group.versions.length > 0);
-  });
-
   it("uses no version for two maps when it begins anew", async () => {
     // A rank is out of reach for a moment while the others prepare. The planner
     // begins anew, demand has turned, and it makes another map. Under the same
--- a/tests/rankmaps/hold-guard.test.ts
+++ b/tests/rankmaps/hold-guard.test.ts
@@ -58,7 +58,7 @@
       if (isStill()) return never;
       const state = observe();
       // As a rank and as a port: one gives the state with what belongs to it.
-      const observation = { state, counts: [], experts: [] };
+      const observation = { state, counts: [], countedMs: 0, experts: [] };
       return Promise.resolve({ ...state, ...observation });
     },
     counts: () => Promise.reject(failure(1607)),
--- a/tests/rankmaps/reachable-rank.test.ts
+++ b/tests/rankmaps/reachable-rank.test.ts
@@ -52,7 +52,7 @@
         this.asked.push("agent");
         if (!this.isAgentAlive) return Promise.reject(failure(1607));
         const state = { ...STATE, startedAtMs: this.agentsLife };
-        const observed = { state, counts: [5] };
+        const observed = { state, counts: [5], countedMs: 250 };
         return Promise.resolve({ ...observed, experts: [] });
       },
       order: () => {
