--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -41,7 +41,6 @@
 } from "../routing/newest-configuration.js";
 import type { EngineFigures, SiteConfiguration } from "../routing/types.js";
 import { RankAgentService } from "../wire/generated/rankmaps.js";
-import { DemandNotes } from "./demand-notes.js";
 import { GroupPlanner } from "./group-planner.js";
 import { HoldGuard } from "./hold-guard.js";
 import { KnownGroup } from "./known-group.js";
@@ -66,8 +65,6 @@
   /** Throws 1903 for a record that can't be decoded. */
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
   readonly paceNotes: KeyedWriter;
-  readonly demand: KeyedTopic;
-  readonly demandNotes: KeyedWriter;
 }
 
 /** Between two looks at a runner that belongs to no group yet, ms. */
@@ -96,7 +93,6 @@
   private readonly maps = RelayedMaps.create();
   private readonly port: RankPort;
   private readonly pace: PaceReporter;
-  private readonly demand: DemandNotes;
   private readonly incarnation = randomUUID();
   private readonly registry;
   private readonly measurements: Measurements;
@@ -126,12 +122,6 @@
       now: () => performance.now(),
       emit: this.emit,
     });
-    this.demand = DemandNotes.create({
-      topic: options.demand,
-      writer: options.demandNotes,
-      now: () => performance.now(),
-      emit: this.emit,
-    });
     this.group = KnownGroup.create({
       observeOwn: () => port.observe(),
       find: (own) => this.findGroup(own, this.stop.signal),
@@ -257,11 +247,7 @@
     { group }: RankState,
     signal: AbortSignal,
   ): Promise<GroupPlanner | undefined> {
-    const key = `${this.options.settings.service}.${group}`;
-    const [engine, rememberedDemand] = await Promise.all([
-      this.engineFigures(signal),
-      this.demand.read(key, signal),
-    ]);
+    const engine = await this.engineFigures(signal);
     if (engine === undefined || engine.expertSets === 0) return undefined;
     await this.group.read();
     const { epoch, rank, size } = await this.port.observe();
@@ -271,10 +257,6 @@
       emit: this.emit,
       measurements: this.measurements,
       pace: this.pace,
-      rememberedDemand,
-      onDemand: (tokens) => {
-        this.demand.note(key, tokens);
-      },
       engine,
       group,
       epoch,
--- a/src/rankmaps/demand.ts
+++ b/src/rankmaps/demand.ts
@@ -19,9 +19,6 @@
  */
 const LEAST_CHOICES_EACH = 1000;
 
-/** Above one, so that rounding doesn't leave a remembered demand short. */
-const REMEMBERED_SHARE = 1.01;
-
 export class ExpertDemand {
   readonly tokens: Float64Array;
 
@@ -29,15 +26,9 @@
     this.tokens = new Float64Array(size);
   }
 
-  /**
-   * `size`: sets * experts. `remembered`: shares of an earlier demand, that
-   * count as the least a map can be made of until others are counted. Those of
-   * another size are of another deployment's engines and are passed over.
-   */
-  static create(size: number, remembered?: readonly number[]): ExpertDemand {
-    const demand = new ExpertDemand(size);
-    if (remembered?.length === size) demand.remember(remembered);
-    return demand;
+  /** `size`: sets * experts. */
+  static create(size: number): ExpertDemand {
+    return new ExpertDemand(size);
   }
 
   get total(): number {
@@ -66,14 +57,6 @@
     }
   }
 
-  private remember(shares: readonly number[]): void {
-    const all = sum(shares);
-    const scale = (REMEMBERED_SHARE * this.leastTotal) / all;
-    shares.forEach((share, index) => {
-      this.tokens[index] = share * scale;
-    });
-  }
-
   private keptShare(
     counted: readonly (readonly number[])[],
     elapsedMs: number,
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -36,10 +36,6 @@
   readonly emit: Emit;
   readonly measurements: Measurements;
   readonly pace: Pick<PaceReporter, "look">;
-  /** Shares of the experts in an earlier demand, if there are any. */
-  readonly rememberedDemand: readonly number[] | undefined;
-  /** Called with the present demand after each count. */
-  readonly onDemand: (tokens: ArrayLike<number>) => void;
   readonly engine: EngineFigures;
   /**
    * The group whose seat it is. A runner may start again in another group, and
@@ -204,13 +200,10 @@
     if (!withCounts) return;
     const elapsedMs = Math.min(nowMs - this.countedAtMs, 60_000);
     this.countedAtMs = nowMs;
-    const demand = this.view?.demand;
-    if (demand === undefined) return;
-    demand.add(
+    this.view?.demand.add(
       seen.map(({ counts }) => counts),
       elapsedMs,
     );
-    if (demand.isTelling) this.options.onDemand(demand.tokens);
   }
 
   /** The map of the goal once it is in force, else what the ranks hold. */
@@ -228,7 +221,7 @@
     }
     this.view = undefined;
     if (seen.some(({ experts }) => experts.length === 0)) return;
-    const { engine, rememberedDemand } = this.options;
+    const { engine } = this.options;
     const byRank = seen.toSorted((a, b) => a.state.rank - b.state.rank);
     const map = Array.from({ length: engine.expertSets }, (_, set) =>
       byRank.map(({ experts }) => experts[set] ?? []),
@@ -244,10 +237,7 @@
       map,
       mapVersion,
       planner: MapPlanner.create(shape, limitsOf(engine)),
-      demand: ExpertDemand.create(
-        engine.expertSets * engine.experts,
-        rememberedDemand,
-      ),
+      demand: ExpertDemand.create(engine.expertSets * engine.experts),
     };
   }
 
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -62,7 +62,6 @@
   /** Ranks that don't answer any more. */
   readonly silent = new Set<number>();
   counts: readonly number[] = COUNTS;
-  rememberedDemand: readonly number[] | undefined;
   onOrder: OrderWatch = () => undefined;
 
   readonly ranks: readonly GroupRank[] = Array.from(
@@ -84,8 +83,6 @@
       emit: ignoreEvents,
       measurements: ignoreMeasurements,
       pace: { look: () => undefined },
-      rememberedDemand: this.rememberedDemand,
-      onDemand: () => undefined,
       engine: ENGINE,
       group,
       epoch: this.engines.epoch,
@@ -301,49 +298,6 @@
     assert.is(engines.history.mixedPasses, 0);
   });
 
-  describe("after a loss of all VMs", () => {
-    // Streams: late for seconds. All callers are back at once, the engines are
-    // on their first map, and nothing is counted before the first steps end.
-    const QUIET = COUNTS.map(() => 0);
-
-    it("makes a map of the demand of before", async () => {
-      const group = new Group();
-      group.counts = QUIET;
-      group.rememberedDemand = COUNTS.map((count) => count / 1000);
-      await group.createPlanner().step(group.ranks);
-      assert.is(group.versions.length, RANKS);
-    });
-
-    it("makes none without it", async () => {
-      const group = new Group();
-      group.counts = QUIET;
-      await group.createPlanner().step(group.ranks);
-      assert.is(group.versions.length, 0);
-    });
-
-    it("makes none of the demand of other engines", async () => {
-      const group = new Group();
-      group.counts = QUIET;
-      group.rememberedDemand = [1, 2, 3];
-      await group.createPlanner().step(group.ranks);
-      assert.is(group.versions.length, 0);
-    });
-
-    it("goes by what is counted as soon as there is something", async () => {
-      const group = new Group();
-      group.rememberedDemand = TURNED_COUNTS;
-      const maps: string[] = [];
-      group.onOrder = (_, order) => {
-        if (order.kind === "prepare") maps.push(JSON.stringify(order.sets));
-      };
-      await group.createPlanner().step(group.ranks);
-      const forgetful = new Group();
-      forgetful.onOrder = group.onOrder;
-      await forgetful.createPlanner().step(forgetful.ranks);
-      assert.is(new Set(maps).size, 1);
-    });
-  });
-
   describe("that goes on from where an earlier planner was", () => {
     const EARLIER = { epoch: 1, fencing: 2 };
     const VERSION = 4;
--- a/tests/rankmaps/group-search.test.ts
+++ b/tests/rankmaps/group-search.test.ts
@@ -95,8 +95,6 @@
       register: topicOf([good[0], ...foreign, good[1]]),
       decodeServer: decodeRegistration,
       paceNotes: { put: () => Promise.resolve() },
-      demand: topicOf([]),
-      demandNotes: { put: () => Promise.resolve() },
     });
     assert.ok(agent);
     await waitFor(() => asked.has(OTHER));
