Tell when a topic is read anew, and when a missing runner is kept

On-call couldn't tell from an entry's log whether the store's history was forgotten, what was read in its place, or that a runner whose registration went away is kept for a while. Events 195 and 219 say so. No logic changes.

--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -246,8 +246,10 @@
       return;
     }
     // A removal that is read once more must not put it off.
-    const dropAtMs = entry.dropAtMs ?? keptUntilMs;
-    this.entries.set(id, { ...entry, dropAtMs });
+    if (entry.dropAtMs !== undefined) return;
+    this.entries.set(id, { ...entry, dropAtMs: keptUntilMs });
+    const keptMs = Math.round(keptUntilMs - nowMs);
+    this.inputs.emit(219, { runner: id, keptMs });
   }
 
   private drop(id: string, reason: string): void {
--- a/src/platform/topic-follower.ts
+++ b/src/platform/topic-follower.ts
@@ -50,6 +50,7 @@
 
 class TopicFollower {
   private offset: number | undefined;
+  private isForgotten = false;
   private failures = 0;
   private lostAtMs = 0;
 
@@ -72,6 +73,7 @@
       const failure = toFailure(error, 1901);
       if (failure.number === HISTORY_FORGOTTEN) {
         this.offset = undefined;
+        this.isForgotten = true;
         return;
       }
       this.onFailure(failure.message);
@@ -83,6 +85,7 @@
     const { topic, waitMs, onSnapshot, onChanges } = this.options;
     if (this.offset === undefined) {
       const page = await topic.newest(this.signal);
+      this.tellReadAnew(page);
       this.takeIn(page, onSnapshot);
       return;
     }
@@ -90,6 +93,12 @@
     this.takeIn(page, onChanges);
   }
 
+  private tellReadAnew({ records, nextOffset }: KeyedPage): void {
+    const { name, emit } = this.options;
+    const cause = this.isForgotten ? "forgotten" : "start";
+    emit(195, { stream: name, cause, records: records.length, nextOffset });
+  }
+
   private takeIn(
     { records, unreadable, nextOffset }: KeyedPage,
     take: (records: readonly KeyedRecord[]) => void,
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -318,6 +318,12 @@
     records: "how many; with more than one, each is taken again for itself",
     reason: "text of the failure",
   }),
+  195: entry("log-read-anew", "info", "All newest records were read.", {
+    stream: "stream of the store",
+    cause: "start, or forgotten when the history had gone",
+    records: "how many",
+    nextOffset: "offset from which it is followed",
+  }),
 
   // 200: direct path of an entry
   201: entry("routes-in-force", "info", "A configuration is in force here.", {
@@ -384,6 +390,15 @@
     address: "host:port",
     reason: "failure seen",
   }),
+  219: entry(
+    "runner-missing",
+    "info",
+    "A registration has gone around an outage; its runner is kept for now.",
+    {
+      runner: "id of the runner",
+      keptMs: "time in which it has to register again, ms",
+    },
+  ),
 
   // 220: expert maps of engines that hold a step
   220: entry("map-planned", "info", "A better expert map was planned.", {
