Show a runner that has left and gets requests for good

Callers' requests reach a runner that left while an entry was cut off from the store, 3 s and more after the entry reads the store again.

--- /dev/null
+++ b/tests/platform/gone-runner.test.ts
@@ -0,0 +1,42 @@
+import * as assert from "uvu/assert";
+import { topics } from "../../platform/names.js";
+import { answerWith } from "../../standins/signing-runner.js";
+import { describe, it } from "../support/describe.js";
+import { EntrySite } from "./entry-site.js";
+
+/**
+ * After the store's return, ms: a VM that reaches the store again for so long
+ * has to know who has left.
+ */
+const KNOWN_AFTER_MS = 3000;
+const CALLS = 12;
+
+/** Whether the entry has seen that the register can't be read. */
+async function hasLostRegister(site: EntrySite): Promise<boolean> {
+  const lines = await site.metric("apricotdeck_store_outages_total");
+  return lines.some((line) => /topic="register".* [1-9]/.test(line));
+}
+
+describe("a runner that left while the store couldn't be reached", () => {
+  it("gets nothing more, though nothing is written after the return", async () => {
+    // An entry is cut off from the store. A runner leaves meanwhile, and the
+    // store forgets its history, so that the entry finds the runner missing and
+    // not gone. The other runners live on and have nothing new to write. The
+    // caller's requests go to the runner that has left, for good.
+    await using site = await EntrySite.serving(
+      answerWith("gone"),
+      answerWith("here"),
+    );
+    site.store.mood = "refusing";
+    await site.until(() => hasLostRegister(site));
+    site.store.drop(topics.register, "r0");
+    site.store.forgetHistory(topics.register);
+    site.store.mood = "well";
+    await new Promise((resolve) => {
+      setTimeout(resolve, KNOWN_AFTER_MS);
+    });
+    for (let call = 0; call < CALLS; call += 1) {
+      assert.is((await site.call({ path: "/often/a" })).body, "here");
+    }
+  });
+});
