--- a/tests/platform/gone-runner.test.ts
+++ b/tests/platform/gone-runner.test.ts
@@ -24,8 +24,8 @@
     // for a while, in which a living one registers again. The end of that while
     // was looked for only when a record came, and the other runners live on and
     // have nothing to write: callers' requests went to the one that has left
-    // for good. Evidence: event 219 for it, no 212 after, and a register of 29
-    // records in 27 s that all readings but the first found unchanged.
+    // for good. Evidence: event 219 for it and no 212 after, with a register
+    // that had got 29 records in 27 s and none from then on.
     await using site = await EntrySite.serving(
       answerWith("gone"),
       answerWith("here"),
