Count the grace of a missing runner from the store's return, not from the first answer

Callers saw: the same as with a grace that never ends, for up to a second. Cause: the grace of 2.3 s counted from the first call that succeeded.

Change: the follower tells when the last call that failed was made; the grace is 2.9 s from there. A living runner's registration is about two seconds behind the return.

Tests: a directory test and one of the follower, each seen to fail without its half of the change.

--- a/fuzz/membership/world.ts
+++ b/fuzz/membership/world.ts
@@ -95,7 +95,7 @@
     if (this.isAway && !isAway) this.awayUntilMs.push(this.nowMs);
     this.isAway = isAway;
     if (isAway) this.directory.onStoreLost();
-    else this.directory.onStoreRestored();
+    else this.directory.onStoreRestored(this.nowMs);
     // Nothing was read beside the return.
     this.time.advance(0);
   }
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -375,8 +375,8 @@
           countOutage(REGISTER_STREAM);
           this.directory.onStoreLost();
         },
-        onRestored: () => {
-          this.directory.onStoreRestored();
+        onRestored: (lastFailedAtMs) => {
+          this.directory.onStoreRestored(lastFailedAtMs);
         },
       },
       signal,
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -16,9 +16,10 @@
 
 /**
  * Time after the store's return in which a living runner has registered again,
- * ms. The platform states about two seconds; the rest is our reading interval.
+ * ms: about two seconds, as the platform states, and the time in which this is
+ * read. A VM that has reached the store for three seconds has to know who left.
  */
-export const LAPSE_GRACE_MS = 2300;
+export const LAPSE_GRACE_MS = 2900;
 
 /**
  * After a later life has replaced an earlier one, ms: a removal within this
@@ -83,11 +84,15 @@
     this.outage = true;
   }
 
-  /** Comes before what was read then is applied. */
-  onStoreRestored(): void {
+  /**
+   * Comes before what was read then is applied. The grace counts from the last
+   * call that failed, monotonic ms: counted from the first that didn't, which
+   * may come a second after the store's return, it would end too late.
+   */
+  onStoreRestored(lastFailedAtMs: number): void {
     if (!this.outage) return;
     this.outage = false;
-    this.restoredAtMs = this.inputs.now();
+    this.restoredAtMs = lastFailedAtMs;
     for (const [id, { dropAtMs }] of this.entries) {
       if (dropAtMs !== undefined) this.dropLater(id, dropAtMs);
     }
--- a/src/platform/topic-follower.ts
+++ b/src/platform/topic-follower.ts
@@ -36,7 +36,11 @@
    */
   readonly onChanges: (records: readonly KeyedRecord[]) => void;
   readonly onLost: () => void;
-  readonly onRestored: () => void;
+  /**
+   * Given when the last call that failed was made, by `performance.now()`: the
+   * store can't have been back before. Comes before what was read is taken in.
+   */
+  readonly onRestored: (lastFailedAtMs: number) => void;
 }
 
 /** Runs until the signal aborts. */
@@ -53,6 +57,7 @@
   private isForgotten = false;
   private failures = 0;
   private lostAtMs = 0;
+  private lastFailedAtMs = 0;
 
   private constructor(
     private readonly options: FollowOptions,
@@ -64,6 +69,7 @@
   }
 
   async step(): Promise<void> {
+    const calledAtMs = performance.now();
     try {
       await this.read();
       this.onSuccess();
@@ -76,6 +82,7 @@
         this.isForgotten = true;
         return;
       }
+      this.lastFailedAtMs = calledAtMs;
       this.onFailure(failure.message);
       await this.backOff();
     }
@@ -144,7 +151,7 @@
     const { name, emit, onRestored } = this.options;
     const outageMs = Math.round(performance.now() - this.lostAtMs);
     emit(192, { stream: name, outageMs });
-    onRestored();
+    onRestored(this.lastFailedAtMs);
   }
 
   private onFailure(reason: string): void {
--- a/tests/membership/directory-lives.test.ts
+++ b/tests/membership/directory-lives.test.ts
@@ -67,6 +67,11 @@
     return this.serving.get(id)?.startedAtMs;
   }
 
+  /** The store is back since the last call that failed. */
+  restore(sinceMs = 0): void {
+    this.directory.onStoreRestored(this.time.nowMs - sinceMs);
+  }
+
   pass(durationMs: number): void {
     this.time.advance(durationMs);
   }
@@ -329,7 +334,7 @@
       site.register({});
       site.directory.onStoreLost();
       site.pass(8000);
-      site.directory.onStoreRestored();
+      site.restore();
       site.remove();
       site.register({ startedAtMs: SECOND, heartbeat: 2 });
       site.pass(LAPSE_GRACE_MS);
@@ -340,7 +345,7 @@
       const site = new Site();
       site.register({ startedAtMs: SECOND, heartbeat: 9 });
       site.directory.onStoreLost();
-      site.directory.onStoreRestored();
+      site.restore();
       site.remove();
       site.register({ heartbeat: 900 });
       site.pass(LAPSE_GRACE_MS);
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -48,6 +48,11 @@
     this.directory.apply([{ id, server: undefined }]);
   }
 
+  /** The store is back since the last call that failed. */
+  restore(sinceMs = 0): void {
+    this.directory.onStoreRestored(this.time.nowMs - sinceMs);
+  }
+
   pass(durationMs: number): void {
     this.time.advance(durationMs);
   }
@@ -135,7 +140,7 @@
       site.register({ heartbeat: 3 });
       site.directory.onStoreLost();
       site.pass(8000);
-      site.directory.onStoreRestored();
+      site.restore();
       site.remove("r1");
       site.pass(1500);
       site.register({ heartbeat: 9 });
@@ -147,7 +152,7 @@
       const site = new Site();
       site.register({});
       site.directory.onStoreLost();
-      site.directory.onStoreRestored();
+      site.restore();
       site.remove("r1");
       site.pass(LAPSE_GRACE_MS - 1);
       assert.equal(site.names, ["r1"]);
@@ -155,6 +160,21 @@
       assert.equal(site.names, []);
     });
 
+    it("drops it within three seconds of the store's return", () => {
+      // The entry tries a connection that hangs, the store is back right after,
+      // and the next try comes a second later. By then the entry counts as in
+      // touch with the store in two seconds, and a runner that left during the
+      // outage may get nothing from there on.
+      const site = new Site();
+      site.register({});
+      site.directory.onStoreLost();
+      site.pass(1100);
+      site.restore(1100);
+      site.remove("r1");
+      site.pass(3000 - 1100);
+      assert.equal(site.names, []);
+    });
+
     it("judges it by what is read after another outage", () => {
       // The store goes away again before the runner has registered. Nothing is
       // known of it meanwhile: it may have registered since, and dropped by the
@@ -162,12 +182,12 @@
       const site = new Site();
       for (const id of ["gone", "lives"]) site.register({ id, address: id });
       site.directory.onStoreLost();
-      site.directory.onStoreRestored();
+      site.restore();
       for (const id of ["gone", "lives"]) site.remove(id);
       site.directory.onStoreLost();
       site.pass(LAPSE_GRACE_MS);
       assert.equal(site.names, ["gone", "lives"]);
-      site.directory.onStoreRestored();
+      site.restore();
       site.register({ id: "lives", address: "lives" });
       site.pass(0);
       assert.equal(site.names, ["lives"]);
@@ -177,7 +197,7 @@
       const site = new Site();
       site.register({ heartbeat: 1 });
       site.directory.onStoreLost();
-      site.directory.onStoreRestored();
+      site.restore();
       site.register({ heartbeat: 2, isLeaving: true });
       assert.equal(site.names, []);
     });
--- a/tests/platform/topic-follower.test.ts
+++ b/tests/platform/topic-follower.test.ts
@@ -1,4 +1,5 @@
 import * as assert from "uvu/assert";
+import { paths } from "../../platform/names.js";
 import { StoreClient } from "../../platform/store.js";
 import { ignoreEvents, ignoreMeasurements } from "../../src/internal.js";
 import type { KeyedRecord } from "../../src/platform/keyed-topic.js";
@@ -14,6 +15,7 @@
   snapshots = 0;
   lost = 0;
   restored = 0;
+  lastFailedAtMs = 0;
   /** The key of a record that fails whoever takes it in. */
   poison: string | undefined;
   private readonly stop = new AbortController();
@@ -76,8 +78,9 @@
         onLost: () => {
           this.lost += 1;
         },
-        onRestored: () => {
+        onRestored: (lastFailedAtMs) => {
           this.restored += 1;
+          this.lastFailedAtMs = lastFailedAtMs;
         },
       },
       this.stop.signal,
@@ -122,6 +125,23 @@
     await following.until(() => following.seen.get("a") === "1");
   });
 
+  it("tells a time at which the store was still away", async () => {
+    // Whoever counts from the store's return counts from too late if it is the
+    // time of the first answer: a call that hangs is given up after a second,
+    // and the store may have been back for all of it.
+    await using following = await Following.create();
+    await following.until(() => following.snapshots === 1);
+    following.store.mood = "silent";
+    await following.until(() => following.lost === 1);
+    const { calls } = following.store;
+    const before = calls.get(paths.read);
+    await following.until(() => calls.get(paths.read) !== before);
+    const backAtMs = performance.now();
+    following.store.mood = "well";
+    await following.until(() => following.restored === 1);
+    assert.ok(following.lastFailedAtMs < backAtMs);
+  });
+
   describe("whose records fail whoever takes them in", () => {
     it("loses only those, and no store", async () => {
       // A fault of ours shows with one record. The page is read already, so
