Keep the timeouts of calls to the store from being collected as garbage

Callers would see: an entry goes on for good with the register and the configuration of the moment at which its connection to the store fell silent; requests reach runners that have left.

Cause: AbortSignal.any holds its sources weakly, and the timer of AbortSignal.timeout holds its signal weakly too. Interpreted code still has the signal in a register of its frame; optimized code hasn't, and the timeout is collected before it comes.

Calls with AbortSignal.timeout alone are held by the listener of whoever gets it.

--- a/src/platform/log-client.ts
+++ b/src/platform/log-client.ts
@@ -2,6 +2,7 @@
 import { request } from "undici";
 import { z } from "zod";
 import { raise, toFailure } from "../internal.js";
+import { Timeout } from "../shared/timeout.js";
 
 export interface LogRecord {
   readonly offset: number;
@@ -95,12 +96,11 @@
 
   private async call(path: string, options: CallOptions): Promise<unknown> {
     const { method, body, timeoutMs, signal } = options;
-    const timeout = AbortSignal.timeout(timeoutMs);
-    const signals = signal === undefined ? [timeout] : [timeout, signal];
+    using timeout = Timeout.create(timeoutMs, signal);
     try {
       const response = await request(`${this.address}${path}`, {
         method,
-        signal: AbortSignal.any(signals),
+        signal: timeout.signal,
         ...(body === undefined ? {} : { body }),
       });
       const answer: unknown = await response.body.json();
