--- a/src/balance/window-collector.ts
+++ b/src/balance/window-collector.ts
@@ -32,8 +32,7 @@
 
 /**
  * 2,000 steps of five milliseconds are the ten seconds that the planner's
- * constants were measured with. Reports are known to come up to half a second
- * late.
+ * constants are made for. Reports come up to half a second late.
  */
 export const DEFAULT_WINDOWS: WindowSettings = {
   windowSteps: 2000,
--- a/src/claims/keys.ts
+++ b/src/claims/keys.ts
@@ -12,8 +12,8 @@
 /**
  * Streams that claims are spread over. Two entries with different counts would
  * look for one call in two streams and run it twice, so this never changes.
- * Shards take turns at an entry's appends: at 800 calls/s and 50 appends/s a
- * claim took 89 ms in the median with 8 of them and 43 ms with 4.
+ * Shards take turns at an entry's appends: with more of them a claim waits for
+ * longer.
  */
 export const CLAIM_SHARDS = 4;
 
--- a/src/direct/pace-limit.ts
+++ b/src/direct/pace-limit.ts
@@ -17,9 +17,8 @@
 }
 
 /**
- * Part of the pause objective that the mean pause may take. With 0.7 (and 0.5
- * below) 8.6% of the callers were refused on a day of high load, with 0.8 2.2%,
- * with 0.9 0.7%, and more of the rest were on time (12 ranks, one day each).
+ * Part of the pause objective that the mean pause may take. Pauses spread, so a
+ * part of them is longer; every bit less refuses callers who'd be on time.
  */
 const HIGH_SHARE = 0.9;
 /** Below this part of the objective more is let in. */
@@ -29,8 +28,7 @@
 const DECREASE = 0.85;
 /**
  * Part of itself that the limit rises by in one interval, at least one request.
- * With one request alone it took four seconds from 5 to 20 after a restart of
- * all processes, in which half of the callers were refused.
+ * By one request alone callers are refused for seconds after a restart.
  */
 const INCREASE_SHARE = 0.12;
 /** A change of the limit shows in the pauses after about this time, ms. */
@@ -40,8 +38,7 @@
 /**
  * Part of the service's slots that one entry takes before it knows the pace.
  * After a restart of everything all callers come back at once and the engines
- * are at their slowest; with all slots taken every stream of the first seconds
- * was late.
+ * are at their slowest: with all slots taken every stream would be late.
  */
 const FIRST_SHARE = 1 / 6;
 
--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -64,9 +64,8 @@
 const QUEUE_TOKENS = 1_000_000;
 
 /**
- * Part of the objective that a request may wait in the queue. A late answer is
- * still worth half, so a short wait beats a refusal; with twice the objective
- * as many were refused, later, and more were late (one day each).
+ * Part of the objective that a request may wait in the queue. A late answer
+ * beats a refusal; a longer wait only makes those behind it late as well.
  */
 const QUEUE_SHARE_OF_OBJECTIVE = 1;
 
--- a/src/placement/health.ts
+++ b/src/placement/health.ts
@@ -12,10 +12,7 @@
 const FAILURES_TO_EJECT = 3;
 /** A restart of an engine takes seconds; a first probe after one second. */
 const FIRST_EJECTION_MS = 1000;
-/**
- * A runner that came back waits this long at most for its next probe. With
- * 30 s a pool was found again half a minute after an outage of that length.
- */
+/** A runner that came back waits this long at most for its next probe, ms. */
 const LONGEST_EJECTION_MS = 4000;
 /** Successful probes in a row before it gets work as the others do. */
 const PROBES_TO_RECOVER = 2;
--- a/src/rankmaps/demand.ts
+++ b/src/rankmaps/demand.ts
@@ -5,17 +5,13 @@
 
 import { sum } from "../balance/numbers.js";
 
-/**
- * Time after which a count has faded to 1/e, ms. Longer, and a turn of demand
- * is followed late: with 1200 ms 86% of the streams were on time on a day that
- * turns every 3.3 s, with 600 ms 94% (12 ranks, 3 sets, one day each).
- */
+/** Time after which a count has faded to 1/e, ms; a turn shows after as long. */
 const FADE_MS = 600;
 
 /**
  * Choices of each expert, on average, below which counts don't fade. Where
  * there is little traffic, the experts of a few prompts would pass for the
- * demand of all; about a tenth of what 12 ranks show under their usual load.
+ * demand of all.
  */
 const LEAST_CHOICES_EACH = 1000;
 
--- a/src/rankmaps/hold-steps.ts
+++ b/src/rankmaps/hold-steps.ts
@@ -9,8 +9,8 @@
 
 /**
  * Steps between the last one begun and the one that is held. From the hold to
- * the release it takes about 70 ms (a second look, all other ranks, the own
- * one), and a step 30 ms at least. With three, groups waited 4 ms a switch.
+ * the release a second look, the other ranks and the own one are asked in turn;
+ * with fewer steps the group waits for that.
  */
 export const STEPS_AHEAD = 4;
 /**
--- a/src/rankmaps/map-planner.ts
+++ b/src/rankmaps/map-planner.ts
@@ -27,10 +27,7 @@
 
 /**
  * Part of the work of the most loaded ranks that one copy has to save. A copy
- * slows all passes by a seventh for its time and takes the rank's link. With
- * twice as much a quarter less was copied on days of trouble, but on a calm day
- * near full load the group stayed uneven (2.04 in place of 1.88 times the mean)
- * and two streams in five were late (12 ranks, one day each).
+ * slows all passes by a seventh for its time and takes the rank's link.
  */
 const LEAST_SAVING_EACH_COPY = 0.003;
 /** A set is left alone while its slowest rank is this close to even. */
--- a/src/rankmaps/planner-seat.ts
+++ b/src/rankmaps/planner-seat.ts
@@ -49,8 +49,8 @@
 /**
  * Renewals while assignments change, ms. When all agents of a group start
  * together, the seat moves with most joins: its holder hears of that with its
- * next renewal, and the one after it with its own. At the usual pace a group of
- * 12 had no planner for 1.3 s after its agents had started.
+ * next renewal, and the one after it with its own. At the usual pace the group
+ * would have no planner for seconds.
  */
 const UNSETTLED_INTERVAL_MS = 120;
 /** Assignments that haven't changed for so long are settled, ms. */
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -132,10 +132,8 @@
  * planner begins anew within a generation whenever a rank was out of reach. A
  * version that it used again could name two maps, one at the ranks that took
  * it before and one at the others, and a step would begin with both: ranks
- * don't compare maps. Where it wasn't taken again, one map after the other was
- * refused (6 and 9 in a row after two cuts of a rank, 0.8 and 1.3 s, 12 ranks,
- * measured at the planner). Numbers that only rise within a generation rule out
- * both.
+ * don't compare maps. Where it wasn't taken again, one map after the other would
+ * be refused. Numbers that only rise within a generation rule out both.
  */
 export class SwitchRuns {
   private latest: SwitchRun | undefined;
