Share a rank's state and the wait for an outage between tests

Twins of two and three tests each; every check and bound stays. The comment on a refused holder of the planner's seat said that a guard raises the number, which it no longer does.

--- a/src/rankmaps/planner-seat.ts
+++ b/src/rankmaps/planner-seat.ts
@@ -128,8 +128,8 @@
   }
 
   /**
-   * The seat is ours and its orders are refused: another agent has given up a
-   * switch of ours. Nobody plans until the seat has a new generation.
+   * The seat is ours and its orders are refused: a later holder has used a higher
+   * number. Nobody plans until the seat has a new generation.
    */
   private async giveBack(group: string): Promise<void> {
     const { service, member } = this.options;
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -1,5 +1,6 @@
 /** An entry of the direct path between stand-ins of the users' platform. */
 import { request as send } from "node:http";
+import * as assert from "uvu/assert";
 import { decodeConfiguration } from "../../platform/configuration.js";
 import { headerCodec } from "../../platform/headers.js";
 import { headerNames, paths, topics } from "../../platform/names.js";
@@ -15,6 +16,8 @@
 
 export const CREDENTIAL = "key-one";
 const HOST = "site.example";
+/** Several times the interval at which an entry reads the register, ms. */
+const SOON_MS = 4000;
 
 export interface CallerAnswer {
   readonly status: number;
@@ -190,6 +193,21 @@
     return lines.filter((line) => line.startsWith(name));
   }
 
+  /** Outages of the store that the entry has seen, in all of its topics. */
+  async outages(): Promise<number> {
+    const lines = await this.metric("apricotdeck_store_outages_total{");
+    return lines.reduce((sum, line) => sum + Number(line.split(" ").at(-1)), 0);
+  }
+
+  /** The store refuses all calls, and the entry has seen it at the register. */
+  async loseStore(): Promise<void> {
+    this.store.mood = "refusing";
+    await this.soon("the outage is seen", async () => {
+      const lines = await this.metric("apricotdeck_store_outages_total");
+      return lines.some((line) => /topic="register".* [1-9]/.test(line));
+    });
+  }
+
   async readiness(): Promise<number> {
     const response = await fetch(
       `http://${this.entry.addresses.readiness}${paths.readiness}`,
@@ -250,6 +268,20 @@
     }
   }
 
+  /** Fails where the condition doesn't hold in time. */
+  async soon(
+    what: string,
+    condition: () => boolean | Promise<boolean>,
+  ): Promise<void> {
+    const untilMs = performance.now() + SOON_MS;
+    let holds = false;
+    await this.until(async () => {
+      holds = await condition();
+      return holds || performance.now() > untilMs;
+    });
+    assert.ok(holds, `not within ${SOON_MS} ms: ${what}`);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.entry[Symbol.asyncDispose]();
     await this.client[Symbol.asyncDispose]();
--- a/tests/platform/foreign-entries.test.ts
+++ b/tests/platform/foreign-entries.test.ts
@@ -8,27 +8,6 @@
 } from "../support/foreign-records.js";
 import { EntrySite } from "./entry-site.js";
 
-/** Several times the interval at which an entry reads the register, ms. */
-const SOON_MS = 4000;
-
-async function soon(
-  site: EntrySite,
-  what: string,
-  condition: () => boolean | Promise<boolean>,
-): Promise<void> {
-  let isOver = false;
-  const timer = setTimeout(() => {
-    isOver = true;
-  }, SOON_MS);
-  let holds = false;
-  await site.until(async () => {
-    holds = await condition();
-    return holds || isOver;
-  });
-  clearTimeout(timer);
-  assert.ok(holds, `not within ${SOON_MS} ms: ${what}`);
-}
-
 /** A runner that works, at an address that only foreign entries name. */
 function trap(): Promise<SigningRunner> {
   return SigningRunner.create("trap", answerWith("from the trap"));
@@ -59,11 +38,6 @@
   );
 }
 
-async function outages(site: EntrySite): Promise<number> {
-  const lines = await site.metric("apricotdeck_store_outages_total{");
-  return lines.reduce((sum, line) => sum + Number(line.split(" ").at(-1)), 0);
-}
-
 describe("entries of the register from other writers", () => {
   it("in the first reading leave the others usable", async () => {
     // Another program has written into the register before the entry starts.
@@ -87,11 +61,11 @@
     });
     site.configure({});
     await site.addRunner(answerWith("ok"));
-    await soon(site, "ready", async () => (await site.readiness()) === 200);
-    await soon(site, "one runner", () => site.entry.runnerCount === 1);
+    await site.soon("ready", async () => (await site.readiness()) === 200);
+    await site.soon("one runner", () => site.entry.runnerCount === 1);
     await assertServedBy(site, ["r0"]);
     assert.is(decoy.arrivals.length + decoy.misdirected, 0);
-    assert.is(await outages(site), 0);
+    assert.is(await site.outages(), 0);
   });
 
   it("among changes lose none of the others, removals included", async () => {
@@ -110,7 +84,7 @@
     await site.addRunner(answerWith("ok"));
     putForeign(site, site.registrationOf(decoy.address));
     const third = site.runners[2];
-    await soon(site, "the new runner serves", async () => {
+    await site.soon("the new runner serves", async () => {
       assert.is((await site.call({ path: "/often/a" })).status, 200);
       return third.arrivals.length > 0;
     });
@@ -119,7 +93,7 @@
     await assertServedBy(site, ["r0", "r1", "r2"]);
     assert.is(site.runners[0].arrivals.length, before);
     assert.is(decoy.arrivals.length + decoy.misdirected, 0);
-    assert.is(await outages(site), 0);
+    assert.is(await site.outages(), 0);
   });
 
   it("over a runner's own take it out until it writes again", async () => {
@@ -133,13 +107,13 @@
     const { state, ...stateless } = site.registrationOf(first.address);
     assert.is(state, "ready");
     site.store.put(topics.register, first.id, stateless);
-    await soon(site, "one runner", () => site.entry.runnerCount === 1);
+    await site.soon("one runner", () => site.entry.runnerCount === 1);
     const before = first.arrivals.length;
     await assertServedBy(site, ["r0", "r1"]);
     assert.is(first.arrivals.length, before);
     site.register(first, "ready");
-    await soon(site, "two runners", () => site.entry.runnerCount === 2);
-    assert.is(await outages(site), 0);
+    await site.soon("two runners", () => site.entry.runnerCount === 2);
+    assert.is(await site.outages(), 0);
   });
 
   it("over a runner's own take it out during an outage as well", async () => {
@@ -149,16 +123,11 @@
       answerWith("ok"),
       answerWith("ok"),
     );
-    site.store.mood = "refusing";
-    await soon(
-      site,
-      "the outage is seen",
-      async () => (await outages(site)) > 0,
-    );
+    await site.loseStore();
     site.store.putBytes(topics.register, "r0", Buffer.from("?"));
     site.store.mood = "well";
     const isOut = (): boolean => site.entry.runnerCount === 1;
-    await soon(site, "one runner", isOut);
+    await site.soon("one runner", isOut);
   });
 
   it("over a runner's own take it out in a register read anew", async () => {
@@ -168,18 +137,13 @@
       answerWith("ok"),
       answerWith("ok"),
     );
-    site.store.mood = "refusing";
-    await soon(
-      site,
-      "the outage is seen",
-      async () => (await outages(site)) > 0,
-    );
+    await site.loseStore();
     site.store.putBytes(topics.register, "r0", Buffer.from("?"));
     site.store.drop(topics.register, "r1");
     site.store.forgetHistory(topics.register);
     site.store.mood = "well";
     const isOut = (): boolean => site.entry.runnerCount === 1;
-    await soon(site, "one runner", isOut);
+    await site.soon("one runner", isOut);
     await assertServedBy(site, ["r1"]);
   });
 
@@ -192,7 +156,7 @@
         backend: "unheard-of",
       };
       site.store.put(topics.register, "x1", stranger);
-      await soon(site, "it is known", () => site.entry.runnerCount === 2);
+      await site.soon("it is known", () => site.entry.runnerCount === 2);
       await assertServedBy(site, ["r0"]);
       assert.is(decoy.arrivals.length + decoy.misdirected, 0);
     });
@@ -206,7 +170,7 @@
         backend: "service-2",
       };
       site.store.put(topics.register, "x1", entry);
-      await soon(site, "it is known", () => site.entry.runnerCount === 2);
+      await site.soon("it is known", () => site.entry.runnerCount === 2);
       const route = {
         name: "late",
         hostname: "site.example",
@@ -216,7 +180,7 @@
         backend: "service-2",
       };
       site.configure({ version: 2, routes: [route] });
-      await soon(site, "it serves", async () => {
+      await site.soon("it serves", async () => {
         const { body } = await site.call({ path: "/late/a" });
         return body === "later";
       });
@@ -234,7 +198,7 @@
       site.store.put(topics.register, "x1", stranger);
       const read = (): number => site.store.calls.get("/-/log-read") ?? 0;
       const before = read();
-      await soon(site, "two readings", () => read() >= before + 4);
+      await site.soon("two readings", () => read() >= before + 4);
       await assertServedBy(site, ["r0"]);
     });
   });
@@ -261,10 +225,10 @@
       }
       return second.arrivals.length - before;
     };
-    await soon(site, "the slow one gets nothing", async () => {
+    await site.soon("the slow one gets nothing", async () => {
       return (await probe()) === 0;
     });
-    assert.is(await outages(site), 0);
+    assert.is(await site.outages(), 0);
   });
 
   it("leave a configuration in force that came in the same page", async () => {
@@ -278,7 +242,7 @@
       topics.configurationKey,
       Buffer.from('{"version":3,"routes":'),
     );
-    await soon(site, "the new key is in force", async () => {
+    await site.soon("the new key is in force", async () => {
       return (await site.call({ path: "/often/a" })).status === 401;
     });
   });
--- a/tests/platform/gone-runner.test.ts
+++ b/tests/platform/gone-runner.test.ts
@@ -11,12 +11,6 @@
 const KNOWN_AFTER_MS = 3000;
 const CALLS = 12;
 
-/** Whether the entry has seen that the register can't be read. */
-async function hasLostRegister(site: EntrySite): Promise<boolean> {
-  const lines = await site.metric("apricotdeck_store_outages_total");
-  return lines.some((line) => /topic="register".* [1-9]/.test(line));
-}
-
 describe("a runner that left while the store couldn't be reached", () => {
   it("gets nothing more, though nothing is written after the return", async () => {
     // An entry is cut off from the store. A runner leaves meanwhile, and the
@@ -30,8 +24,7 @@
       answerWith("gone"),
       answerWith("here"),
     );
-    site.store.mood = "refusing";
-    await site.until(() => hasLostRegister(site));
+    await site.loseStore();
     site.store.drop(topics.register, "r0");
     site.store.forgetHistory(topics.register);
     site.store.mood = "well";
--- a/tests/rankmaps/rank-agent.test.ts
+++ b/tests/rankmaps/rank-agent.test.ts
@@ -2,27 +2,10 @@
 import { failure } from "../../src/internal.js";
 import { RankAgent } from "../../src/rankmaps/rank-agent.js";
 import { RelayedMaps } from "../../src/rankmaps/relayed-maps.js";
-import type {
-  HeldExperts,
-  RankCounts,
-  RankState,
-} from "../../src/rankmaps/types.js";
+import type { HeldExperts, RankCounts } from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
+import { RANK_STATE } from "./rank-state.js";
 
-const STATE: RankState = {
-  group: "g",
-  epoch: 1,
-  rank: 2,
-  size: 4,
-  isOpen: true,
-  step: 7,
-  mapVersion: 0,
-  preparedVersion: undefined,
-  armed: undefined,
-  heldStep: undefined,
-  slowness: 1,
-  startedAtMs: undefined,
-};
 const LOOK = { withCounts: true, withExperts: false };
 
 /** Counts of one life; undefined where the runner doesn't tell it. */
@@ -37,7 +20,7 @@
 /** A runner as its agent reads it. */
 class Runner {
   counted = countsOf(undefined, []);
-  state = STATE;
+  state = RANK_STATE;
   held: HeldExperts = { experts: [], startedAtMs: undefined };
 
   readonly agent = RankAgent.create({
@@ -138,10 +121,10 @@
     const runner = new Runner();
     const experts = [[0, 4]];
     const look = { withCounts: false, withExperts: true };
-    runner.state = { ...STATE, mapVersion: 5, startedAtMs: 1000 };
+    runner.state = { ...RANK_STATE, mapVersion: 5, startedAtMs: 1000 };
     runner.held = { experts, startedAtMs: 2000 };
     assert.equal((await runner.agent.observe(look)).experts, []);
-    runner.state = { ...STATE, startedAtMs: 2000 };
+    runner.state = { ...RANK_STATE, startedAtMs: 2000 };
     assert.equal((await runner.agent.observe(look)).experts, experts);
   });
 });
--- a/tests/rankmaps/reachable-rank.test.ts
+++ b/tests/rankmaps/reachable-rank.test.ts
@@ -7,21 +7,9 @@
 } from "../../src/rankmaps/reachable-rank.js";
 import type { RankPort, RankState } from "../../src/rankmaps/types.js";
 import { describe, it } from "../support/describe.js";
+import { RANK_STATE } from "./rank-state.js";
 
-const STATE: RankState = {
-  group: "g",
-  epoch: 1,
-  rank: 2,
-  size: 4,
-  isOpen: true,
-  step: 7,
-  mapVersion: 0,
-  preparedVersion: undefined,
-  armed: undefined,
-  heldStep: 9,
-  slowness: 1,
-  startedAtMs: undefined,
-};
+const STATE: RankState = { ...RANK_STATE, heldStep: 9 };
 const LOOK = { withCounts: true, withExperts: false };
 const RELEASE = { kind: "release", step: 9 } as const;
 const FENCE = { epoch: 1, fencing: 3 };
