--- a/tests/direct/pace-limit.test.ts
+++ b/tests/direct/pace-limit.test.ts
@@ -1,10 +1,11 @@
 import * as assert from "uvu/assert";
 import { PaceLimit } from "../../src/direct/pace-limit.js";
-import { ignoreEvents } from "../../src/internal.js";
+import { createRandom, ignoreEvents } from "../../src/internal.js";
 import { describe, it } from "../support/describe.js";
 
 const OBJECTIVE_MS = 120;
 const SLOTS = 96;
+const SLOTS_OF_LARGE = 720;
 
 /**
  * Streams of one group seen by several entries: a pass takes a fixed part and
@@ -38,7 +39,73 @@
   return pauses.slice(100);
 }
 
+const ENTRIES = 12;
+const RESTART_EVERY_MS = 2000;
+/** After the last restart, ms. */
+const SETTLING_MS = 10_000;
+const WATCHED_MS = 10_000;
+/** No entry's callers get less than this part of an even share. */
+const LEAST_SHARE = 0.5;
+
+/**
+ * Entries of a large group start again one after the other, and each has more
+ * callers than it may let in. Streams that each had running, on average, once
+ * that is over.
+ */
+function playRestarts(seed: number): readonly number[] {
+  const random = createRandom(seed);
+  let nowMs = 0;
+  const begin = (): PaceLimit =>
+    PaceLimit.create({ now: () => nowMs, emit: ignoreEvents, service: "m" });
+  const limits = Array.from({ length: ENTRIES }, begin);
+  const running = limits.map(() => 0);
+  const sums = limits.map(() => 0);
+  const settledMs = ENTRIES * RESTART_EVERY_MS + SETTLING_MS;
+  let restarted = 0;
+  let passes = 0;
+  while (nowMs < settledMs + WATCHED_MS) {
+    if (restarted < ENTRIES && nowMs > RESTART_EVERY_MS * (restarted + 1)) {
+      limits[restarted] = begin();
+      running[restarted] = 0;
+      restarted += 1;
+    }
+    limits.forEach((limit, entry) => {
+      for (let stream = running[entry]; stream > 0; stream -= 1) {
+        if (random() < 1 / 20) running[entry] -= 1;
+      }
+      while (limit.hasRoom(running[entry], SLOTS_OF_LARGE)) running[entry] += 1;
+    });
+    const total = running.reduce((sum, count) => sum + count, 0);
+    const pauseMs = 30 + 0.35 * total;
+    nowMs += pauseMs;
+    limits.forEach((limit, entry) => {
+      for (let stream = 0; stream < running[entry]; stream += 1) {
+        const seenMs = pauseMs * (0.9 + 0.2 * random());
+        limit.onPause(seenMs, OBJECTIVE_MS, running[entry]);
+      }
+    });
+    if (nowMs < settledMs) continue;
+    passes += 1;
+    running.forEach((count, entry) => {
+      sums[entry] += count;
+    });
+  }
+  return sums.map((sum) => sum / passes);
+}
+
 describe("limit by the pace of streams", () => {
+  for (const seed of [1, 2, 3]) {
+    it(`gives all entries their share after restarts, seed ${seed}`, () => {
+      // Entries of a large group start again one after the other. Callers of
+      // the data centre whose entries came first are refused several times as
+      // often as the others, until the end of the day.
+      const means = playRestarts(seed);
+      const even = means.reduce((sum, mean) => sum + mean, 0) / ENTRIES;
+      const shares = means.map((mean) => (mean / even).toFixed(2)).join(" ");
+      assert.ok(Math.min(...means) >= even * LEAST_SHARE, shares);
+    });
+  }
+
   it("leaves a group alone that keeps pace with all slots taken", () => {
     const pauses = play(5, 0.4);
     assert.ok(Math.min(...pauses) > 30 + 0.4 * 80);
