Clear the directory's timers with the entry, without a listener for each

With more than ten runners missing at once the listeners on the entry's one signal brought a warning of a leak on standard error (seen with 40 waits).

--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -118,6 +118,7 @@
   private isClosed = false;
   /** Answers to the requests that are being served. */
   private readonly open = new Set<ServerResponse>();
+  private readonly timers = new Set<NodeJS.Timeout>();
   private graceSeconds: number;
   private listening: Listening[] = [];
 
@@ -164,7 +165,7 @@
     this.directory = BackendServerDirectory.create({
       now,
       after: (delayMs, action) => {
-        void this.after(delayMs, action);
+        this.after(delayMs, action);
       },
       emit,
       isServiceNamed: (service) => this.routes?.namesService(service) ?? false,
@@ -260,6 +261,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.stop.abort();
+    for (const timer of this.timers) clearTimeout(timer);
     await this.breakOffOpen();
     this.paceInquiry[Symbol.dispose]();
     await Promise.all(
@@ -295,10 +297,12 @@
   }
 
   /** Not run any more once the entry is closed. */
-  private async after(delayMs: number, action: () => void): Promise<void> {
-    const { signal } = this.stop;
-    await pause(delayMs, signal);
-    if (!signal.aborted) action();
+  private after(delayMs: number, action: () => void): void {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      action();
+    }, delayMs);
+    this.timers.add(timer);
   }
 
   private follow(): void {
