--- a/tests/direct/pace-limit.test.ts
+++ b/tests/direct/pace-limit.test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import { PaceLimit } from "../../src/direct/pace-limit.js";
-import { createRandom, ignoreEvents } from "../../src/internal.js";
+import { sum } from "../../src/balance/numbers.js";
+import { createRandom, ignoreEvents, type Random } from "../../src/internal.js";
 import { describe, it } from "../support/describe.js";
 
 const OBJECTIVE_MS = 120;
@@ -47,50 +48,75 @@
 /** No entry's callers get less than this part of an even share. */
 const LEAST_SHARE = 0.5;
 
-/**
- * Entries of a large group start again one after the other, and each has more
- * callers than it may let in. Streams that each had running, on average, once
- * that is over.
- */
-function playRestarts(seed: number): readonly number[] {
-  const random = createRandom(seed);
-  let nowMs = 0;
-  const begin = (): PaceLimit =>
-    PaceLimit.create({ now: () => nowMs, emit: ignoreEvents, service: "m" });
-  const limits = Array.from({ length: ENTRIES }, begin);
-  const running = limits.map(() => 0);
-  const sums = limits.map(() => 0);
-  const settledMs = ENTRIES * RESTART_EVERY_MS + SETTLING_MS;
-  let restarted = 0;
-  let passes = 0;
-  while (nowMs < settledMs + WATCHED_MS) {
-    if (restarted < ENTRIES && nowMs > RESTART_EVERY_MS * (restarted + 1)) {
-      limits[restarted] = begin();
-      running[restarted] = 0;
-      restarted += 1;
-    }
-    limits.forEach((limit, entry) => {
-      for (let stream = running[entry]; stream > 0; stream -= 1) {
-        if (random() < 1 / 20) running[entry] -= 1;
+/** Entries of a large group; each has more callers than it may let in. */
+class LargeGroup {
+  nowMs = 0;
+  readonly running = Array.from({ length: ENTRIES }, () => 0);
+  private readonly limits = this.running.map(() => this.beginLimit());
+
+  private constructor(private readonly random: Random) {}
+
+  static create(seed: number): LargeGroup {
+    return new LargeGroup(createRandom(seed));
+  }
+
+  restart(entry: number): void {
+    this.limits[entry] = this.beginLimit();
+    this.running[entry] = 0;
+  }
+
+  /** One pass of the group: some streams end, all others have an event. */
+  pass(): void {
+    this.limits.forEach((limit, entry) => {
+      this.endSome(entry);
+      while (limit.hasRoom(this.running[entry], SLOTS_OF_LARGE)) {
+        this.running[entry] += 1;
       }
-      while (limit.hasRoom(running[entry], SLOTS_OF_LARGE)) running[entry] += 1;
     });
-    const total = running.reduce((sum, count) => sum + count, 0);
-    const pauseMs = 30 + 0.35 * total;
-    nowMs += pauseMs;
-    limits.forEach((limit, entry) => {
-      for (let stream = 0; stream < running[entry]; stream += 1) {
-        const seenMs = pauseMs * (0.9 + 0.2 * random());
-        limit.onPause(seenMs, OBJECTIVE_MS, running[entry]);
+    const pauseMs = 30 + 0.35 * sum(this.running);
+    this.nowMs += pauseMs;
+    this.limits.forEach((limit, entry) => {
+      const count = this.running[entry];
+      for (let stream = 0; stream < count; stream += 1) {
+        const seenMs = pauseMs * (0.9 + 0.2 * this.random());
+        limit.onPause(seenMs, OBJECTIVE_MS, count);
       }
     });
-    if (nowMs < settledMs) continue;
-    passes += 1;
-    running.forEach((count, entry) => {
+  }
+
+  private endSome(entry: number): void {
+    for (let stream = this.running[entry]; stream > 0; stream -= 1) {
+      if (this.random() < 1 / 20) this.running[entry] -= 1;
+    }
+  }
+
+  private beginLimit(): PaceLimit {
+    const now = (): number => this.nowMs;
+    return PaceLimit.create({ now, emit: ignoreEvents, service: "m" });
+  }
+}
+
+/**
+ * The entries start again one after the other. Streams that each had running
+ * once that is over, summed over the passes.
+ */
+function playRestarts(seed: number): readonly number[] {
+  const group = LargeGroup.create(seed);
+  for (let entry = 0; entry < ENTRIES; entry += 1) {
+    const restartAtMs = RESTART_EVERY_MS * (entry + 1);
+    while (group.nowMs < restartAtMs) group.pass();
+    group.restart(entry);
+  }
+  const settledAtMs = group.nowMs + SETTLING_MS;
+  while (group.nowMs < settledAtMs) group.pass();
+  const sums = group.running.map(() => 0);
+  while (group.nowMs < settledAtMs + WATCHED_MS) {
+    group.pass();
+    group.running.forEach((count, entry) => {
       sums[entry] += count;
     });
   }
-  return sums.map((sum) => sum / passes);
+  return sums;
 }
 
 describe("limit by the pace of streams", () => {
@@ -102,10 +128,10 @@
       // share, and under load the group rests at a pace at which limits stayed
       // as they were. Evidence: limits of 8 and 71 side by side in the logs of
       // twelve entries, and shares of 0.25 and 5 here.
-      const means = playRestarts(seed);
-      const even = means.reduce((sum, mean) => sum + mean, 0) / ENTRIES;
-      const shares = means.map((mean) => (mean / even).toFixed(2)).join(" ");
-      assert.ok(Math.min(...means) >= even * LEAST_SHARE, shares);
+      const sums = playRestarts(seed);
+      const even = sum(sums) / ENTRIES;
+      const shares = sums.map((count) => (count / even).toFixed(2)).join(" ");
+      assert.ok(Math.min(...sums) >= even * LEAST_SHARE, shares);
     });
   }
 
