Drop a third copy of a rank's state and what tests can derive

The search's test takes the shared state of a rank; the fuzz world reads the store's last return from its list of outages in place of a copy; an argument that nobody gave is gone.

--- a/fuzz/membership/world.ts
+++ b/fuzz/membership/world.ts
@@ -38,7 +38,6 @@
   /** Starts of the store's outages, and their ends in the same order. */
   private readonly awayFromMs: number[] = [];
   private readonly awayUntilMs: number[] = [];
-  private restoredAtMs = Number.NEGATIVE_INFINITY;
   private readonly directory: BackendServerDirectory;
 
   private constructor(private readonly lapseGraceMs: number) {
@@ -90,7 +89,6 @@
 
   setAway(isAway: boolean): void {
     this.beginOther();
-    if (this.isAway && !isAway) this.restoredAtMs = this.nowMs;
     if (!this.isAway && isAway) this.awayFromMs.push(this.nowMs);
     if (this.isAway && !isAway) this.awayUntilMs.push(this.nowMs);
     this.isAway = isAway;
@@ -119,7 +117,8 @@
   }
 
   private noteRemoval(id: string): void {
-    const from = this.isAway ? this.nowMs : this.restoredAtMs;
+    const restoredAtMs = this.awayUntilMs.at(-1) ?? Number.NEGATIVE_INFINITY;
+    const from = this.isAway ? this.nowMs : restoredAtMs;
     const outageGraceEndsMs = from + this.lapseGraceMs;
     this.facts.push({
       kind: "removed",
--- a/tests/membership/directory-lives.test.ts
+++ b/tests/membership/directory-lives.test.ts
@@ -67,9 +67,8 @@
     return this.serving.get(id)?.startedAtMs;
   }
 
-  /** The store is back since the last call that failed. */
-  restore(sinceMs = 0): void {
-    this.directory.onStoreRestored(this.time.nowMs - sinceMs);
+  restore(): void {
+    this.directory.onStoreRestored(this.time.nowMs);
   }
 
   pass(durationMs: number): void {
--- a/tests/rankmaps/group-search.test.ts
+++ b/tests/rankmaps/group-search.test.ts
@@ -5,6 +5,7 @@
 import type { RankPort, RankState } from "../../src/rankmaps/types.js";
 import type { KeyedTopic } from "../../src/platform/keyed-topic.js";
 import { describe, it } from "../support/describe.js";
+import { RANK_STATE } from "./rank-state.js";
 import { foreignRecords } from "../support/foreign-records.js";
 import { waitFor } from "../support/wait.js";
 
@@ -12,20 +13,7 @@
 const OTHER = "127.0.0.1:9002";
 const FOREIGN = "127.0.0.1:9003";
 
-const state: RankState = {
-  group: "g",
-  epoch: 1,
-  rank: 0,
-  size: 2,
-  isOpen: true,
-  step: 0,
-  mapVersion: 0,
-  preparedVersion: undefined,
-  armed: undefined,
-  heldStep: undefined,
-  slowness: 1,
-  startedAtMs: undefined,
-};
+const state: RankState = { ...RANK_STATE, rank: 0, size: 2, step: 0 };
 
 const startedAtMs = undefined;
 const port: RankPort = {
