Tell eras of the store apart, in which its last records are gone

Cause: no code read the era that the store's answers name. After a return from an older copy a follower went on at its offset in another history, generations of the planner's seat (and with them versions of expert maps) came a second time, and a server that had left was ready again in the copy.

Change: the client takes no answer of an earlier era. A follower that meets a new era reads all newest records anew, and tells of it before it takes them in. The directory gives nothing to whoever it has seen leave or go, unless that server writes again, and keeps a server that the copy lacks for the grace of an outage. The era stands ahead of the generation in fencing numbers and versions; with a store without eras the numbers are as before. A planner has no seat from the moment that any answer shows a new era until the store gives it anew. Notes of slow ranks of the last minute are written again.

Beside it: a generation whose versions are used up is given back; before, its versions would have run into those of the next one.

The wait of the follower's tests has a bound, and a failing test of the seat ends its seat: both kept the whole run going for good.

--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -26,6 +26,7 @@
 import type { RegisterChange } from "../membership/types.js";
 import type { KeyedRecord, KeyedTopic } from "../platform/keyed-topic.js";
 import { RecordFindings } from "../platform/record-findings.js";
+import type { StoreEra } from "../platform/store-era.js";
 import { followTopic } from "../platform/topic-follower.js";
 import { RELEASE } from "../release.js";
 import {
@@ -50,6 +51,8 @@
 export interface DirectEntryOptions {
   readonly settings: DirectEntrySettings;
   readonly codec: HeaderCodec;
+  /** Of the store that holds the topics. */
+  readonly era: StoreEra;
   readonly configuration: KeyedTopic;
   /** The key of the configuration's record. */
   readonly configurationKey: string;
@@ -133,6 +136,10 @@
     const { registry, measurements } = registerMetrics(labels);
     this.registry = registry;
     this.measurements = measurements;
+    options.era.onRise((era) => {
+      emit(196, { era });
+      measurements.set("storeEra", era);
+    });
     const now = (): number => performance.now();
     const random = Math.random;
     const slowRunners = SlowRunners.create(now, emit);
@@ -328,6 +335,7 @@
         findings,
         onSnapshot: onConfiguration,
         onChanges: onConfiguration,
+        onReturned: nothing,
         onLost: () => {
           countOutage(CONFIGURATION_STREAM);
           this.paceInquiry.onStoreLost();
@@ -352,6 +360,7 @@
         findings,
         onSnapshot: onPace,
         onChanges: onPace,
+        onReturned: nothing,
         onLost: () => {
           countOutage(PACE_STREAM);
         },
@@ -375,6 +384,9 @@
           this.directory.apply(this.registerReader.read(records));
           this.hasRegister = true;
         },
+        onReturned: (lastBeforeMs) => {
+          this.directory.onStoreReturned(lastBeforeMs);
+        },
         onLost: () => {
           countOutage(REGISTER_STREAM);
           this.directory.onStoreLost();
@@ -400,7 +412,10 @@
     if (newest !== undefined) this.take(newest);
   }
 
-  /** In one life a process never goes back to an older configuration. */
+  /**
+   * In one life a process never goes back to an older configuration, also when
+   * the store does.
+   */
   private take(configuration: SiteConfiguration): void {
     const known = this.routes?.version ?? Number.NEGATIVE_INFINITY;
     if (configuration.version <= known) return;
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -8,8 +8,13 @@
  * A runner may start again under its id. A later life replaces an earlier one
  * at once, whatever its heartbeat, its address and the standing of the earlier
  * one; a late record of an earlier life changes nothing.
+ *
+ * The store may come back from an older copy. What has been seen here holds all
+ * the same: who has left gets nothing, though the copy shows it ready, and who
+ * isn't in the copy is kept until it has had time to register again.
  */
 import type { Emit, Now } from "../internal.js";
+import { EndedServers } from "./ended-servers.js";
 import { orderOfLives } from "./life.js";
 import { PAST_LIFE_KEPT_MS, PastLives } from "./past-lives.js";
 import type { After, BackendServer, RegisterChange } from "./types.js";
@@ -60,11 +65,13 @@
 export class BackendServerDirectory {
   private readonly entries = new Map<string, Entry>();
   private readonly past: PastLives;
+  private readonly ended: EndedServers;
   private outage = false;
   private restoredAtMs = Number.NEGATIVE_INFINITY;
 
   private constructor(private readonly inputs: DirectoryInputs) {
     this.past = PastLives.create(inputs.now, inputs.after);
+    this.ended = EndedServers.create(inputs.now, inputs.after);
   }
 
   static create(inputs: DirectoryInputs): BackendServerDirectory {
@@ -98,9 +105,18 @@
     }
   }
 
+  /**
+   * The store came back from an older copy; the whole register follows. The
+   * grace counts from the last call before that was seen, monotonic ms.
+   */
+  onStoreReturned(lastBeforeMs: number): void {
+    this.ended.onStoreReturned();
+    this.restoredAtMs = Math.max(this.restoredAtMs, lastBeforeMs);
+  }
+
   apply(changes: readonly RegisterChange[]): void {
     for (const { id, server, isUnusable } of changes) {
-      if (server !== undefined) this.register(server);
+      if (server !== undefined) this.register(server, false);
       // No lapse: the record is there, so an outage explains nothing.
       else if (isUnusable) this.drop(id, "unusable entry");
       else this.remove(id);
@@ -116,10 +132,11 @@
     for (const id of [...this.entries.keys(), ...this.past.ids]) {
       if (!present.has(id)) this.remove(id);
     }
-    for (const server of servers) this.register(server);
+    for (const server of servers) this.register(server, true);
   }
 
-  private register(seen: BackendServer): void {
+  private register(seen: BackendServer, isWholeReading: boolean): void {
+    if (this.ended.isBroughtBack(seen, isWholeReading)) return;
     const known = this.newestOf(seen.id);
     if (known !== undefined && this.isForeign(known, seen)) {
       this.drop(seen.id, "unusable entry");
@@ -184,6 +201,7 @@
     if (server.isLeaving) {
       this.drop(id, "leaving");
       this.past.addLeaving(server);
+      this.ended.add(server);
       return;
     }
     if (!this.takeAddress(server)) {
@@ -193,6 +211,7 @@
     }
     const known = this.entries.get(id);
     this.past.delete(id);
+    this.ended.delete(id);
     this.entries.set(id, {
       server,
       seenAtMs: this.inputs.now(),
@@ -274,6 +293,7 @@
     if (entry === undefined) return;
     this.entries.delete(id);
     this.past.addDropped(entry.server);
+    this.ended.add(entry.server);
     this.inputs.emit(212, { runner: id, reason });
     this.inputs.onGone(id);
   }
--- a/src/platform/keyed-topic.ts
+++ b/src/platform/keyed-topic.ts
@@ -20,17 +20,23 @@
   readonly unreadable: readonly UnreadableRecord[];
   /** Offset from which to read on. */
   readonly nextOffset: number;
+  /** Of the store when it answered; offsets of another one mean nothing here. */
+  readonly era: number;
 }
 
 /** Writes records of a topic of our own. */
 export interface KeyedWriter {
-  /** Throws 1901: the record may have been written all the same. */
+  /**
+   * Throws 1901: the record may have been written all the same. What was written
+   * is gone when the store comes back from an older copy; its writer writes it
+   * again.
+   */
   readonly put: (key: string, value: Buffer) => Promise<void>;
 }
 
 /**
- * What the adapter of a platform provides. Both throw 1901 on an outage, and
- * 1903 for an answer of which nothing can be read.
+ * What the adapter of a platform provides. Both throw 1901 on an outage, 1903
+ * for an answer of which nothing can be read, and 1904 for one of an earlier era.
  */
 export interface KeyedTopic {
   /** The newest record of each key, in the order in which they were written. */
--- a/src/platform/topic-follower.ts
+++ b/src/platform/topic-follower.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps up with a keyed topic: all newest records once, then what changes. An
- * outage is told once at each end; a forgotten history is read anew.
+ * outage is told once at each end; a forgotten history is read anew, and so is
+ * everything when the store comes back from an older copy.
  */
 import { pause } from "../daemon/background-task.js";
 import { toFailure, type Emit, type Random } from "../internal.js";
@@ -16,6 +17,10 @@
  */
 const LONGEST_BACKOFF_MS = 500;
 const HISTORY_FORGOTTEN = 1902;
+const ANSWER_OUTDATED = 1904;
+
+/** Why all newest records are read. */
+type ReadCause = "start" | "forgotten" | "returned";
 
 export interface FollowOptions {
   readonly name: string;
@@ -28,13 +33,21 @@
   readonly emit: Emit;
   /** Takes what the topic holds beside records. */
   readonly findings: RecordFindings;
-  /** All newest records: at the start, and when history was forgotten. */
+  /**
+   * All newest records: at the start, when history was forgotten, and when the
+   * store came back from an older copy.
+   */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   /**
    * In the order in which they were written. Also given the records of a
    * snapshot, one at a time, when `onSnapshot` has thrown.
    */
   readonly onChanges: (records: readonly KeyedRecord[]) => void;
+  /**
+   * The store came back from an older copy; the snapshot follows. Given when the
+   * last call was made in which it hadn't shown so, by `performance.now()`.
+   */
+  readonly onReturned: (lastBeforeMs: number) => void;
   readonly onLost: () => void;
   /**
    * Given when the last call that failed was made, by `performance.now()`: the
@@ -54,7 +67,11 @@
 
 class TopicFollower {
   private offset: number | undefined;
-  private isForgotten = false;
+  /** Of the offset; undefined before the first reading. */
+  private era: number | undefined;
+  private cause: ReadCause = "start";
+  /** When the last call of the known era was made. */
+  private lastCalledAtMs = 0;
   private failures = 0;
   private lostAtMs = 0;
   private lastFailedAtMs = 0;
@@ -71,39 +88,67 @@
   async step(): Promise<void> {
     const calledAtMs = performance.now();
     try {
-      await this.read();
+      await this.read(calledAtMs);
       this.onSuccess();
-      await pause(this.options.intervalMs, this.signal);
+      const isReadAnew = this.offset === undefined;
+      if (!isReadAnew) await pause(this.options.intervalMs, this.signal);
     } catch (error) {
       if (this.signal.aborted) return;
       const failure = toFailure(error, 1901);
       if (failure.number === HISTORY_FORGOTTEN) {
-        this.offset = undefined;
-        this.isForgotten = true;
+        this.readAnew("forgotten");
+        return;
+      }
+      if (failure.number === ANSWER_OUTDATED) {
+        await this.backOff();
         return;
       }
       this.lastFailedAtMs = calledAtMs;
+      this.lastCalledAtMs = calledAtMs;
       this.onFailure(failure.message);
       await this.backOff();
     }
   }
 
-  private async read(): Promise<void> {
+  private async read(calledAtMs: number): Promise<void> {
     const { topic, waitMs, onSnapshot, onChanges } = this.options;
     if (this.offset === undefined) {
       const page = await topic.newest(this.signal);
+      this.noteEra(page.era);
+      this.lastCalledAtMs = calledAtMs;
       this.tellReadAnew(page);
       this.takeIn(page, onSnapshot);
       return;
     }
     const page = await topic.changes(this.offset, waitMs, this.signal);
+    // The offset was given out again: what lies before it was never read.
+    if (page.era !== this.era) {
+      this.readAnew("returned");
+      return;
+    }
+    this.lastCalledAtMs = calledAtMs;
     this.takeIn(page, onChanges);
   }
 
-  private tellReadAnew({ records, nextOffset }: KeyedPage): void {
+  private readAnew(cause: ReadCause): void {
+    this.offset = undefined;
+    this.cause = cause;
+  }
+
+  /** Tells of a return before what was read then is taken in. */
+  private noteEra(era: number): void {
+    const before = this.era;
+    this.era = era;
+    if (before === undefined || before === era) return;
+    this.cause = "returned";
+    this.options.onReturned(this.lastCalledAtMs);
+  }
+
+  private tellReadAnew({ records, nextOffset, era }: KeyedPage): void {
     const { name, emit } = this.options;
-    const cause = this.isForgotten ? "forgotten" : "start";
-    emit(195, { stream: name, cause, records: records.length, nextOffset });
+    const { cause } = this;
+    const { length } = records;
+    emit(195, { stream: name, cause, records: length, nextOffset, era });
   }
 
   private takeIn(
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -34,6 +34,7 @@
   KeyedWriter,
 } from "../platform/keyed-topic.js";
 import { RecordFindings } from "../platform/record-findings.js";
+import type { StoreEra } from "../platform/store-era.js";
 import { RELEASE } from "../release.js";
 import {
   CONFIGURATION_STREAM,
@@ -58,6 +59,8 @@
   /** Reaches a runner at host:port. */
   readonly connectRunner: (address: string) => RankPort;
   readonly seats: SeatService;
+  /** Of the store that gives out the seats and holds the topics. */
+  readonly era: StoreEra;
   readonly configuration: KeyedTopic;
   readonly configurationKey: string;
   readonly decodeConfiguration: (value: Buffer) => SiteConfiguration;
@@ -86,6 +89,8 @@
   private readonly ranks = new Map<string, GroupRank>();
   private readonly group: KnownGroup;
   private engine: EngineFigures | undefined;
+  /** Of the configuration that told them. */
+  private engineVersion = Number.NEGATIVE_INFINITY;
   private readonly findings: RecordFindings;
   private readonly registerReader: RegisterReader;
   private readonly seat: PlannerSeat;
@@ -146,9 +151,15 @@
     this.seat = PlannerSeat.create({
       service: seats,
       emit: this.emit,
+      era: () => options.era.current,
       member: `${name}.${this.incarnation}`,
       leastLeaseMs: store.leastLeaseMs,
     });
+    options.era.onRise((era) => {
+      this.emit(196, { era });
+      measurements.set("storeEra", era);
+      this.pace.onStoreReturned();
+    });
   }
 
   static async create(options: AgentOptions): Promise<RankAgentProcess> {
@@ -281,6 +292,9 @@
         },
       });
       if (newest === undefined) return this.engine;
+      // The store may have come back from an older copy.
+      if (newest.version < this.engineVersion) return this.engine;
+      this.engineVersion = newest.version;
       const { service } = this.options.settings;
       const own = newest.services.find(({ name }) => name === service);
       this.engine = own?.engine;
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -30,7 +30,7 @@
 } from "./types.js";
 
 export interface GroupPlannerOptions {
-  readonly seat: Pick<PlannerSeat, "generation" | "onFenced">;
+  readonly seat: Pick<PlannerSeat, "generation" | "giveUp">;
   /** Those of the process: they outlast this planner. */
   readonly runs: SwitchRuns;
   readonly emit: Emit;
@@ -264,6 +264,10 @@
       speedsOf(states),
     );
     if (plan === undefined) return undefined;
+    if (run.isExhausted) {
+      this.options.seat.giveUp();
+      return undefined;
+    }
     const version = run.takeVersion();
     const { copies, skewBefore, skewAfter, sets } = plan;
     const tokens = Math.round(view.demand.total);
@@ -308,7 +312,7 @@
           : await rank.order(order, fence);
       if (result.kind === "fenced") {
         emit(171, { fencing: fence.fencing, highest: null, error: 1701 });
-        seat.onFenced();
+        seat.giveUp();
       }
       if (result.kind === "refused") this.onRefused(order, result.status);
       return result;
--- a/src/rankmaps/pace-reporter.ts
+++ b/src/rankmaps/pace-reporter.ts
@@ -14,6 +14,9 @@
 /** Below this a slow rank has recovered; in between, nothing changes. */
 const NORMAL_BELOW = 1.25;
 
+/** Notes that the store may lose when it comes back from an older copy, ms. */
+const REWRITTEN_MS = 60_000;
+
 export interface PaceReporterOptions {
   readonly notes: KeyedWriter;
   readonly now: Now;
@@ -30,6 +33,10 @@
 export class PaceReporter {
   /** Slow ranks by address. */
   private readonly noted = new Map<string, Noted>();
+  /** When a rank's note was last written, by address, monotonic ms. */
+  private readonly written = new Map<string, number>();
+  /** Written before the store came back: they may be gone. */
+  private lost: ReadonlySet<string> = new Set();
   private isWriting = false;
 
   private constructor(private readonly options: PaceReporterOptions) {}
@@ -38,6 +45,16 @@
     return new PaceReporter(options);
   }
 
+  /**
+   * The store came back from an older copy. Notes are written again, also those
+   * of ranks that have recovered, which the copy may show slow.
+   */
+  onStoreReturned(): void {
+    const sinceMs = this.options.now() - REWRITTEN_MS;
+    const recent = [...this.written].filter(([, atMs]) => atMs >= sinceMs);
+    this.lost = new Set(recent.map(([address]) => address));
+  }
+
   /**
    * Takes what the ranks show now. Never waits: a note that can't be written is
    * written after the next look.
@@ -49,6 +66,7 @@
   }
 
   private isDue({ address, slowness, startedAtMs }: PaceNote): boolean {
+    if (this.lost.has(address)) return true;
     const noted = this.noted.get(address);
     if (noted === undefined) return slowness >= SLOW_FROM;
     const order = orderOfLives(noted.startedAtMs, startedAtMs);
@@ -67,6 +85,7 @@
       for (const note of changed) {
         await notes.put(note.address, encodePaceNote(note));
         const { address, slowness, startedAtMs } = note;
+        this.noteWritten(address);
         if (!this.isNoted(note) || slowness < SLOW_FROM) {
           emit(224, { address, slowness });
         }
@@ -80,6 +99,11 @@
     this.isWriting = false;
   }
 
+  private noteWritten(address: string): void {
+    this.written.set(address, this.options.now());
+    this.lost = new Set([...this.lost].filter((one) => one !== address));
+  }
+
   /** Whether this life of the rank was slow by its last note. */
   private isNoted({ address, startedAtMs }: PaceNote): boolean {
     const noted = this.noted.get(address);
--- a/src/rankmaps/planner-seat.ts
+++ b/src/rankmaps/planner-seat.ts
@@ -5,7 +5,9 @@
  *
  * While the store is away the holder goes on: nobody else can get the seat
  * then, and if the store gave it away unseen, the newer generation's orders
- * overtake ours.
+ * overtake ours. When the store comes back from an older copy, it may give the
+ * seat and its generations out again: whoever had it has it no more until the
+ * store says so anew.
  */
 import { pause } from "../daemon/background-task.js";
 import {
@@ -14,9 +16,13 @@
   type Deferred,
   type Emit,
 } from "../internal.js";
+import { FIRST_ERA } from "../platform/store-era.js";
+import { generationOf, isNumberable } from "./map-versions.js";
 
 export interface SeatAssignment {
+  /** Rises with each change, within one era of the store. */
   readonly generation: number;
+  readonly era: number;
   readonly isHolder: boolean;
 }
 
@@ -34,6 +40,8 @@
 export interface PlannerSeatOptions {
   readonly service: SeatService;
   readonly emit: Emit;
+  /** The store's, as far as any of its answers has told. */
+  readonly era: () => number;
   /** New for every life of the process, so that a restart is a change. */
   readonly member: string;
   readonly leastLeaseMs: number;
@@ -63,9 +71,15 @@
   return Math.min(settledMs, UNSETTLED_INTERVAL_MS);
 }
 
+const NO_SEAT: SeatAssignment = {
+  generation: 0,
+  era: FIRST_ERA,
+  isHolder: false,
+};
+
 export class PlannerSeat {
-  private assignment: SeatAssignment = { generation: 0, isHolder: false };
-  private fencedGeneration = -1;
+  private assignment: SeatAssignment = NO_SEAT;
+  private givenUp = -1;
   private isLost = false;
   private changedAtMs = performance.now();
   private nextTurn: Deferred<undefined> = createDeferred();
@@ -76,11 +90,15 @@
     return new PlannerSeat(options);
   }
 
-  /** Fences the holder's orders; undefined without the seat. */
+  /**
+   * Fences the holder's orders, and rises over all eras of the store; undefined
+   * without the seat.
+   */
   get generation(): number | undefined {
-    const { generation, isHolder } = this.assignment;
-    if (!isHolder || generation <= this.fencedGeneration) return undefined;
-    return generation;
+    const { era, generation, isHolder } = this.assignment;
+    if (!isHolder || !isNumberable(era, generation)) return undefined;
+    if (this.isGivenUp || era !== this.options.era()) return undefined;
+    return this.number;
   }
 
   /** Resolves when the seat next comes or goes. */
@@ -88,9 +106,12 @@
     return this.nextTurn.promise;
   }
 
-  /** An order was refused: somebody with a higher number has the seat. */
-  onFenced(): void {
-    this.fencedGeneration = this.assignment.generation;
+  /**
+   * Nothing can be ordered under this generation any more: somebody with a
+   * higher one has used it, or its versions are used up.
+   */
+  giveUp(): void {
+    this.givenUp = this.number;
   }
 
   /** Keeps this process in the group until the signal aborts. */
@@ -108,8 +129,10 @@
   private async renew(group: string, leaseMs: number): Promise<void> {
     const { service, member, emit } = this.options;
     try {
-      if (this.isFenced) await this.giveBack(group);
-      const { generation } = this.assignment;
+      if (this.isGivenUp) await this.giveBack(group);
+      // Taken for one of this era, the number would confirm what wasn't seen.
+      const isPresent = this.assignment.era === this.options.era();
+      const generation = isPresent ? this.assignment.generation : 0;
       const next = await service.join(group, member, generation, leaseMs);
       if (this.isLost) emit(192, { stream: "seats", outageMs: 0 });
       this.isLost = false;
@@ -122,33 +145,40 @@
     }
   }
 
-  private get isFenced(): boolean {
-    const { generation, isHolder } = this.assignment;
-    return isHolder && generation <= this.fencedGeneration;
+  /** That of the assignment, over all eras. */
+  private get number(): number {
+    const { era, generation } = this.assignment;
+    return generationOf(era, generation);
+  }
+
+  private get isGivenUp(): boolean {
+    return this.assignment.isHolder && this.number <= this.givenUp;
   }
 
   /**
-   * The seat is ours and its orders are refused: a later holder has used a higher
-   * number. Nobody plans until the seat has a new generation.
+   * The seat is ours and of no use. Nobody plans until it has a new generation.
    */
   private async giveBack(group: string): Promise<void> {
     const { service, member } = this.options;
     await service.leave(group, member);
-    this.take({ generation: 0, isHolder: false });
+    this.take(NO_SEAT);
   }
 
   private take(next: SeatAssignment): void {
+    const { emit } = this.options;
     const before = this.assignment;
+    const fencing = this.number;
     this.assignment = next;
-    if (before.generation !== next.generation) {
-      this.changedAtMs = performance.now();
+    if (fencing !== this.number) this.changedAtMs = performance.now();
+    const isSameEra = before.era === next.era;
+    if (before.isHolder && !isSameEra) {
+      emit(174, { fencing, reason: "store came back" });
     }
-    if (before.isHolder === next.isHolder) return;
+    if ((before.isHolder && isSameEra) === next.isHolder) return;
     this.nextTurn.resolve(undefined);
     this.nextTurn = createDeferred();
-    const { emit } = this.options;
-    if (next.isHolder) emit(173, { fencing: next.generation });
-    else emit(174, { fencing: before.generation, reason: "superseded" });
+    if (next.isHolder) emit(173, { fencing: this.number });
+    else emit(174, { fencing, reason: "superseded" });
   }
 
   /** So that the next one need not wait for the lease to run out. */
--- a/src/rankmaps/switch-run.ts
+++ b/src/rankmaps/switch-run.ts
@@ -5,7 +5,11 @@
  */
 import { HoldSteps } from "./hold-steps.js";
 import { endHeldStep } from "./held-step.js";
-import { EACH_GENERATION, versionOf } from "./map-versions.js";
+import {
+  EACH_GENERATION,
+  MAPS_EACH_GENERATION,
+  versionOf,
+} from "./map-versions.js";
 import {
   pendingSwitch,
   type AddressedOrder,
@@ -34,6 +38,11 @@
     return this.generation * EACH_GENERATION;
   }
 
+  /** Whether the generation has no version left for a further map. */
+  get isExhausted(): boolean {
+    return this.versions >= MAPS_EACH_GENERATION;
+  }
+
   /** A version that no rank has had. */
   takeVersion(): number {
     this.versions += 1;
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -530,6 +530,13 @@
     "A platform service sent an answer that can't be understood.",
     "Check the release of the platform service.",
   ),
+  1904: entry(
+    "store-answer-outdated",
+    0,
+    "none",
+    "The answer is from before the store came back from an older copy.",
+    "None needed; it is asked again.",
+  ),
 
   // 2000: command-line tool
   2001: entry(
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -320,10 +320,18 @@
   }),
   195: entry("log-read-anew", "info", "All newest records were read.", {
     stream: "stream of the store",
-    cause: "start, or forgotten when the history had gone",
+    cause:
+      "start, forgotten when the history had gone, or returned when the store came back from an older copy",
     records: "how many",
     nextOffset: "offset from which it is followed",
+    era: "of the store, 0 when it names none",
   }),
+  196: entry(
+    "store-era",
+    "warn",
+    "The store names a new era: what was written last may be gone.",
+    { era: "as its answers name it; the first is seen at the start" },
+  ),
 
   // 200: direct path of an entry
   201: entry("routes-in-force", "info", "A configuration is in force here.", {
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -87,6 +87,14 @@
     labels: [],
     meaning: "Runners that may get work as far as this process knows.",
   },
+  storeEra: {
+    name: "apricotdeck_store_era",
+    kind: "gauge",
+    unit: "era",
+    labels: [],
+    meaning:
+      "Era of the platform's store; it rises when the store comes back from an older copy.",
+  },
   storeOutages: {
     name: "apricotdeck_store_outages_total",
     kind: "counter",
--- a/standins/keyed-store.ts
+++ b/standins/keyed-store.ts
@@ -1,14 +1,14 @@
 /**
  * Stand-in of the users' store as far as the direct path reads it: keyed
  * topics with their newest records and history, outages, a forgotten history,
- * connections that fall silent, and groups with one seat.
+ * connections that fall silent, and a return from a copy of some time before.
  */
 import {
   createServer,
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import { paths } from "../platform/names.js";
+import { headerNames, paths } from "../platform/names.js";
 import { listen, type Listening } from "../src/daemon/listening.js";
 
 interface StoredRecord {
@@ -38,6 +38,12 @@
     return new Topic();
   }
 
+  /** Offsets from here on are given out again. */
+  goBackTo(offset: number): void {
+    this.records.length = Math.min(this.records.length, offset);
+    this.firstOffset = Math.min(this.firstOffset, offset);
+  }
+
   append(record: StoredRecord): void {
     this.records.push(record);
     for (const wake of this.waiting) wake();
@@ -61,8 +67,13 @@
   }
 }
 
+/** What the store held at a moment: the next offset of each topic, by name. */
+export type StoreCopy = ReadonlyMap<string, number>;
+
 export class KeyedStore implements AsyncDisposable {
   mood: StoreMood = "well";
+  /** Rises by one with each return from a copy. */
+  era = 1;
   /** Calls by path, refused ones included. */
   readonly calls = new Map<string, number>();
   private readonly topics = new Map<string, Topic>();
@@ -109,6 +120,18 @@
     known.firstOffset = known.nextOffset;
   }
 
+  copy(): StoreCopy {
+    const topics = [...this.topics];
+    return new Map(topics.map(([name, { nextOffset }]) => [name, nextOffset]));
+  }
+
+  /** What was written since the copy is lost. */
+  returnFrom(copy: StoreCopy): void {
+    this.era += 1;
+    for (const [name, topic] of this.topics)
+      topic.goBackTo(copy.get(name) ?? 0);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.listening?.[Symbol.asyncDispose]();
   }
@@ -120,6 +143,7 @@
     const url = new URL(request.url ?? "/", "http://store");
     this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
     if (this.mood === "silent") return;
+    response.setHeader(headerNames.storeEra, this.era);
     if (this.mood === "refusing") {
       response.writeHead(UNAVAILABLE).end();
       return;
@@ -139,7 +163,8 @@
     const from = Number(query.get("start_key"));
     const waitMs = Math.min(Number(query.get("wait_ms")), LONGEST_WAIT_MS);
     await topic.waitBeyond(from, waitMs);
-    if (from < topic.firstOffset) {
+    response.setHeader(headerNames.storeEra, this.era);
+    if (from < topic.firstOffset || from > topic.nextOffset) {
       sendJson(response, GONE, { start_offset: topic.firstOffset });
       return;
     }
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -48,6 +48,17 @@
     this.directory.apply([{ id, server: undefined }]);
   }
 
+  /** All newest records, as a reading of the whole register gives them. */
+  readWhole(...servers: readonly Partial<BackendServer>[]): void {
+    this.directory.replace(servers.map(serverOf));
+  }
+
+  /** The store has come back from a copy that holds these records. */
+  comeBackWith(...servers: readonly Partial<BackendServer>[]): void {
+    this.directory.onStoreReturned(this.time.nowMs);
+    this.readWhole(...servers);
+  }
+
   /** The store is back since the last call that failed. */
   restore(sinceMs = 0): void {
     this.directory.onStoreRestored(this.time.nowMs - sinceMs);
@@ -210,4 +221,69 @@
     site.directory.replace([serverOf({ id: "b", address: "10.0.0.2:80" })]);
     assert.equal(site.names, ["b"]);
   });
+
+  describe("when the store comes back from an older copy", () => {
+    it("gives a removed runner nothing that the copy still shows ready", () => {
+      // Its address leads nowhere by now, or to another runner.
+      const site = new Site();
+      site.register({ heartbeat: 4 });
+      site.remove("r1");
+      site.comeBackWith({ heartbeat: 4 });
+      assert.equal(site.names, []);
+      site.readWhole({ heartbeat: 3 });
+      assert.equal(site.names, []);
+    });
+
+    it("gives a leaving runner nothing that the copy still shows ready", () => {
+      // The process has read that it leaves, which binds it whatever the store
+      // has lost; past the platform's bound each request breaks its rules.
+      const site = new Site();
+      site.register({ heartbeat: 4 });
+      site.register({ heartbeat: 5, isLeaving: true });
+      site.comeBackWith({ heartbeat: 4 });
+      assert.equal(site.names, []);
+      site.register({ heartbeat: 5 });
+      assert.equal(site.names, []);
+    });
+
+    it("gives one that had left before the return nothing either", () => {
+      // Its entry was removed, so nothing of it is in the register any more.
+      const site = new Site();
+      site.register({ heartbeat: 4 });
+      site.register({ heartbeat: 5, isLeaving: true });
+      site.remove("r1");
+      site.pass(3000);
+      site.comeBackWith({ heartbeat: 4 });
+      assert.equal(site.names, []);
+    });
+
+    it("takes a removed runner that writes again", () => {
+      const site = new Site();
+      site.register({ heartbeat: 4 });
+      site.remove("r1");
+      site.comeBackWith({ heartbeat: 4 });
+      site.register({ heartbeat: 5 });
+      assert.equal(site.names, ["r1"]);
+    });
+
+    it("keeps a runner that isn't in the copy until it can have written again", () => {
+      // It registered after the copy was made. Taken for gone, all that have
+      // started lately get nothing until their next heartbeat.
+      const site = new Site();
+      site.register({ heartbeat: 1 });
+      site.comeBackWith();
+      site.pass(LAPSE_GRACE_MS - 1);
+      assert.equal(site.names, ["r1"]);
+      site.pass(1);
+      assert.equal(site.names, []);
+    });
+
+    it("takes a later life at once", () => {
+      const site = new Site();
+      site.register({ heartbeat: 4, startedAtMs: 1000 });
+      site.remove("r1");
+      site.comeBackWith({ heartbeat: 1, startedAtMs: 2000 });
+      assert.equal(site.names, ["r1"]);
+    });
+  });
 });
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -67,6 +67,7 @@
         readiness: "127.0.0.1:0",
       },
       codec: headerCodec,
+      era: client.era,
       configuration: client.keyedTopic(topics.operator),
       configurationKey: topics.configurationKey,
       decodeConfiguration,
--- a/tests/platform/store-client.test.ts
+++ b/tests/platform/store-client.test.ts
@@ -32,4 +32,37 @@
     isCut = false;
     assert.is((await topic.newest(signal)).records.length, 1);
   });
+
+  describe("of a store that came back from a copy", () => {
+    it("takes no answer of before once it has seen a later one", async () => {
+      // A connection on which an answer was on its way goes on for a moment.
+      // What it tells was lost, and would be taken for what holds now.
+      await using store = await KeyedStore.create();
+      store.put(topics.operator, "key", 1);
+      await using client = StoreClient.create(store.address);
+      const topic = client.keyedTopic(topics.operator);
+      const { signal } = new AbortController();
+      store.era = 3;
+      assert.is((await topic.newest(signal)).era, 3);
+      store.era = 2;
+      assert.is(await outcomeWithin(topic.newest(signal), SOON_MS), "failed");
+      assert.is(
+        await outcomeWithin(topic.changes(0, 0, signal), SOON_MS),
+        "failed",
+      );
+      assert.is(client.era.current, 3);
+    });
+
+    it("hears of it by a refusal, too", async () => {
+      // All answers tell, and a planner had better stop sooner than later.
+      await using store = await KeyedStore.create();
+      await using client = StoreClient.create(store.address);
+      const topic = client.keyedTopic(topics.operator);
+      const { signal } = new AbortController();
+      store.era = 4;
+      store.mood = "refusing";
+      assert.is(await outcomeWithin(topic.newest(signal), SOON_MS), "failed");
+      assert.is(client.era.current, 4);
+    });
+  });
 });
--- a/tests/platform/topic-follower.test.ts
+++ b/tests/platform/topic-follower.test.ts
@@ -9,10 +9,15 @@
 import { describe, it } from "../support/describe.js";
 
 const TOPIC = "keyed.things";
+/** Many times as long as anything here takes, ms. */
+const LONGEST_WAIT_MS = 10_000;
 
 class Following implements AsyncDisposable {
   readonly seen = new Map<string, string | undefined>();
+  /** The topic as it stands: a snapshot tells what is gone, too. */
+  readonly newest = new Map<string, string>();
   snapshots = 0;
+  returned = 0;
   lost = 0;
   restored = 0;
   lastFailedAtMs = 0;
@@ -38,7 +43,9 @@
   }
 
   async until(condition: () => boolean): Promise<void> {
+    const deadlineMs = performance.now() + LONGEST_WAIT_MS;
     while (!condition()) {
+      assert.ok(performance.now() < deadlineMs, "waited in vain");
       await new Promise((resolve) => {
         setTimeout(resolve, 5);
       });
@@ -56,6 +63,8 @@
       for (const { key, value } of records) {
         if (key === this.poison) throw new TypeError(`can't take ${key}`);
         this.seen.set(key, value?.toString());
+        if (value === undefined) this.newest.delete(key);
+        else this.newest.set(key, value.toString());
       }
     };
     void followTopic(
@@ -72,9 +81,13 @@
         }),
         onSnapshot: (records) => {
           this.snapshots += 1;
+          this.newest.clear();
           take(records);
         },
         onChanges: take,
+        onReturned: () => {
+          this.returned += 1;
+        },
         onLost: () => {
           this.lost += 1;
         },
@@ -125,6 +138,44 @@
     await following.until(() => following.seen.get("a") === "1");
   });
 
+  it("misses nothing that took the offsets of lost records", async () => {
+    // The store loses its last records, and others have taken their offsets
+    // before the next reading, which succeeds: a removal among them is missed.
+    await using following = await Following.create((store) => {
+      for (const key of ["a", "b"]) store.put(TOPIC, key, 1);
+    });
+    await following.until(() => following.seen.get("b") === "1");
+    const { store } = following;
+    const copy = store.copy();
+    for (const key of ["c", "d", "e"]) store.put(TOPIC, key, 1);
+    await following.until(() => following.seen.get("e") === "1");
+    store.mood = "refusing";
+    await following.until(() => following.lost === 1);
+    store.returnFrom(copy);
+    store.drop(TOPIC, "a");
+    for (const key of ["f", "g", "h"]) store.put(TOPIC, key, 2);
+    store.mood = "well";
+    await following.until(() => following.seen.get("h") === "2");
+    assert.is(following.newest.has("a"), false);
+    assert.is(following.newest.get("f"), "2");
+  });
+
+  it("reads everything anew when the store went back unseen", async () => {
+    // No call failed in between, so no outage shows that records were lost.
+    await using following = await Following.create((store) => {
+      store.put(TOPIC, "a", 1);
+    });
+    await following.until(() => following.snapshots === 1);
+    const copy = following.store.copy();
+    following.store.put(TOPIC, "a", 2);
+    await following.until(() => following.seen.get("a") === "2");
+    following.store.returnFrom(copy);
+    following.store.put(TOPIC, "b", 3);
+    await following.until(() => following.seen.get("b") === "3");
+    assert.equal([following.snapshots, following.returned], [2, 1]);
+    assert.is(following.newest.get("a"), "1");
+  });
+
   it("tells a time at which the store was still away", async () => {
     // Whoever counts from the store's return counts from too late if it is the
     // time of the first answer: a call that hangs is given up after a second,
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -78,7 +78,7 @@
   /** In the same process and generation of the seat, knowing no map. */
   createPlanner(group = "g"): GroupPlanner {
     return GroupPlanner.create({
-      seat: { generation: 1, onFenced: () => undefined },
+      seat: { generation: 1, giveUp: () => undefined },
       runs: this.runs,
       emit: ignoreEvents,
       measurements: ignoreMeasurements,
--- a/tests/rankmaps/group-search.test.ts
+++ b/tests/rankmaps/group-search.test.ts
@@ -3,6 +3,7 @@
 import { decodeRegistration } from "../../platform/register.js";
 import { RankAgentProcess } from "../../src/rankmaps/agent.js";
 import type { RankPort, RankState } from "../../src/rankmaps/types.js";
+import { StoreEra } from "../../src/platform/store-era.js";
 import type { KeyedTopic } from "../../src/platform/keyed-topic.js";
 import { describe, it } from "../support/describe.js";
 import { RANK_STATE } from "./rank-state.js";
@@ -39,7 +40,7 @@
 function topicOf(
   records: readonly { readonly key: string; readonly value: Buffer }[],
 ): KeyedTopic {
-  const page = { records, unreadable: [], nextOffset: records.length };
+  const page = { records, unreadable: [], nextOffset: records.length, era: 0 };
   return {
     newest: () => Promise.resolve(page),
     changes: () => Promise.resolve(page),
@@ -74,9 +75,10 @@
         return port;
       },
       seats: {
-        join: () => Promise.resolve({ generation: 0, isHolder: false }),
+        join: () => Promise.resolve({ generation: 0, era: 0, isHolder: false }),
         leave: () => Promise.resolve(),
       },
+      era: StoreEra.create(),
       configuration: topicOf([]),
       configurationKey: "config",
       decodeConfiguration,
--- a/tests/rankmaps/held-engines.ts
+++ b/tests/rankmaps/held-engines.ts
@@ -9,6 +9,7 @@
 import type { Random } from "../../src/internal.js";
 import type {
   ArmedMap,
+  MapSets,
   OrderFence,
   RankOrder,
   RankState,
@@ -23,6 +24,9 @@
 interface Engine {
   readonly startedAtMs: number;
   map: number;
+  /** Content of the map in use, and of the prepared one. */
+  sets: MapSets;
+  preparedSets: MapSets;
   prepared: number | undefined;
   highestVersion: number;
   armed: ArmedMap | undefined;
@@ -188,12 +192,15 @@
       this.keepReport(rank);
       if (engine.armed?.step !== next) continue;
       engine.map = engine.armed.version;
+      engine.sets = engine.preparedSets;
       engine.armed = undefined;
       engine.prepared = undefined;
       switched += 1;
     }
     this.step = next;
-    const maps = new Set(this.engines.map(({ map }) => map));
+    const maps = new Set(
+      this.engines.map(({ map, sets }) => JSON.stringify([map, sets])),
+    );
     this.counted.passes += 1;
     if (switched > 0) this.counted.switches += 1;
     if (maps.size > 1) this.counted.mixedPasses += 1;
@@ -233,6 +240,7 @@
     this.forgetReports();
     for (const engine of this.engines) {
       engine.map = 0;
+      engine.sets = [];
       engine.prepared = undefined;
       engine.armed = undefined;
       engine.held = undefined;
@@ -256,6 +264,8 @@
     return {
       startedAtMs: this.startedAtMs,
       map: 0,
+      sets: [],
+      preparedSets: [],
       prepared: undefined,
       highestVersion: 0,
       armed: undefined,
@@ -283,6 +293,7 @@
         if (engine.armed !== undefined) return false;
         engine.highestVersion = order.version;
         engine.prepared = order.version;
+        engine.preparedSets = order.sets;
         return true;
       case "arm":
         if (engine.prepared !== order.version) return false;
--- a/tests/rankmaps/pace-reporter.test.ts
+++ b/tests/rankmaps/pace-reporter.test.ts
@@ -107,4 +107,14 @@
       assert.equal(notes.lives, [2000, 1000]);
     });
   });
+
+  it("writes again what a store that came back may have lost", async () => {
+    // The copy shows the rank slow that has recovered, and the entries, which
+    // read all of it anew, would send it nothing for as long as a note counts.
+    const notes = new Notes();
+    for (const slowness of [5, 1]) await notes.look(slowness);
+    notes.reporter.onStoreReturned();
+    for (const slowness of [1, 1]) await notes.look(slowness);
+    assert.equal(notes.written, [5, 1, 1]);
+  });
 });
--- a/tests/rankmaps/planner-seat.test.ts
+++ b/tests/rankmaps/planner-seat.test.ts
@@ -10,13 +10,22 @@
 
 /** Answers with what the test has set; an outage is an undefined assignment. */
 class Seats {
-  assignment: SeatAssignment | undefined = { generation: 1, isHolder: false };
+  assignment: SeatAssignment | undefined = {
+    generation: 1,
+    era: 0,
+    isHolder: false,
+  };
+  /** Of the store, as any of its answers has told. */
+  era = 0;
+  /** Generations that were named to the store. */
+  readonly named: number[] = [];
   joins = 0;
   left = false;
 
   readonly service: SeatService = {
-    join: () => {
+    join: (_group, _member, generation) => {
       this.joins += 1;
+      this.named.push(generation);
       const { assignment } = this;
       return assignment === undefined
         ? Promise.reject(failure(1901))
@@ -46,14 +55,18 @@
   const seat = PlannerSeat.create({
     service: seats.service,
     emit: ignoreEvents,
+    era: () => seats.era,
     member: "agent.1",
     leastLeaseMs: 100,
   });
   const stop = new AbortController();
   const running = seat.run("group", stop.signal);
-  await body(seats, seat);
-  stop.abort();
-  await running;
+  try {
+    await body(seats, seat);
+  } finally {
+    stop.abort();
+    await running;
+  }
   return seats;
 }
 
@@ -76,10 +89,10 @@
   it("is held while the store says so, and left at the end", async () => {
     const seats = await withSeat(async (given, seat) => {
       assert.is(seat.generation, undefined);
-      given.assignment = { generation: 4, isHolder: true };
+      given.assignment = { generation: 4, era: 0, isHolder: true };
       await given.nextJoin();
       assert.is(seat.generation, 4);
-      given.assignment = { generation: 5, isHolder: false };
+      given.assignment = { generation: 5, era: 0, isHolder: false };
       await given.nextJoin();
       assert.is(seat.generation, undefined);
     });
@@ -90,7 +103,7 @@
     // Demand goes on turning while the store is away. Nobody else can be given
     // the seat then, and a group without a planner makes every stream late.
     await withSeat(async (given, seat) => {
-      given.assignment = { generation: 4, isHolder: true };
+      given.assignment = { generation: 4, era: 0, isHolder: true };
       await given.nextJoin();
       given.assignment = undefined;
       await given.nextJoin();
@@ -102,14 +115,76 @@
     // The store gave the seat to another agent, whose orders have reached a
     // rank before this process heard of it.
     await withSeat(async (given, seat) => {
-      given.assignment = { generation: 4, isHolder: true };
+      given.assignment = { generation: 4, era: 0, isHolder: true };
       await given.nextJoin();
-      seat.onFenced();
+      seat.giveUp();
       await given.nextJoin();
       assert.is(seat.generation, undefined);
-      given.assignment = { generation: 7, isHolder: true };
+      given.assignment = { generation: 7, era: 0, isHolder: true };
       await given.nextJoin();
       assert.is(seat.generation, 7);
     });
   });
+
+  describe("of a store that comes back from an older copy", () => {
+    it("isn't held until the store gives it anew", async () => {
+      // The copy's holder may be another agent: with both planning, two maps
+      // would be switched to at once.
+      await withSeat(async (given, seat) => {
+        given.assignment = { generation: 9, era: 0, isHolder: true };
+        await given.nextJoin();
+        given.assignment = undefined;
+        given.era = 1;
+        assert.is(seat.generation, undefined);
+        await given.nextJoin();
+        assert.is(seat.generation, undefined);
+        given.assignment = { generation: 3, era: 1, isHolder: true };
+        await given.nextJoin();
+        assert.ok((seat.generation ?? 0) > 9);
+      });
+    });
+
+    it("has numbers above those of all eras before", async () => {
+      // Generations are given out again. Under an equal number ranks would take
+      // two maps for one, and under a lower one refuse every order.
+      await withSeat(async (given, seat) => {
+        given.assignment = { generation: 999_999, era: 4, isHolder: true };
+        given.era = 4;
+        await given.nextJoin();
+        const before = seat.generation ?? 0;
+        given.assignment = { generation: 0, era: 5, isHolder: true };
+        given.era = 5;
+        await given.nextJoin();
+        assert.ok((seat.generation ?? 0) > before);
+      });
+    });
+
+    it("names no generation of an earlier era to it", async () => {
+      // A member that names a later generation confirms what was given away
+      // under all before, which this one hasn't seen.
+      const { named } = await withSeat(async (given) => {
+        given.assignment = { generation: 9, era: 0, isHolder: false };
+        await given.nextJoin();
+        given.assignment = undefined;
+        given.era = 1;
+        given.named.length = 0;
+        await given.nextJoin();
+      });
+      assert.ok(named.every((generation) => generation === 0));
+    });
+  });
+
+  it("isn't held under a number whose versions couldn't be told apart", async () => {
+    // Past the whole numbers that a double holds, two maps get one version.
+    await withSeat(async (given, seat) => {
+      given.assignment = { generation: 1, era: 9008, isHolder: true };
+      given.era = 9008;
+      await given.nextJoin();
+      assert.is(seat.generation, undefined);
+      given.assignment = { generation: 1_000_000, era: 1, isHolder: true };
+      given.era = 1;
+      await given.nextJoin();
+      assert.is(seat.generation, undefined);
+    });
+  });
 });
--- a/tests/rankmaps/switch-orders.test.ts
+++ b/tests/rankmaps/switch-orders.test.ts
@@ -11,9 +11,11 @@
   wholeGroup,
   type AddressedOrder,
 } from "../../src/rankmaps/switch-orders.js";
+import { generationOf } from "../../src/rankmaps/map-versions.js";
 import { SwitchRun } from "../../src/rankmaps/switch-run.js";
 import type {
   MapGoal,
+  MapSets,
   OrderFence,
   RankState,
 } from "../../src/rankmaps/types.js";
@@ -48,6 +50,11 @@
   restartWhileAnswering: 0.1,
 };
 
+/** Turns at which the store comes back from an older copy. */
+const RETURN_SHARE = 0.03;
+/** Generations that such a copy is behind. */
+const MOST_LOST_GENERATIONS = 6;
+
 /** Turns at which a group falls idle. */
 const IDLE_SHARE = 0.01;
 /** Turns at which an idle group has work again. */
@@ -62,6 +69,7 @@
   /** Those of the process beside each rank. */
   readonly holdSteps = Array.from({ length: RANKS }, () => HoldSteps.create());
   private isIdle = false;
+  private maps = 0;
   /** The highest version that each rank was told to prepare. */
   readonly toldVersions = Array.from({ length: RANKS }, () => 0);
 
@@ -73,6 +81,12 @@
     this.engines = HeldEngines.create(RANKS, random, isFencingChecked);
   }
 
+  /** Unlike every other one: ranks don't compare maps, but these histories do. */
+  newMap(): MapSets {
+    this.maps += 1;
+    return [[[this.maps]]];
+  }
+
   /** Whether the life that was seen confirms the order. */
   send(
     states: readonly RankState[],
@@ -188,7 +202,11 @@
     if (isDone) this.goal = undefined;
     if (run.isIdle(states)) {
       const holder = (this.rank + 1) % RANKS;
-      this.goal ??= { version: run.takeVersion(), sets: [], holder };
+      this.goal ??= {
+        version: run.takeVersion(),
+        sets: world.newMap(),
+        holder,
+      };
     }
     this.carryOut(states);
     // Refused as not higher than what the rank has had: a new version.
@@ -244,10 +262,13 @@
 function play(
   seed: number,
   faults: Faults = USUAL_FAULTS,
+  returnShare = 0,
 ): { world: World; history: History } {
   const random: Random = createRandom(seed);
   const world = new World(random, faults, seed % 2 === 0);
-  let generation = 1;
+  let era = 0;
+  let counted = 1;
+  let generation = generationOf(era, counted);
   let planners = [Planner.create(world, generation)];
   for (let turn = 0; turn < 120; turn += 1) {
     const planner = planners[Math.floor(random() * planners.length)];
@@ -257,9 +278,16 @@
       const { fencing } = SwitchRun.create(generation);
       guard(world, Math.floor(random() * RANKS), fencing);
     }
-    if (random() < 0.02) {
+    const isReturn = returnShare > 0 && random() < returnShare;
+    if (isReturn) {
+      era += 1;
+      counted -= Math.floor(random() * MOST_LOST_GENERATIONS);
+      counted = Math.max(0, counted);
+    }
+    if (isReturn || random() < 0.02) {
       // Another planner takes the seat; the old one doesn't know for a while.
-      generation += 1;
+      counted += 1;
+      generation = generationOf(era, counted);
       const next = Planner.create(world, generation);
       planners = planners.slice(-1);
       if (random() < 0.5) {
@@ -299,6 +327,19 @@
     }
   });
 
+  it("never lets a pass run with two maps when generations are given out again", () => {
+    // The store comes back from an older copy and gives the seat to somebody
+    // under a generation that another planner has used, whose orders are still
+    // under way, or who doesn't know yet.
+    let switches = 0;
+    for (let seed = 1; seed <= HISTORIES; seed += 1) {
+      const { history } = play(seed, USUAL_FAULTS, RETURN_SHARE);
+      assert.is(history.mixedPasses, 0, `seed ${seed}`);
+      switches += history.switches;
+    }
+    assert.ok(switches > HISTORIES / 2, `${switches} switches`);
+  });
+
   it("lets the group go on after whatever was lost", () => {
     // The last planner is left alone with engines that answer in time: it has
     // to finish what the others began, or the group would stand still.
