Let only a group's planner look for its ranks, and tell the others

Cause, by reading and by the measurements in the issue on hundreds of VMs: each agent observed every registered runner of the service over a channel of its own, holder of a seat or not, and kept all channels. With 192 runners that is 192 x 191 channels for three groups of 64; 191 clients take 22 MB and 0.60 s of a core on the asking side alone.

Change: an agent without the seat looks for nobody. Orders to prepare a map name the group's runners, which the agent keeps for that epoch: a step is held only behind a prepared map, so the guard of a held step knows its group without the store. A planner that takes over in the same epoch needs no search either. Runners that a search saw in another group are left out of the next one while the own group is whole without them, and their connections are closed.

KnownGroup.prepare is gone with the only thing that it was for, and its tests look at read and markStale instead.

--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -87,6 +87,8 @@
   private readonly stop = new AbortController();
   private readonly clients = new Map<string, RankClient>();
   private readonly ranks = new Map<string, GroupRank>();
+  /** host:port of runners that were seen in another group. */
+  private readonly others = new Set<string>();
   private readonly group: KnownGroup;
   private engine: EngineFigures | undefined;
   /** Of the configuration that told them. */
@@ -130,6 +132,7 @@
     this.group = KnownGroup.create({
       observeOwn: () => port.observe(),
       find: (own) => this.findGroup(own, this.stop.signal),
+      rankAt: (address) => this.rankAt(address),
       onFailure: (error) => {
         this.noteUnreachable(error);
       },
@@ -144,6 +147,9 @@
     this.agent = RankAgent.create({
       port,
       maps: this.maps,
+      onMembers: (epoch, members) => {
+        this.group.tell(epoch, members);
+      },
       onHold: (hold) => {
         guard.watch(hold);
       },
@@ -210,7 +216,6 @@
       if (this.seat.generation === undefined) {
         planner = undefined;
         const { turn } = this.seat;
-        await this.group.prepare(own.size);
         await Promise.race([turn, pause(SEARCH_INTERVAL_MS, signal)]);
         continue;
       }
@@ -311,6 +316,19 @@
     own: RankState,
     signal: AbortSignal,
   ): Promise<readonly GroupRank[]> {
+    const addresses = await this.registeredAddresses(signal);
+    const isOther = (address: string): boolean => this.others.has(address);
+    const likely = addresses.filter((address) => !isOther(address));
+    const members = await this.membersAmong(likely, own);
+    if (members.length === own.size) return members;
+    // A runner may start again in another group.
+    const unlikely = addresses.filter(isOther);
+    return [...members, ...(await this.membersAmong(unlikely, own))];
+  }
+
+  private async registeredAddresses(
+    signal: AbortSignal,
+  ): Promise<readonly string[]> {
     const { register, settings } = this.options;
     const { records, unreadable } = await register.newest(signal);
     this.findings.noteUnreadable(REGISTER_STREAM, unreadable);
@@ -319,9 +337,20 @@
       .flatMap(({ server }) => server ?? [])
       .filter(({ service }) => service === settings.service)
       .map(({ address }) => address);
-    const ranks = [...new Set(addresses)].map((to) => this.rankAt(to));
+    return [...new Set(addresses)];
+  }
+
+  private async membersAmong(
+    addresses: readonly string[],
+    { group }: RankState,
+  ): Promise<readonly GroupRank[]> {
+    const ranks = addresses.map((address) => this.rankAt(address));
     const groups = await Promise.all(ranks.map((rank) => this.groupOf(rank)));
-    return ranks.filter((_, index) => groups[index] === own.group);
+    ranks.forEach(({ address }, index) => {
+      if (groups[index] === group) this.others.delete(address);
+      else if (groups[index] !== undefined) this.leaveOut(address);
+    });
+    return ranks.filter((_, index) => groups[index] === group);
   }
 
   private async groupOf(rank: GroupRank): Promise<string | undefined> {
@@ -335,17 +364,31 @@
     }
   }
 
+  /** Of another group: its connections would be kept open for nothing. */
+  private leaveOut(address: string): void {
+    this.others.add(address);
+    this.ranks.delete(address);
+    const agent = this.agentAddressOf(address);
+    this.clients.get(agent)?.[Symbol.dispose]();
+    this.clients.delete(agent);
+  }
+
+  private agentAddressOf(address: string): string {
+    const { host } = hostPortOf(address);
+    const { port } = hostPortOf(this.options.settings.peers);
+    return `${host}:${port}`;
+  }
+
   /** `address`: host:port of the runner; its agent is on the same VM. */
   private rankAt(address: string): GroupRank {
     const known = this.ranks.get(address);
     if (known !== undefined) return known;
-    const { host } = hostPortOf(address);
-    const { port } = hostPortOf(this.options.settings.peers);
     const rank = createReachableRank({
       address,
-      agent: this.clientOf(`${host}:${port}`),
+      agent: this.clientOf(this.agentAddressOf(address)),
       runner: this.options.connectRunner(address),
       now: () => performance.now(),
+      members: () => this.group.ranks.map((one) => one.address),
     });
     this.ranks.set(address, rank);
     return rank;
--- a/src/rankmaps/known-group.ts
+++ b/src/rankmaps/known-group.ts
@@ -1,6 +1,8 @@
 /**
- * The ranks of the own runner's group, found before they are needed: the store
- * that names the runners may be away by then.
+ * The ranks of the own runner's group. Whoever plans for it finds them among all
+ * runners of the service and tells the others with each map to prepare, so that
+ * one agent of a group looks for it, not all: with hundreds of runners each
+ * search costs half a second of a core. Within an epoch nobody joins or leaves.
  */
 import type { GroupRank, RankState } from "./types.js";
 
@@ -9,10 +11,19 @@
   readonly observeOwn: () => Promise<RankState>;
   /** The ranks that can be reached of the own one's group. Throws 1901. */
   readonly find: (own: RankState) => Promise<readonly GroupRank[]>;
+  /** `address`: host:port of the runner. */
+  readonly rankAt: (address: string) => GroupRank;
   readonly onFailure: (error: unknown) => void;
 }
 
+interface ToldGroup {
+  readonly epoch: number;
+  /** host:port of the runners. */
+  readonly addresses: readonly string[];
+}
+
 export class KnownGroup {
+  private told: ToldGroup | undefined;
   private known: readonly GroupRank[] = [];
   private isStale = true;
   /** The last search in this epoch failed. */
@@ -25,6 +36,11 @@
     return new KnownGroup(options);
   }
 
+  /** What the planner says of the group; the store may be away by now. */
+  tell(epoch: number, addresses: readonly string[]): void {
+    this.told = { epoch, addresses };
+  }
+
   /** As found last. */
   get ranks(): readonly GroupRank[] {
     return this.known;
@@ -49,6 +65,7 @@
     // each look at its group tries a store that is away.
     const isEnough = !this.isStale || this.hasFailed;
     if (isWhole && isPresent && isEnough) return this.known;
+    if (!isPresent && this.isTold(own)) return this.takeTold(own);
     try {
       this.known = await this.options.find(own);
       this.isStale = false;
@@ -63,14 +80,16 @@
     return this.known;
   }
 
-  /** Unless nothing has shown that what is known is out of date. */
-  async prepare(size: number): Promise<void> {
-    if (this.known.length === size && !this.isStale) return;
+  private isTold({ epoch, size }: RankState): boolean {
+    return this.told?.epoch === epoch && this.told.addresses.length === size;
+  }
+
+  private takeTold({ epoch }: RankState): readonly GroupRank[] {
+    const addresses = this.told?.addresses ?? [];
+    this.known = addresses.map((address) => this.options.rankAt(address));
+    this.epoch = epoch;
+    this.isStale = false;
     this.hasFailed = false;
-    try {
-      await this.read();
-    } catch (error) {
-      this.options.onFailure(error);
-    }
+    return this.known;
   }
 }
--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -26,6 +26,8 @@
 export interface RankAgentOptions {
   readonly port: RankPort;
   readonly maps: RelayedMaps;
+  /** host:port of the group's runners in the epoch, as its planner says. */
+  readonly onMembers: (epoch: number, members: readonly string[]) => void;
   /** The planner is about to have a step held at the own rank. */
   readonly onHold: (hold: WatchedHold) => void;
 }
@@ -93,8 +95,9 @@
   private async order(request: RankOrderRequest): Promise<RankOrderReply> {
     const order = readOrder(request);
     if (order === undefined) return REFUSED;
-    const { epoch, fencing } = request;
+    const { epoch, fencing, members } = request;
     const fence = { epoch, fencing };
+    if (members.length > 0) this.options.onMembers(epoch, members);
     if (order.kind === "prepare") this.options.maps.note(order);
     return writeResult(await this.options.port.order(order, fence));
   }
--- a/src/rankmaps/rank-client.ts
+++ b/src/rankmaps/rank-client.ts
@@ -69,8 +69,12 @@
   }
 
   /** Throws 1607: the order may have been carried out, or may yet be. */
-  async order(order: AgentOrder, fence: OrderFence): Promise<OrderResult> {
-    const message = writeOrder(order, fence);
+  async order(
+    order: AgentOrder,
+    fence: OrderFence,
+    members: readonly string[],
+  ): Promise<OrderResult> {
+    const message = writeOrder(order, fence, members);
     const reply = await this.call<RankOrderReply>((options, done) => {
       this.client.order(message, new Metadata(), options, done);
     });
--- a/src/rankmaps/rank-messages.ts
+++ b/src/rankmaps/rank-messages.ts
@@ -59,8 +59,14 @@
 export function writeOrder(
   order: AgentOrder,
   fence: OrderFence,
+  members: readonly string[],
 ): RankOrderRequest {
-  return { ...fence, order: orderMessage(order) };
+  const isTold = order.kind === "prepare";
+  return {
+    ...fence,
+    order: orderMessage(order),
+    members: isTold ? members : [],
+  };
 }
 
 /** Undefined for an order that this release doesn't know. */
--- a/src/rankmaps/reachable-rank.ts
+++ b/src/rankmaps/reachable-rank.ts
@@ -42,9 +42,11 @@
 /** A rank by way of its agent alone. */
 export interface AgentRank {
   readonly observe: GroupRank["observe"];
+  /** `members`: host:port of all runners of the group, as this process knows. */
   readonly order: (
     order: AgentOrder,
     fence: OrderFence,
+    members: readonly string[],
   ) => Promise<OrderResult>;
   readonly guard: (hold: WatchedHold) => Promise<void>;
 }
@@ -55,10 +57,12 @@
   readonly agent: AgentRank;
   readonly runner: RankPort;
   readonly now: Now;
+  /** host:port of all runners of the group. */
+  readonly members: () => readonly string[];
 }
 
 export function createReachableRank(options: ReachableRankOptions): GroupRank {
-  const { address, agent, runner, now } = options;
+  const { address, agent, runner, now, members } = options;
   const lives = LatestLife.create(now);
   let retryAtMs = Number.NEGATIVE_INFINITY;
   const admit = (startedAtMs: LifeStart): void => {
@@ -100,7 +104,7 @@
       ),
     order: (order, fence) =>
       attempt(
-        async () => admitResult(await agent.order(order, fence)),
+        async () => admitResult(await agent.order(order, fence, members())),
         async () => admitResult(await runner.order(order, fence)),
       ),
     // Given straight to the runner: the agent's VM only has to let the step go.
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -138,7 +138,13 @@
       guard: () => Promise.resolve(),
     };
     const address = `10.0.0.${rank}:1`;
-    return createReachableRank({ address, agent, runner, now: () => 0 });
+    return createReachableRank({
+      address,
+      agent,
+      runner,
+      now: () => 0,
+      members: () => [],
+    });
   }
 
   private async take(
--- a/tests/rankmaps/group-search.test.ts
+++ b/tests/rankmaps/group-search.test.ts
@@ -13,6 +13,15 @@
 const OWN = "127.0.0.1:9001";
 const OTHER = "127.0.0.1:9002";
 const FOREIGN = "127.0.0.1:9003";
+const OTHER_GROUP = "127.0.0.1:9101";
+/** Longer than an agent takes from its start to a search, ms. */
+const SEARCH_MS = 1200;
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
 
 const state: RankState = { ...RANK_STATE, rank: 0, size: 2, step: 0 };
 
@@ -47,47 +56,127 @@
   };
 }
 
+const CONFIGURATION = {
+  version: 1,
+  routes: [],
+  services: [
+    { name: "model", engine: { slots: 4, expert_sets: 1, experts: 2 } },
+  ],
+  limits: {
+    max_header_bytes: 4096,
+    max_body_bytes: 1000,
+    header_timeout_ms: 3000,
+    idle_timeout_ms: 15_000,
+  },
+};
+
+function recordOf(
+  key: string,
+  value: unknown,
+): { readonly key: string; readonly value: Buffer } {
+  return { key, value: Buffer.from(JSON.stringify(value)) };
+}
+
+interface Search {
+  readonly addresses: readonly string[];
+  readonly isHolder: boolean;
+  /** Records of the register beside those of the addresses. */
+  readonly foreign?: readonly {
+    readonly key: string;
+    readonly value: Buffer;
+  }[];
+  /** Called with each address that is asked. */
+  readonly onAsked: (address: string) => void;
+}
+
+/** `9000` and up are in the own group, `9100` and up in another one. */
+function portAt(address: string, onAsked: (address: string) => void): RankPort {
+  const group = address.includes(":91") ? "other" : state.group;
+  return {
+    ...port,
+    observe: () => {
+      onAsked(address);
+      return Promise.resolve({ ...state, group });
+    },
+  };
+}
+
+function startAgent(search: Search): Promise<RankAgentProcess> {
+  const { addresses, isHolder, foreign = [], onAsked } = search;
+  const runners = addresses.map((address, at) =>
+    recordOf(`i-${at}`, registrationAt(address)),
+  );
+  return RankAgentProcess.create({
+    settings: {
+      role: "agent",
+      name: "agent-1",
+      dataCentre: "here",
+      store: { address: "127.0.0.1:1", leastLeaseMs: 1000 },
+      logLevel: "error",
+      graceSeconds: 1,
+      runner: OWN,
+      peers: "127.0.0.1:0",
+      service: "model",
+    },
+    connectRunner: (address) => portAt(address, onAsked),
+    seats: {
+      join: () => Promise.resolve({ generation: 1, era: 0, isHolder }),
+      leave: () => Promise.resolve(),
+    },
+    era: StoreEra.create(),
+    configuration: topicOf([recordOf("config", CONFIGURATION)]),
+    configurationKey: "config",
+    decodeConfiguration,
+    register: topicOf([runners[0], ...foreign, ...runners.slice(1)]),
+    decodeServer: decodeRegistration,
+    paceNotes: { put: () => Promise.resolve() },
+  });
+}
+
 describe("an agent's search for the ranks of its group", () => {
   it("finds them beside entries that name no runner", async () => {
     // Another program has written into the register. With the reading lost,
     // the agent knows no other rank: nobody plans, and a held step has no
     // guard that could finish its switch.
     const asked = new Set<string>();
-    const good = [OWN, OTHER].map((address, at) => ({
-      key: `i-${at}`,
-      value: Buffer.from(JSON.stringify(registrationAt(address))),
-    }));
-    const foreign = foreignRecords(registrationAt(FOREIGN));
-    await using agent = await RankAgentProcess.create({
-      settings: {
-        role: "agent",
-        name: "agent-1",
-        dataCentre: "here",
-        store: { address: "127.0.0.1:1", leastLeaseMs: 1000 },
-        logLevel: "error",
-        graceSeconds: 1,
-        runner: OWN,
-        peers: "127.0.0.1:0",
-        service: "model",
-      },
-      connectRunner: (address) => {
-        asked.add(address);
-        return port;
-      },
-      seats: {
-        join: () => Promise.resolve({ generation: 0, era: 0, isHolder: false }),
-        leave: () => Promise.resolve(),
-      },
-      era: StoreEra.create(),
-      configuration: topicOf([]),
-      configurationKey: "config",
-      decodeConfiguration,
-      register: topicOf([good[0], ...foreign, good[1]]),
-      decodeServer: decodeRegistration,
-      paceNotes: { put: () => Promise.resolve() },
+    await using agent = await startAgent({
+      addresses: [OWN, OTHER],
+      foreign: foreignRecords(registrationAt(FOREIGN)),
+      isHolder: true,
+      onAsked: (address) => asked.add(address),
     });
     assert.ok(agent);
     await waitFor(() => asked.has(OTHER));
     assert.not.ok(asked.has(FOREIGN));
   });
+
+  it("is made by the planner alone", async () => {
+    // Each agent looked for its group when it started, with a connection to
+    // every runner of the service: with hundreds of them the agents ran out of
+    // memory and were late to their first map.
+    const asked = new Set<string>();
+    await using agent = await startAgent({
+      addresses: [OWN, OTHER],
+      isHolder: false,
+      onAsked: (address) => asked.add(address),
+    });
+    assert.ok(agent);
+    await waitFor(() => asked.has(OWN));
+    await pause(SEARCH_MS);
+    assert.equal([...asked], [OWN]);
+  });
+
+  it("asks runners of another group once", async () => {
+    // Its own group isn't whole for a while, and it is looked for again and
+    // again among all runners of the service.
+    const asked = new Map<string, number>();
+    await using agent = await startAgent({
+      addresses: [OWN, OTHER, OTHER_GROUP],
+      isHolder: true,
+      onAsked: (address) => asked.set(address, (asked.get(address) ?? 0) + 1),
+    });
+    assert.ok(agent);
+    await waitFor(() => (asked.get(OTHER) ?? 0) > 5);
+    assert.is(asked.get(OTHER_GROUP), 1);
+  });
 });
--- a/tests/rankmaps/known-group.test.ts
+++ b/tests/rankmaps/known-group.test.ts
@@ -1,11 +1,13 @@
 import * as assert from "uvu/assert";
 import { createRandom, failure } from "../../src/internal.js";
 import { KnownGroup } from "../../src/rankmaps/known-group.js";
+import { outcomeWithin } from "../support/outcome.js";
 import { describe, it } from "../support/describe.js";
 import { HeldEngines } from "./held-engines.js";
 import type { GroupRank } from "../../src/rankmaps/types.js";
 
 const RANKS = 2;
+const SOON_MS = 1000;
 
 function rankAt(address: string): GroupRank {
   return {
@@ -31,6 +33,7 @@
       if (this.isStoreAway) return Promise.reject(failure(1901));
       return Promise.resolve(this.addresses.map(rankAt));
     },
+    rankAt,
     onFailure: () => {
       this.failures += 1;
     },
@@ -45,9 +48,8 @@
 describe("ranks of the own group", () => {
   it("are looked for once while nothing changes", async () => {
     const site = new Site();
-    await site.group.prepare(RANKS);
     await site.read();
-    await site.group.prepare(RANKS);
+    await site.read();
     assert.equal(await site.read(), site.addresses);
     assert.is(site.searches, 1);
   });
@@ -57,7 +59,7 @@
     // a step plans nothing, so no failed look has told it. By the address of
     // before, it could not finish a switch whose planner dies.
     const site = new Site();
-    await site.group.prepare(RANKS);
+    await site.read();
     site.engines.restart(1);
     site.engines.form();
     site.addresses = ["10.0.0.0:1", "10.0.0.9:1"];
@@ -68,7 +70,7 @@
     const site = new Site();
     await site.read();
     site.group.markStale();
-    await site.group.prepare(RANKS);
+    await site.read();
     assert.is(site.searches, 2);
   });
 
@@ -95,16 +97,47 @@
     assert.is(site.searches, 2);
     site.isStoreAway = false;
     site.addresses = ["10.0.0.0:1", "10.0.0.9:1"];
-    await site.group.prepare(RANKS);
+    site.group.markStale();
     assert.equal(await site.read(), site.addresses);
   });
 
   it("are looked for again after the store's return", async () => {
     const site = new Site();
     site.isStoreAway = true;
-    await site.group.prepare(RANKS);
-    assert.is(site.failures, 1);
+    assert.is(await outcomeWithin(site.read(), SOON_MS), "failed");
     site.isStoreAway = false;
     assert.equal(await site.read(), site.addresses);
   });
+
+  describe("told by the planner", () => {
+    it("aren't looked for in the epoch that they were told for", async () => {
+      // The planner is gone and the store is away: without what it said, the
+      // agent of the rank that holds a step couldn't end it.
+      const site = new Site();
+      site.isStoreAway = true;
+      site.group.tell(site.engines.epoch, site.addresses);
+      assert.equal(await site.read(), site.addresses);
+      assert.is(site.searches, 0);
+    });
+
+    it("are looked for in a later epoch", async () => {
+      // A rank is at another address by then.
+      const site = new Site();
+      site.group.tell(site.engines.epoch, site.addresses);
+      site.engines.restart(1);
+      site.engines.form();
+      site.addresses = ["10.0.0.0:1", "10.0.0.9:1"];
+      assert.equal(await site.read(), site.addresses);
+      assert.is(site.searches, 1);
+    });
+
+    it("are looked for when one of them is out of reach", async () => {
+      const site = new Site();
+      site.group.tell(site.engines.epoch, site.addresses);
+      await site.read();
+      site.group.markStale();
+      await site.read();
+      assert.is(site.searches, 1);
+    });
+  });
 });
--- a/tests/rankmaps/rank-agent.test.ts
+++ b/tests/rankmaps/rank-agent.test.ts
@@ -21,6 +21,7 @@
 class Runner {
   counted = countsOf(undefined, []);
   state = RANK_STATE;
+  told: unknown;
   held: HeldExperts = { experts: [], startedAtMs: undefined };
 
   readonly agent = RankAgent.create({
@@ -31,6 +32,9 @@
       order: () => Promise.reject(failure(1607)),
     },
     maps: RelayedMaps.create(),
+    onMembers: (epoch, members) => {
+      this.told = { epoch, members };
+    },
     onHold: () => undefined,
   });
 
--- a/tests/rankmaps/reachable-rank.test.ts
+++ b/tests/rankmaps/reachable-rank.test.ts
@@ -31,6 +31,7 @@
     address: "10.0.0.2:1",
     agent: this.agent,
     runner: this.runner,
+    members: () => [],
     now: () => this.nowMs,
   });
 
