Withhold requests that crash the backend servers that run them

Cause: a request that crashes whoever begins to run it comes again, and nothing told it apart from its innocent company: with four servers and three entries each call of the new tests crashed two more, without end.

Change: src/suspects. A run counts as lost to a crash only where its server is shown to be gone: nobody listens at its port, a refusal names it, or a later life registers. What ran there is suspected; a request that was lost to two crashes one after the other is withheld at all entries until it comes to its end somewhere, or for an hour. Entries share what they have seen in one record each.

Ruled out: withholding at the first crash (all but one of the suspects are innocent) and at the third (one more group for nothing); counting crashes that overlap (a request that many callers send runs at several servers of a rack).

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -58,6 +58,7 @@
   private endMark: EndMark = "connection";
   private isStream = false;
   private isNotRun = false;
+  private faultyRunner: string | undefined;
   private readonly held: HeldStream;
   private readonly parts: Buffer[] = [];
   private size = 0;
@@ -132,6 +133,7 @@
     this.headers = headers;
     this.endMark = endMarkOf(status, headers);
     this.isNotRun = fields.isNotRun;
+    this.faultyRunner = fields.faultyRunner;
     this.isStream = sink !== undefined && status < FIRST_FAILURE;
     if (this.isStream) sink?.onHead(status, headers, this.endMark);
   }
@@ -179,7 +181,7 @@
     if (this.isEnded) return;
     const fault = this.options.sink?.onData(chunk, this.held);
     if (fault === undefined) return;
-    this.end({ kind: "broken", reason: fault });
+    this.end({ kind: "broken", reason: fault, isLost: false });
     this.controller?.abort(new Error(fault));
   }
 
@@ -189,19 +191,26 @@
     if (this.isStream) {
       const fault = this.options.sink?.onEnd();
       if (fault === undefined) this.end({ kind: "streamed", endMark });
-      else this.end({ kind: "broken", reason: fault });
+      else this.endBroken(fault);
       return;
     }
     if (this.isNotRun) {
-      this.end({ kind: "not-run", status });
+      const { faultyRunner } = this;
+      this.end({ kind: "not-run", status, faultyRunner });
       return;
     }
     const body = Buffer.concat(this.parts);
     this.end({ kind: "answered", answer: { status, headers, body, endMark } });
   }
 
+  /** Where only its connection ends an answer, that has gone too soon. */
+  private endBroken(reason: string): void {
+    const isLost = this.endMark === "connection";
+    this.end({ kind: "broken", reason, isLost });
+  }
+
   private onError(reason: string): void {
-    if (this.wasSent) this.end({ kind: "broken", reason });
+    if (this.wasSent) this.end({ kind: "broken", reason, isLost: true });
     else this.end({ kind: "unsent", reason });
   }
 
@@ -209,7 +218,7 @@
     controller: Dispatcher.DispatchController,
     reason: string,
   ): void {
-    this.end({ kind: "broken", reason });
+    this.end({ kind: "broken", reason, isLost: false });
     controller.abort(new Error(reason));
   }
 
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -24,7 +24,15 @@
   readPaceNotes,
 } from "../membership/slow-runners.js";
 import type { RegisterChange } from "../membership/types.js";
-import type { KeyedRecord, KeyedTopic } from "../platform/keyed-topic.js";
+import { CrashWatch } from "../suspects/crash-watch.js";
+import { portState } from "../suspects/port-state.js";
+import { SuspectNotes, SUSPECTS_STREAM } from "../suspects/suspect-notes.js";
+import { SuspectRequests } from "../suspects/suspect-requests.js";
+import type {
+  KeyedRecord,
+  KeyedTopic,
+  KeyedWriter,
+} from "../platform/keyed-topic.js";
 import { RecordFindings } from "../platform/record-findings.js";
 import type { StoreEra } from "../platform/store-era.js";
 import { followTopic } from "../platform/topic-follower.js";
@@ -38,7 +46,7 @@
 import { applyBounds, createCallerListener } from "./caller-listener.js";
 import { Forwarder } from "./forwarder.js";
 import { PaceInquiry } from "./pace-inquiry.js";
-import { connectRunner } from "./runner-connections.js";
+import { connectRunner, steadyUnixMs } from "./runner-connections.js";
 import { ServiceGate } from "./service-gate.js";
 import {
   changedFields,
@@ -63,6 +71,9 @@
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
   /** Which runners are slow. */
   readonly pace: KeyedTopic;
+  /** Which requests may have crashed runners, and where this entry tells. */
+  readonly suspects: KeyedTopic;
+  readonly suspectNotes: KeyedWriter;
   /** How many times as long as usual a runner takes. Throws 1607. */
   readonly slownessOf: (address: string) => Promise<number>;
   /** Path that the platform's balancer asks. */
@@ -82,10 +93,10 @@
  */
 const CONFIGURATION_WAIT_MS = 2000;
 /**
- * Longest read of the pace notes, ms. There are none for most of the time; a
- * connection that fell silent costs no more than late news of a slow rank.
+ * Longest read of notes of planners and other entries, ms. There are none for
+ * most of the time; a connection that fell silent costs no more than late news.
  */
-const PACE_WAIT_MS = 10_000;
+const NOTES_WAIT_MS = 10_000;
 /**
  * Time between two reads of the register, ms. A leaving runner may get work for
  * two seconds.
@@ -112,6 +123,9 @@
   private readonly findings: RecordFindings;
   private readonly registerReader: RegisterReader;
   private readonly directory: BackendServerDirectory;
+  private readonly suspects: SuspectRequests;
+  private readonly suspectNotes: SuspectNotes;
+  private readonly crashes: CrashWatch;
   private readonly forwarder: Forwarder;
   private readonly stop = new AbortController();
   private readonly server;
@@ -187,13 +201,48 @@
       onEnded: (earlier, later) => {
         gate.endLife(earlier, later);
         slowRunners.forget(earlier);
+        this.crashes.onCrashed(earlier.id);
       },
     });
+    const suspects = SuspectRequests.create(steadyUnixMs);
+    this.suspects = suspects;
+    this.suspectNotes = SuspectNotes.create({
+      name,
+      suspects,
+      notes: options.suspectNotes,
+      findings,
+      after: (delayMs, action) => {
+        this.after(delayMs, action);
+      },
+      emit,
+    });
+    this.crashes = CrashWatch.create({
+      now: steadyUnixMs,
+      emit,
+      suspects,
+      portState,
+      onEvidence: () => {
+        measurements.set("suspectRequests", suspects.size);
+        this.suspectNotes.schedule();
+      },
+    });
+    options.era.onRise(() => {
+      this.suspectNotes.onStoreReturned();
+    });
     this.forwarder = Forwarder.create({
       gate,
       codec,
       emit,
       measurements,
+      suspicions: {
+        requests: suspects,
+        crashes: this.crashes,
+        now: steadyUnixMs,
+        onAcquitted: ({ id }) => {
+          emit(232, { request: id });
+          this.suspectNotes.schedule();
+        },
+      },
       fail: sendError,
     });
     this.server = createCallerListener({
@@ -305,6 +354,7 @@
 
   /** Not run any more once the entry is closed. */
   private after(delayMs: number, action: () => void): void {
+    if (this.stop.signal.aborted) return;
     const timer = setTimeout(() => {
       this.timers.delete(timer);
       action();
@@ -353,7 +403,7 @@
       {
         name: PACE_STREAM,
         topic: this.options.pace,
-        waitMs: PACE_WAIT_MS,
+        waitMs: NOTES_WAIT_MS,
         intervalMs: 0,
         random,
         emit,
@@ -368,6 +418,29 @@
       },
       signal,
     );
+    const onSuspects = (records: readonly KeyedRecord[]): void => {
+      this.suspectNotes.take(records);
+      this.measurements.set("suspectRequests", this.suspects.size);
+    };
+    void followTopic(
+      {
+        name: SUSPECTS_STREAM,
+        topic: this.options.suspects,
+        waitMs: NOTES_WAIT_MS,
+        intervalMs: 0,
+        random,
+        emit,
+        findings,
+        onSnapshot: onSuspects,
+        onChanges: onSuspects,
+        onReturned: nothing,
+        onLost: () => {
+          countOutage(SUSPECTS_STREAM);
+        },
+        onRestored: nothing,
+      },
+      signal,
+    );
     void followTopic(
       {
         name: REGISTER_STREAM,
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -24,6 +24,7 @@
 import type { Runner, Verdict } from "./runner-pool.js";
 import type { Admitted, ServiceGate } from "./service-gate.js";
 import { STALL_LOOK_MS, isStalled } from "./stall.js";
+import { SuspectedRun, type Suspicions } from "./suspected-run.js";
 import type {
   AttemptEnd,
   Call,
@@ -37,6 +38,7 @@
   readonly codec: HeaderCodec;
   readonly emit: Emit;
   readonly measurements: Measurements;
+  readonly suspicions: Suspicions;
   /** Answers a request that got none from a runner. */
   readonly fail: (
     response: ServerResponse,
@@ -89,6 +91,7 @@
   private outcome = "broken-off";
   private attempt: Attempt | undefined;
   private givenUp: GiveUpReason | undefined;
+  private readonly suspected: SuspectedRun;
   private readonly relay: EventRelay | undefined;
 
   private constructor(
@@ -97,6 +100,7 @@
     private readonly response: ServerResponse,
   ) {
     const { route, fields, service } = call;
+    this.suspected = SuspectedRun.create(options.suspicions, call);
     if (route.kind !== "stream") return;
     const pace = options.gate.paceOf(service);
     let isFirst = true;
@@ -104,6 +108,7 @@
       response,
       lastEventId: fields.lastEventId,
       onEvent: (pauseMs) => {
+        this.suspected.onEvent();
         const { measurements, gate } = options;
         if (isFirst) {
           // The time to the first event is no pause between two.
@@ -155,6 +160,10 @@
 
   private async forward(): Promise<void> {
     const { call, options } = this;
+    if (this.suspected.isWithheld) {
+      this.refuse(failure(1220), 0);
+      return;
+    }
     const entered = await options.gate.enter(call);
     await entered.caseOf({
       Left: ({ error, retryAfterMs }) => {
@@ -178,8 +187,15 @@
     const { gate } = this.options;
     let admitted = first;
     for (;;) {
+      // It may have crashed another runner while it waited here.
+      if (this.suspected.isWithheld) {
+        gate.release(admitted, "none");
+        this.refuseWithheld();
+        return { isServed: false, place: admitted };
+      }
       const end = await this.attemptAt(admitted);
       gate.release(admitted, verdictOf(end));
+      await this.suspected.onEnd(admitted.runner.server, end);
       // A failure of its own is an answer too: the runner did take the request.
       if (end.kind === "answered") gate.onAccepted(this.call.service);
       const step = this.stepAfter(end);
@@ -257,6 +273,7 @@
       maximumBytes: MAXIMUM_ANSWER_BYTES,
     });
     this.attempt = attempt;
+    this.suspected.onSent();
     const end = await this.watch(attempt, admitted);
     this.attempt = undefined;
     if (end.kind === "given-up" && end.reason === "stalled") {
@@ -317,6 +334,7 @@
       hasStarted: this.relay?.hasStarted ?? false,
       mayHaveRun: this.mayHaveRun,
       mayRepeat: () =>
+        !this.suspected.isWithheld &&
         this.options.gate.retriesOf(service).spend(1) !== undefined,
     };
   }
@@ -368,6 +386,12 @@
     response.end(body);
   }
 
+  /** "Not run" is said only when no runner may have run it. */
+  private refuseWithheld(): void {
+    if (this.relay?.hasStarted === true) breakOff(this.response);
+    else this.refuse(failure(this.mayHaveRun ? 1211 : 1220), 0);
+  }
+
   private refuse(error: ApricotdeckError, retryAfterMs: number): void {
     const { emit, fail, measurements } = this.options;
     measurements.count("admissionRefused", { error: String(error.number) });
--- a/src/direct/runner-connections.ts
+++ b/src/direct/runner-connections.ts
@@ -60,7 +60,7 @@
  * Unix ms that don't jump when the time of day is set: a connection must not
  * seem older than a life that began before it.
  */
-function steadyUnixMs(): number {
+export function steadyUnixMs(): number {
   return performance.timeOrigin + performance.now();
 }
 
--- /dev/null
+++ b/src/direct/suspected-run.ts
@@ -0,0 +1,88 @@
+/**
+ * One request as a suspect: whether it is withheld, and what becomes of its runs.
+ */
+import type { BackendServer } from "../membership/types.js";
+import type { CrashWatch } from "../suspects/crash-watch.js";
+import { digestOf } from "../suspects/request-digest.js";
+import type { SuspectRequests } from "../suspects/suspect-requests.js";
+import type { AttemptEnd, Call } from "./types.js";
+
+export interface Suspicions {
+  readonly requests: Pick<
+    SuspectRequests,
+    "acquit" | "isSuspect" | "isWithheld" | "size"
+  >;
+  readonly crashes: Pick<CrashWatch, "onCrashed" | "onLost">;
+  /** Unix ms. */
+  readonly now: () => number;
+  /** The request, which was a suspect, has come to its end. */
+  readonly onAcquitted: (call: Call) => void;
+}
+
+/**
+ * A request that crashes its runner does so when it begins to run. One whose
+ * events have come for longer than this is no suspect, ms.
+ */
+const BEGINNING_MS = 1000;
+
+export class SuspectedRun {
+  private knownDigest: string | undefined;
+  private sentAtMs = 0;
+  private firstEventAtMs: number | undefined;
+
+  private constructor(
+    private readonly suspicions: Suspicions,
+    private readonly call: Call,
+  ) {}
+
+  static create(suspicions: Suspicions, call: Call): SuspectedRun {
+    return new SuspectedRun(suspicions, call);
+  }
+
+  get isWithheld(): boolean {
+    const { requests } = this.suspicions;
+    // While there is no suspect, no body is hashed.
+    return requests.size > 0 && requests.isWithheld(this.digest);
+  }
+
+  /** A run begins. */
+  onSent(): void {
+    this.sentAtMs = this.suspicions.now();
+    this.firstEventAtMs = undefined;
+  }
+
+  /** An event of the run has come. */
+  onEvent(): void {
+    this.firstEventAtMs ??= this.suspicions.now();
+  }
+
+  /** Resolves once it is known whether the run was lost to a crash. */
+  async onEnd(runner: BackendServer, end: AttemptEnd): Promise<void> {
+    const { crashes } = this.suspicions;
+    if (end.kind === "not-run" && end.faultyRunner !== undefined) {
+      crashes.onCrashed(end.faultyRunner);
+    }
+    if (end.kind === "streamed" || end.kind === "answered") this.acquit();
+    const isLost = end.kind === "broken" && end.isLost;
+    if (!isLost || this.isBehindBeginning()) return;
+    const { digest, sentAtMs } = this;
+    await crashes.onLost(runner, { digest, sentAtMs });
+  }
+
+  private acquit(): void {
+    const { requests, onAcquitted } = this.suspicions;
+    if (requests.size > 0 && requests.acquit(this.digest)) {
+      onAcquitted(this.call);
+    }
+  }
+
+  private isBehindBeginning(): boolean {
+    if (this.firstEventAtMs === undefined) return false;
+    return this.suspicions.now() - this.firstEventAtMs > BEGINNING_MS;
+  }
+
+  private get digest(): string {
+    this.knownDigest ??= digestOf(this.call);
+    return this.knownDigest;
+  }
+}
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -29,6 +29,8 @@
   /** The runner states that it has not run the request and never will. */
   readonly isNotRun: boolean;
   readonly signature: string | undefined;
+  /** Id of the runner that a refusal names for its cause. */
+  readonly faultyRunner: string | undefined;
 }
 
 /** What an entry sets on a request that goes to a runner. */
@@ -90,11 +92,23 @@
   /** A stream came to its end and was passed on whole. */
   | { readonly kind: "streamed"; readonly endMark: EndMark }
   /** The runner says that it has not run the request. */
-  | { readonly kind: "not-run"; readonly status: number }
+  | {
+      readonly kind: "not-run";
+      readonly status: number;
+      /** Id of another runner of the group, whose fault it is. */
+      readonly faultyRunner: string | undefined;
+    }
   /** No connection: the request never left this process. */
   | { readonly kind: "unsent"; readonly reason: string }
-  /** Sent, and no whole answer of its own came back. */
-  | { readonly kind: "broken"; readonly reason: string }
+  /**
+   * Sent, and no whole answer of its own came back. `isLost`: the connection
+   * ended, as it does when the runner crashes.
+   */
+  | {
+      readonly kind: "broken";
+      readonly reason: string;
+      readonly isLost: boolean;
+    }
   /** Given up by this process: caller gone, time over, or stream stalled. */
   | {
       readonly kind: "given-up";
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -243,6 +243,14 @@
     "Connect again; repeat with the same key to get an answer held for it.",
   ),
 
+  1220: entry(
+    "request-withheld",
+    502,
+    "not-run",
+    "The same request has crashed the backend servers that ran it.",
+    "Don't repeat it; find what in it ends the servers' process.",
+  ),
+
   // 1300: claims of requests that may not be repeated
   1301: entry(
     "idempotency-key-malformed",
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -408,6 +408,20 @@
     },
   ),
 
+  231: entry(
+    "crash-suspected",
+    "warn",
+    "A runner crashed; what ran there is suspected until it comes to its end.",
+    {
+      runner: "id of the runner",
+      suspects: "requests that were lost there",
+      withheld: "how many of them are not run any more",
+    },
+  ),
+  232: entry("suspect-acquitted", "info", "A suspect came to its end.", {
+    request: "attempt id of the caller",
+  }),
+
   // 220: expert maps of engines that hold a step
   220: entry("map-planned", "info", "A better expert map was planned.", {
     map: "version of the new map",
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -102,6 +102,13 @@
     labels: ["topic"],
     meaning: "Times that the platform's store was lost.",
   },
+  suspectRequests: {
+    name: "apricotdeck_suspect_requests",
+    kind: "gauge",
+    unit: "requests",
+    labels: [],
+    meaning: "Requests suspected of crashing runners, innocent ones included.",
+  },
   recordsUnusable: {
     name: "apricotdeck_records_unusable_total",
     kind: "counter",
--- /dev/null
+++ b/src/suspects/suspect-requests.ts
@@ -0,0 +1,180 @@
+/**
+ * Decides which requests are withheld because they crash backend servers.
+ *
+ * Whatever runs at a server when it crashes is a suspect. The guilty one tells
+ * itself by crashing the next server as well; an innocent one by coming to its
+ * end. Runs that overlap count once: when many servers fail at the same moment,
+ * a request that is often sent runs at several of them.
+ */
+import type { Now } from "../internal.js";
+import type {
+  Acquittal,
+  CrashedRun,
+  SuspectRecord,
+  Suspicion,
+} from "./types.js";
+
+/**
+ * One crash has many suspects, nearly all of them innocent, and each is lost to
+ * its caller if it isn't run again. Hardly any is there at a second crash.
+ */
+export const CRASHES_UNTIL_WITHHELD = 2;
+/** A suspect of one crash is forgotten after this time, ms. */
+export const SUSPECT_KEPT_MS = 60_000;
+/** A withheld request is, ms; what is wrong with it takes a release to mend. */
+export const WITHHELD_MS = 3_600_000;
+/** Crashes that several entries see differ by less than this, ms. */
+const SAME_CRASH_MS = 1000;
+/** Requests kept at once; beyond them the one seen longest ago is forgotten. */
+export const MOST_SUSPECTS = 1000;
+/** Newest suspicions and acquittals that an entry tells the others. */
+export const MOST_TOLD = 64;
+
+interface KnownRun extends CrashedRun {
+  /** Seen by this entry, which tells the others. */
+  readonly isOwn: boolean;
+}
+
+interface Suspect {
+  readonly runs: readonly KnownRun[];
+  readonly acquittedAtMs: number;
+  readonly isOwnAcquittal: boolean;
+}
+
+const UNKNOWN: Suspect = {
+  runs: [],
+  acquittedAtMs: Number.NEGATIVE_INFINITY,
+  isOwnAcquittal: false,
+};
+
+export class SuspectRequests {
+  /** By digest, the one that changed last at the end. */
+  private readonly suspects = new Map<string, Suspect>();
+
+  private constructor(private readonly now: Now) {}
+
+  /** `now`: Unix ms. */
+  static create(now: Now): SuspectRequests {
+    return new SuspectRequests(now);
+  }
+
+  get size(): number {
+    return this.suspects.size;
+  }
+
+  isSuspect(digest: string): boolean {
+    return this.crashesOf(digest) > 0;
+  }
+
+  isWithheld(digest: string): boolean {
+    return this.crashesOf(digest) >= CRASHES_UNTIL_WITHHELD;
+  }
+
+  /** Servers that the request has crashed, one after the other. */
+  crashesOf(digest: string): number {
+    const suspect = this.suspects.get(digest);
+    if (suspect === undefined) return 0;
+    const crashes = countSuccessive(suspect);
+    const lastMs = Math.max(...suspect.runs.map(({ lostAtMs }) => lostAtMs));
+    const isWithheld = crashes >= CRASHES_UNTIL_WITHHELD;
+    const keptMs = isWithheld ? WITHHELD_MS : SUSPECT_KEPT_MS;
+    if (this.now() - lastMs < keptMs) return crashes;
+    this.suspects.delete(digest);
+    return 0;
+  }
+
+  /** This entry has lost a run of the request to a crash. */
+  noteCrash(digest: string, run: CrashedRun): void {
+    this.addRun(digest, { ...run, isOwn: true });
+  }
+
+  /** It came to its end. False where that changes nothing. */
+  acquit(digest: string): boolean {
+    if (!this.isSuspect(digest)) return false;
+    this.addAcquittal({ digest, atMs: this.now() }, true);
+    return true;
+  }
+
+  /** What another entry has seen, or this one before it started again. */
+  take({ suspicions, acquittals }: SuspectRecord, isOwn: boolean): void {
+    for (const { digest, runs } of suspicions) {
+      for (const run of runs)
+        this.addRun(digest, { ...this.dated(run), isOwn });
+    }
+    for (const { digest, atMs } of acquittals) {
+      const seenAtMs = Math.min(atMs, this.now());
+      this.addAcquittal({ digest, atMs: seenAtMs }, isOwn);
+    }
+  }
+
+  /** What this entry tells the others. */
+  record(): SuspectRecord {
+    const suspicions: Suspicion[] = [];
+    const acquittals: Acquittal[] = [];
+    for (const [digest, suspect] of this.suspects) {
+      const runs = suspect.runs.filter(({ isOwn }) => isOwn).map(withoutOwner);
+      if (runs.length > 0) suspicions.push({ digest, runs });
+      const { isOwnAcquittal, acquittedAtMs: atMs } = suspect;
+      if (isOwnAcquittal) acquittals.push({ digest, atMs });
+    }
+    return {
+      suspicions: suspicions.slice(-MOST_TOLD),
+      acquittals: acquittals.slice(-MOST_TOLD),
+    };
+  }
+
+  /** A clock that is ahead must not keep a request withheld for longer. */
+  private dated(run: CrashedRun): CrashedRun {
+    const lostAtMs = Math.min(run.lostAtMs, this.now());
+    return { ...run, lostAtMs, sentAtMs: Math.min(run.sentAtMs, lostAtMs) };
+  }
+
+  private addRun(digest: string, run: KnownRun): void {
+    const known = this.suspects.get(digest) ?? UNKNOWN;
+    if (known.runs.some((one) => isSameRun(one, run))) return;
+    if (this.now() - run.lostAtMs >= WITHHELD_MS) return;
+    const runs = [...known.runs, run].slice(-MOST_TOLD);
+    this.keep(digest, { ...known, runs });
+  }
+
+  private addAcquittal({ digest, atMs }: Acquittal, isOwn: boolean): void {
+    const known = this.suspects.get(digest);
+    if (known === undefined || known.acquittedAtMs >= atMs) return;
+    this.keep(digest, { ...known, acquittedAtMs: atMs, isOwnAcquittal: isOwn });
+  }
+
+  private keep(digest: string, suspect: Suspect): void {
+    this.suspects.delete(digest);
+    this.suspects.set(digest, suspect);
+    if (this.suspects.size <= MOST_SUSPECTS) return;
+    const oldest = [...this.suspects.keys()].find(
+      (one) => !this.isWithheld(one),
+    );
+    this.suspects.delete(oldest ?? digest);
+  }
+}
+
+/**
+ * The most runs of which none began before the one ahead of it was lost, each at
+ * a server that crashed; those from before an acquittal don't count.
+ */
+function countSuccessive({ runs, acquittedAtMs }: Suspect): number {
+  let count = 0;
+  let lastLostAtMs = acquittedAtMs;
+  const byEnd = runs.toSorted((one, other) => one.lostAtMs - other.lostAtMs);
+  for (const { sentAtMs, lostAtMs } of byEnd) {
+    if (sentAtMs < lastLostAtMs) continue;
+    count += 1;
+    lastLostAtMs = lostAtMs;
+  }
+  return count;
+}
+
+function isSameRun(one: CrashedRun, other: CrashedRun): boolean {
+  const apartMs = Math.abs(one.lostAtMs - other.lostAtMs);
+  return one.runner === other.runner && apartMs < SAME_CRASH_MS;
+}
+
+function withoutOwner({ runner, sentAtMs, lostAtMs }: KnownRun): CrashedRun {
+  return { runner, sentAtMs, lostAtMs };
+}
--- a/standins/keyed-store.ts
+++ b/standins/keyed-store.ts
@@ -24,6 +24,7 @@
 const GONE = 410;
 const UNAVAILABLE = 503;
 const LONGEST_WAIT_MS = 30_000;
+const LENGTH_BYTES = 4;
 
 class Topic {
   readonly records: StoredRecord[] = [];
@@ -150,7 +151,10 @@
     }
     const topic = this.topicOf(url.searchParams.get("topic") ?? "");
     if (url.pathname === paths.newest) sendNewest(topic, response);
-    else if (url.pathname === paths.read) {
+    else if (url.pathname === paths.append) {
+      await takeAppended(topic, request);
+      sendJson(response, 200, { end_offset: topic.nextOffset });
+    } else if (url.pathname === paths.read) {
       await this.sendChanges(topic, url.searchParams, response);
     } else response.writeHead(404).end();
   }
@@ -203,6 +207,20 @@
   sendJson(response, 200, { entries, has_more: false, end_offset: nextOffset });
 }
 
+/** One keyed record. */
+async function takeAppended(
+  topic: Topic,
+  request: IncomingMessage,
+): Promise<void> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  const record = Buffer.concat(parts).subarray(LENGTH_BYTES);
+  const valueStart = 1 + record.readUInt8(0);
+  const key = record.toString("utf8", 1, valueStart);
+  const value = record.subarray(valueStart);
+  topic.append({ key, value: value.length > 0 ? value : undefined });
+}
+
 function encodeRecord({ key, value, bytes }: StoredRecord): Buffer {
   const keyBytes = Buffer.from(key);
   const record =
@@ -212,7 +230,7 @@
       keyBytes,
       value ?? Buffer.alloc(0),
     ]);
-  const length = Buffer.alloc(4);
+  const length = Buffer.alloc(LENGTH_BYTES);
   length.writeUInt32BE(record.length);
   return Buffer.concat([length, record]);
 }
--- a/standins/signing-runner.ts
+++ b/standins/signing-runner.ts
@@ -5,6 +5,7 @@
 import {
   createServer,
   type IncomingMessage,
+  type Server,
   type ServerResponse,
 } from "node:http";
 import { headerNames } from "../platform/names.js";
@@ -36,7 +37,11 @@
   readonly arrivals: Arrival[] = [];
   /** Requests meant for another runner. */
   misdirected = 0;
+  /** How often it has crashed. */
+  crashes = 0;
   private listening: Listening | undefined;
+  private server: Server | undefined;
+  private isOver = false;
 
   private constructor(
     readonly id: string,
@@ -45,13 +50,20 @@
 
   static async create(id: string, behave: Behaviour): Promise<SigningRunner> {
     const runner = new SigningRunner(id, behave);
-    const server = createServer((request, response) => {
-      void runner.answer(request, response);
-    });
-    runner.listening = await listen(server, { host: "127.0.0.1", port: 0 });
+    await runner.listen(0);
     return runner;
   }
 
+  /** Its process ends, and another one begins at its address later. */
+  async crash(downMs: number): Promise<void> {
+    const { address } = this;
+    this.crashes += 1;
+    this.server?.closeAllConnections();
+    this.server?.close();
+    await sleepMs(downMs);
+    if (!this.isOver) await this.listen(Number(address.split(":").at(-1)));
+  }
+
   /** host:port */
   get address(): string {
     return this.listening?.address ?? "";
@@ -62,9 +74,18 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.isOver = true;
     await this.listening?.[Symbol.asyncDispose]();
   }
 
+  private async listen(port: number): Promise<void> {
+    const server = createServer((request, response) => {
+      void this.answer(request, response);
+    });
+    this.server = server;
+    this.listening = await listen(server, { host: "127.0.0.1", port });
+  }
+
   private async answer(
     request: IncomingMessage,
     response: ServerResponse,
--- a/tests/direct/next-step.test.ts
+++ b/tests/direct/next-step.test.ts
@@ -25,8 +25,12 @@
   maximumAttempts: 2,
 } as const;
 
-const broken: AttemptEnd = { kind: "broken", reason: "reset" };
-const notRun: AttemptEnd = { kind: "not-run", status: 503 };
+const broken: AttemptEnd = { kind: "broken", reason: "reset", isLost: true };
+const notRun: AttemptEnd = {
+  kind: "not-run",
+  status: 503,
+  faultyRunner: undefined,
+};
 const overdue: AttemptEnd = {
   kind: "given-up",
   wasSent: true,
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -53,11 +53,20 @@
   ): Promise<EntrySite> {
     const store = await KeyedStore.create();
     fill(store);
+    return EntrySite.at(store, "entry-1");
+  }
+
+  /** One more entry of the site. */
+  static beside({ store }: EntrySite, name: string): Promise<EntrySite> {
+    return EntrySite.at(store, name);
+  }
+
+  private static async at(store: KeyedStore, name: string): Promise<EntrySite> {
     const client = StoreClient.create(store.address);
     const entry = await DirectEntry.create({
       settings: {
         role: "entry",
-        name: "entry-1",
+        name,
         dataCentre: "here",
         store: { address: store.address, leastLeaseMs: 1000 },
         logLevel: "error",
@@ -74,6 +83,8 @@
       register: client.keyedTopic(topics.register),
       decodeServer: decodeRegistration,
       pace: client.keyedTopic(topics.pace),
+      suspects: client.keyedTopic(topics.suspects),
+      suspectNotes: client.keyedWriter(topics.suspects),
       readinessPath: paths.readiness,
       slownessOf: readSlowness,
     });
