Keep acquittals of suspects whose crash isn't known yet, and as long as it counts

By reading then: an acquittal was forgotten after a minute, while the records that it is about may be read an hour later.

Change: acquittals are kept for unknown requests too, and for as long as a withheld request is.

--- a/src/suspects/suspect-requests.ts
+++ b/src/suspects/suspect-requests.ts
@@ -75,10 +75,9 @@
     const suspect = this.suspects.get(digest);
     if (suspect === undefined) return 0;
     const crashes = countSuccessive(suspect);
-    const lastMs = Math.max(...suspect.runs.map(({ lostAtMs }) => lostAtMs));
-    const isWithheld = crashes >= CRASHES_UNTIL_WITHHELD;
-    const keptMs = isWithheld ? WITHHELD_MS : SUSPECT_KEPT_MS;
-    if (this.now() - lastMs < keptMs) return crashes;
+    const lostAtMs = suspect.runs.map((run) => run.lostAtMs);
+    const lastMs = Math.max(suspect.acquittedAtMs, ...lostAtMs);
+    if (this.now() - lastMs < keptMsOf(suspect, crashes)) return crashes;
     this.suspects.delete(digest);
     return 0;
   }
@@ -137,9 +136,11 @@
     this.keep(digest, { ...known, runs });
   }
 
+  /** Also one whose crash isn't known here yet: records come in any order. */
   private addAcquittal({ digest, atMs }: Acquittal, isOwn: boolean): void {
-    const known = this.suspects.get(digest);
-    if (known === undefined || known.acquittedAtMs >= atMs) return;
+    const known = this.suspects.get(digest) ?? UNKNOWN;
+    if (known.acquittedAtMs >= atMs) return;
+    if (this.now() - atMs >= WITHHELD_MS) return;
     this.keep(digest, { ...known, acquittedAtMs: atMs, isOwnAcquittal: isOwn });
   }
 
@@ -170,6 +171,16 @@
   return count;
 }
 
+/**
+ * An acquittal stays as long as the runs that it is about may be read from the
+ * record of an entry that hasn't written since.
+ */
+function keptMsOf({ acquittedAtMs }: Suspect, crashes: number): number {
+  const isAcquitted = Number.isFinite(acquittedAtMs);
+  const isWithheld = crashes >= CRASHES_UNTIL_WITHHELD;
+  return isAcquitted || isWithheld ? WITHHELD_MS : SUSPECT_KEPT_MS;
+}
+
 function isSameRun(one: CrashedRun, other: CrashedRun): boolean {
   const apartMs = Math.abs(one.lostAtMs - other.lostAtMs);
   return one.runner === other.runner && apartMs < SAME_CRASH_MS;
--- a/tests/suspects/suspect-requests.test.ts
+++ b/tests/suspects/suspect-requests.test.ts
@@ -132,6 +132,26 @@
     assert.is(entry.size, 0);
   });
 
+  it("stay acquitted for an entry that starts much later", () => {
+    // The entries that saw the crashes haven't written since, so their records
+    // still tell of both.
+    const site = new Site();
+    site.crash(0, GUILTY, "r1");
+    site.pass();
+    site.crash(1, GUILTY, "r2");
+    site.share();
+    const records = [0, 1].map((at) => site.entries[at].record());
+    site.pass();
+    site.entries[2].acquit(GUILTY);
+    site.pass(2 * SUSPECT_KEPT_MS);
+    assert.not.ok(site.entries[2].isSuspect(GUILTY));
+    const late = SuspectRequests.create(() => site.nowMs);
+    for (const record of [site.entries[2].record(), ...records]) {
+      late.take(record, false);
+    }
+    assert.not.ok(late.isWithheld(GUILTY));
+  });
+
   it("are known to an entry that starts again by what the others wrote", () => {
     const site = new Site();
     site.crash(0, GUILTY, "r1");
