Let a few agents of a group stand for its seat while somebody plans

Cause: every agent joins its group's seat about twice a second. On the large site that is 192 agents for three seats, a quarter of all store calls there, and the store is dear; while agents start, the seat moves with each of 64 joins.

Change: agents of the first eight ranks stand for the seat. Any other one stands while nobody has looked at its rank for four seconds, because then none of those plans: their VMs may be cut off from the store. An agent that doesn't stand leaves the group, and a holder stays.

--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -42,6 +42,7 @@
 } from "../routing/newest-configuration.js";
 import type { EngineFigures, SiteConfiguration } from "../routing/types.js";
 import { RankAgentService } from "../wire/generated/rankmaps.js";
+import { Candidacy } from "./candidacy.js";
 import { GroupPlanner } from "./group-planner.js";
 import { HoldGuard } from "./hold-guard.js";
 import { KnownGroup } from "./known-group.js";
@@ -96,6 +97,7 @@
   private readonly findings: RecordFindings;
   private readonly registerReader: RegisterReader;
   private readonly seat: PlannerSeat;
+  private readonly candidacy = Candidacy.create(() => performance.now());
   private readonly runs = SwitchRuns.create();
   private readonly maps = RelayedMaps.create();
   private readonly port: RankPort;
@@ -147,6 +149,9 @@
     this.agent = RankAgent.create({
       port,
       maps: this.maps,
+      onObserved: () => {
+        this.candidacy.onObserved();
+      },
       onMembers: (epoch, members) => {
         this.group.tell(epoch, members);
       },
@@ -210,7 +215,8 @@
     const own = await this.ownState(signal);
     if (own === undefined) return;
     const { service } = this.options.settings;
-    void this.seat.run(`${service}.${own.group}`, signal);
+    const stands = (): boolean => this.candidacy.stands(own.rank);
+    void this.seat.run(`${service}.${own.group}`, signal, stands);
     let planner: GroupPlanner | undefined;
     while (!signal.aborted) {
       if (this.seat.generation === undefined) {
--- a/src/rankmaps/planner-seat.ts
+++ b/src/rankmaps/planner-seat.ts
@@ -80,6 +80,8 @@
 export class PlannerSeat {
   private assignment: SeatAssignment = NO_SEAT;
   private givenUp = -1;
+  /** The store may count this process among the group's members. */
+  private isMember = false;
   private isLost = false;
   private changedAtMs = performance.now();
   private nextTurn: Deferred<undefined> = createDeferred();
@@ -114,12 +116,21 @@
     this.givenUp = this.number;
   }
 
-  /** Keeps this process in the group until the signal aborts. */
-  async run(group: string, signal: AbortSignal): Promise<void> {
+  /**
+   * Keeps this process in the group until the signal aborts, while it stands for
+   * the seat; a holder stays.
+   */
+  async run(
+    group: string,
+    signal: AbortSignal,
+    stands: () => boolean = () => true,
+  ): Promise<void> {
     const { leastLeaseMs } = this.options;
     const leaseMs = Math.max(leastLeaseMs, LEASE_MS);
     while (!signal.aborted) {
-      await this.renew(group, leaseMs);
+      if (stands() || this.assignment.isHolder) {
+        await this.renew(group, leaseMs);
+      } else if (this.isMember) await this.withdraw(group);
       const sinceChangeMs = performance.now() - this.changedAtMs;
       await pause(renewalPauseMs(leaseMs, sinceChangeMs), signal);
     }
@@ -128,6 +139,7 @@
 
   private async renew(group: string, leaseMs: number): Promise<void> {
     const { service, member, emit } = this.options;
+    this.isMember = true;
     try {
       if (this.isGivenUp) await this.giveBack(group);
       // Taken for one of this era, the number would confirm what wasn't seen.
@@ -181,6 +193,13 @@
     else emit(174, { fencing, reason: "superseded" });
   }
 
+  /** Others stand: left in the group, it might get the seat. */
+  private async withdraw(group: string): Promise<void> {
+    await this.leave(group);
+    this.isMember = false;
+    this.take(NO_SEAT);
+  }
+
   /** So that the next one need not wait for the lease to run out. */
   private async leave(group: string): Promise<void> {
     const { service, member, emit } = this.options;
--- a/src/rankmaps/rank-agent.ts
+++ b/src/rankmaps/rank-agent.ts
@@ -26,6 +26,8 @@
 export interface RankAgentOptions {
   readonly port: RankPort;
   readonly maps: RelayedMaps;
+  /** A planner, or the guard of a held step, looks at the own rank. */
+  readonly onObserved: () => void;
   /** host:port of the group's runners in the epoch, as its planner says. */
   readonly onMembers: (epoch: number, members: readonly string[]) => void;
   /** The planner is about to have a step held at the own rank. */
@@ -80,7 +82,8 @@
   }
 
   async observe(request: ObserveRequest): Promise<Observation> {
-    const { port } = this.options;
+    const { port, onObserved } = this.options;
+    onObserved();
     const { withCounts, withExperts } = request;
     const [state, counted, held] = await Promise.all([
       port.observe(),
--- a/tests/rankmaps/planner-seat.test.ts
+++ b/tests/rankmaps/planner-seat.test.ts
@@ -20,6 +20,8 @@
   /** Generations that were named to the store. */
   readonly named: number[] = [];
   joins = 0;
+  /** Whether this process stands for the seat. */
+  stands = true;
   left = false;
 
   readonly service: SeatService = {
@@ -48,10 +50,16 @@
   }
 }
 
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
 async function withSeat(
   body: (seats: Seats, seat: PlannerSeat) => Promise<void>,
+  seats = new Seats(),
 ): Promise<Seats> {
-  const seats = new Seats();
   const seat = PlannerSeat.create({
     service: seats.service,
     emit: ignoreEvents,
@@ -60,7 +68,7 @@
     leastLeaseMs: 100,
   });
   const stop = new AbortController();
-  const running = seat.run("group", stop.signal);
+  const running = seat.run("group", stop.signal, () => seats.stands);
   try {
     await body(seats, seat);
   } finally {
@@ -174,6 +182,44 @@
     });
   });
 
+  describe("that others stand for", () => {
+    it("isn't asked for", async () => {
+      const seats = new Seats();
+      seats.stands = false;
+      await withSeat(() => pause(200), seats);
+      assert.is(seats.joins, 0);
+    });
+
+    it("is left, and asked for again once they are gone", async () => {
+      // Whoever stays in the group without asking is given the seat, and the
+      // group has no planner until its lease has run out.
+      await withSeat(async (given, seat) => {
+        await given.nextJoin();
+        given.stands = false;
+        await pause(200);
+        assert.ok(given.left);
+        const { joins } = given;
+        await pause(200);
+        assert.is(given.joins, joins);
+        given.stands = true;
+        given.assignment = { generation: 2, era: 0, isHolder: true };
+        await given.nextJoin();
+        assert.is(seat.generation, 2);
+      });
+    });
+
+    it("is kept by its holder", async () => {
+      await withSeat(async (given, seat) => {
+        given.assignment = { generation: 2, era: 0, isHolder: true };
+        await given.nextJoin();
+        given.stands = false;
+        await pause(200);
+        assert.is(seat.generation, 2);
+        assert.not.ok(given.left);
+      });
+    });
+  });
+
   it("isn't held under a number whose versions couldn't be told apart", async () => {
     // Past the whole numbers that a double holds, two maps get one version.
     await withSeat(async (given, seat) => {
--- a/tests/rankmaps/rank-agent.test.ts
+++ b/tests/rankmaps/rank-agent.test.ts
@@ -32,6 +32,7 @@
       order: () => Promise.reject(failure(1607)),
     },
     maps: RelayedMaps.create(),
+    onObserved: () => undefined,
     onMembers: (epoch, members) => {
       this.told = { epoch, members };
     },
