Give an entry's part in suspects one object, and follow all notes in one way

Read as a newcomer: the entry put the parts of suspects together itself, and followed two topics of notes with the same dozen options. Both moved out of its constructor.

Found while reading, by reading only: an agent that gave its seat back on a store with eras told of a return of the store; and an order of an earlier epoch that is carried out late replaced what an agent had been told of its group since (with a test).

--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -24,10 +24,8 @@
   readPaceNotes,
 } from "../membership/slow-runners.js";
 import type { RegisterChange } from "../membership/types.js";
-import { CrashWatch } from "../suspects/crash-watch.js";
-import { portState } from "../suspects/port-state.js";
-import { SuspectNotes, SUSPECTS_STREAM } from "../suspects/suspect-notes.js";
-import { SuspectRequests } from "../suspects/suspect-requests.js";
+import { SuspectDesk } from "../suspects/suspect-desk.js";
+import { SUSPECTS_STREAM } from "../suspects/suspect-notes.js";
 import type {
   KeyedRecord,
   KeyedTopic,
@@ -123,9 +121,7 @@
   private readonly findings: RecordFindings;
   private readonly registerReader: RegisterReader;
   private readonly directory: BackendServerDirectory;
-  private readonly suspects: SuspectRequests;
-  private readonly suspectNotes: SuspectNotes;
-  private readonly crashes: CrashWatch;
+  private readonly suspects: SuspectDesk;
   private readonly forwarder: Forwarder;
   private readonly stop = new AbortController();
   private readonly server;
@@ -153,6 +149,7 @@
     options.era.onRise((era) => {
       emit(196, { era });
       measurements.set("storeEra", era);
+      this.suspects.onStoreReturned();
     });
     const now = (): number => performance.now();
     const random = Math.random;
@@ -201,48 +198,26 @@
       onEnded: (earlier, later) => {
         gate.endLife(earlier, later);
         slowRunners.forget(earlier);
-        this.crashes.onCrashed(earlier.id);
+        this.suspects.crashes.onCrashed(earlier.id);
       },
     });
-    const suspects = SuspectRequests.create(steadyUnixMs);
-    this.suspects = suspects;
-    this.suspectNotes = SuspectNotes.create({
+    this.suspects = SuspectDesk.create({
       name,
-      suspects,
       notes: options.suspectNotes,
       findings,
       after: (delayMs, action) => {
         this.after(delayMs, action);
       },
-      emit,
-    });
-    this.crashes = CrashWatch.create({
       now: steadyUnixMs,
       emit,
-      suspects,
-      portState,
-      onEvidence: () => {
-        measurements.set("suspectRequests", suspects.size);
-        this.suspectNotes.schedule();
-      },
-    });
-    options.era.onRise(() => {
-      this.suspectNotes.onStoreReturned();
+      measurements,
     });
     this.forwarder = Forwarder.create({
       gate,
       codec,
       emit,
       measurements,
-      suspicions: {
-        requests: suspects,
-        crashes: this.crashes,
-        now: steadyUnixMs,
-        onAcquitted: ({ id }) => {
-          emit(232, { request: id });
-          this.suspectNotes.schedule();
-        },
-      },
+      suspects: this.suspects,
       fail: sendError,
     });
     this.server = createCallerListener({
@@ -368,9 +343,6 @@
     const { emit, findings } = this;
     const random = Math.random;
     const nothing = (): void => undefined;
-    const countOutage = (topic: string): void => {
-      this.measurements.count("storeOutages", { topic });
-    };
     const onConfiguration = (records: readonly KeyedRecord[]): void => {
       this.onConfiguration(records);
     };
@@ -387,7 +359,7 @@
         onChanges: onConfiguration,
         onReturned: nothing,
         onLost: () => {
-          countOutage(CONFIGURATION_STREAM);
+          this.countOutage(CONFIGURATION_STREAM);
           this.paceInquiry.onStoreLost();
         },
         onRestored: () => {
@@ -396,51 +368,12 @@
       },
       signal,
     );
-    const onPace = (records: readonly KeyedRecord[]): void => {
+    this.followNotes(PACE_STREAM, this.options.pace, (records) => {
       this.onPace(records);
-    };
-    void followTopic(
-      {
-        name: PACE_STREAM,
-        topic: this.options.pace,
-        waitMs: NOTES_WAIT_MS,
-        intervalMs: 0,
-        random,
-        emit,
-        findings,
-        onSnapshot: onPace,
-        onChanges: onPace,
-        onReturned: nothing,
-        onLost: () => {
-          countOutage(PACE_STREAM);
-        },
-        onRestored: nothing,
-      },
-      signal,
-    );
-    const onSuspects = (records: readonly KeyedRecord[]): void => {
-      this.suspectNotes.take(records);
-      this.measurements.set("suspectRequests", this.suspects.size);
-    };
-    void followTopic(
-      {
-        name: SUSPECTS_STREAM,
-        topic: this.options.suspects,
-        waitMs: NOTES_WAIT_MS,
-        intervalMs: 0,
-        random,
-        emit,
-        findings,
-        onSnapshot: onSuspects,
-        onChanges: onSuspects,
-        onReturned: nothing,
-        onLost: () => {
-          countOutage(SUSPECTS_STREAM);
-        },
-        onRestored: nothing,
-      },
-      signal,
-    );
+    });
+    this.followNotes(SUSPECTS_STREAM, this.options.suspects, (records) => {
+      this.suspects.take(records);
+    });
     void followTopic(
       {
         name: REGISTER_STREAM,
@@ -461,7 +394,7 @@
           this.directory.onStoreReturned(lastBeforeMs);
         },
         onLost: () => {
-          countOutage(REGISTER_STREAM);
+          this.countOutage(REGISTER_STREAM);
           this.directory.onStoreLost();
         },
         onRestored: (lastFailedAtMs) => {
@@ -472,6 +405,39 @@
     );
   }
 
+  /** Notes that planners or other entries write; none of them is removed. */
+  private followNotes(
+    name: string,
+    topic: KeyedTopic,
+    onRecords: (records: readonly KeyedRecord[]) => void,
+  ): void {
+    const nothing = (): void => undefined;
+    const { emit, findings } = this;
+    void followTopic(
+      {
+        name,
+        topic,
+        waitMs: NOTES_WAIT_MS,
+        intervalMs: 0,
+        random: Math.random,
+        emit,
+        findings,
+        onSnapshot: onRecords,
+        onChanges: onRecords,
+        onReturned: nothing,
+        onLost: () => {
+          this.countOutage(name);
+        },
+        onRestored: nothing,
+      },
+      this.stop.signal,
+    );
+  }
+
+  private countOutage(topic: string): void {
+    this.measurements.count("storeOutages", { topic });
+  }
+
   private onConfiguration(records: readonly KeyedRecord[]): void {
     const { configurationKey, decodeConfiguration } = this.options;
     const newest = newestConfiguration(records, {
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -11,6 +11,7 @@
   type ErrorNumber,
   type Measurements,
 } from "../internal.js";
+import type { SuspectDesk } from "../suspects/suspect-desk.js";
 import { breakOff, endWithConnection } from "../daemon/entry/answer-framing.js";
 import { Attempt } from "./attempt.js";
 import { answerHeaders } from "./end-to-end-headers.js";
@@ -24,7 +25,7 @@
 import type { Runner, Verdict } from "./runner-pool.js";
 import type { Admitted, ServiceGate } from "./service-gate.js";
 import { STALL_LOOK_MS, isStalled } from "./stall.js";
-import { SuspectedRun, type Suspicions } from "./suspected-run.js";
+import { SuspectedRun } from "./suspected-run.js";
 import type {
   AttemptEnd,
   Call,
@@ -38,7 +39,7 @@
   readonly codec: HeaderCodec;
   readonly emit: Emit;
   readonly measurements: Measurements;
-  readonly suspicions: Suspicions;
+  readonly suspects: SuspectDesk;
   /** Answers a request that got none from a runner. */
   readonly fail: (
     response: ServerResponse,
@@ -100,7 +101,7 @@
     private readonly response: ServerResponse,
   ) {
     const { route, fields, service } = call;
-    this.suspected = SuspectedRun.create(options.suspicions, call);
+    this.suspected = SuspectedRun.create(options.suspects, call);
     if (route.kind !== "stream") return;
     const pace = options.gate.paceOf(service);
     let isFirst = true;
--- a/src/direct/suspected-run.ts
+++ b/src/direct/suspected-run.ts
@@ -2,23 +2,10 @@
  * One request as a suspect: whether it is withheld, and what becomes of its runs.
  */
 import type { BackendServer } from "../membership/types.js";
-import type { CrashWatch } from "../suspects/crash-watch.js";
 import { digestOf } from "../suspects/request-digest.js";
-import type { SuspectRequests } from "../suspects/suspect-requests.js";
+import type { SuspectDesk } from "../suspects/suspect-desk.js";
 import type { AttemptEnd, Call } from "./types.js";
 
-export interface Suspicions {
-  readonly requests: Pick<
-    SuspectRequests,
-    "acquit" | "isSuspect" | "isWithheld" | "size"
-  >;
-  readonly crashes: Pick<CrashWatch, "onCrashed" | "onLost">;
-  /** Unix ms. */
-  readonly now: () => number;
-  /** The request, which was a suspect, has come to its end. */
-  readonly onAcquitted: (call: Call) => void;
-}
-
 /**
  * A request that crashes its runner does so when it begins to run. One whose
  * events have come for longer than this is no suspect, ms.
@@ -31,34 +18,34 @@
   private firstEventAtMs: number | undefined;
 
   private constructor(
-    private readonly suspicions: Suspicions,
+    private readonly suspects: SuspectDesk,
     private readonly call: Call,
   ) {}
 
-  static create(suspicions: Suspicions, call: Call): SuspectedRun {
-    return new SuspectedRun(suspicions, call);
+  static create(suspects: SuspectDesk, call: Call): SuspectedRun {
+    return new SuspectedRun(suspects, call);
   }
 
   get isWithheld(): boolean {
-    const { requests } = this.suspicions;
+    const { requests } = this.suspects;
     // While there is no suspect, no body is hashed.
     return requests.size > 0 && requests.isWithheld(this.digest);
   }
 
   /** A run begins. */
   onSent(): void {
-    this.sentAtMs = this.suspicions.now();
+    this.sentAtMs = this.suspects.now();
     this.firstEventAtMs = undefined;
   }
 
   /** An event of the run has come. */
   onEvent(): void {
-    this.firstEventAtMs ??= this.suspicions.now();
+    this.firstEventAtMs ??= this.suspects.now();
   }
 
   /** Resolves once it is known whether the run was lost to a crash. */
   async onEnd(runner: BackendServer, end: AttemptEnd): Promise<void> {
-    const { crashes } = this.suspicions;
+    const { crashes } = this.suspects;
     if (end.kind === "not-run" && end.faultyRunner !== undefined) {
       crashes.onCrashed(end.faultyRunner);
     }
@@ -70,15 +57,15 @@
   }
 
   private acquit(): void {
-    const { requests, onAcquitted } = this.suspicions;
+    const { requests } = this.suspects;
     if (requests.size > 0 && requests.acquit(this.digest)) {
-      onAcquitted(this.call);
+      this.suspects.onAcquitted(this.call.id);
     }
   }
 
   private isBehindBeginning(): boolean {
     if (this.firstEventAtMs === undefined) return false;
-    return this.suspicions.now() - this.firstEventAtMs > BEGINNING_MS;
+    return this.suspects.now() - this.firstEventAtMs > BEGINNING_MS;
   }
 
   private get digest(): string {
--- a/src/rankmaps/known-group.ts
+++ b/src/rankmaps/known-group.ts
@@ -38,6 +38,8 @@
 
   /** What the planner says of the group; the store may be away by now. */
   tell(epoch: number, addresses: readonly string[]): void {
+    // Of an order that was carried out late.
+    if (this.told !== undefined && epoch < this.told.epoch) return;
     this.told = { epoch, addresses };
   }
 
--- a/src/rankmaps/planner-seat.ts
+++ b/src/rankmaps/planner-seat.ts
@@ -173,7 +173,7 @@
   private async giveBack(group: string): Promise<void> {
     const { service, member } = this.options;
     await service.leave(group, member);
-    this.take(NO_SEAT);
+    this.takeNone();
   }
 
   private take(next: SeatAssignment): void {
@@ -197,7 +197,11 @@
   private async withdraw(group: string): Promise<void> {
     await this.leave(group);
     this.isMember = false;
-    this.take(NO_SEAT);
+    this.takeNone();
+  }
+
+  private takeNone(): void {
+    this.take({ ...NO_SEAT, era: this.assignment.era });
   }
 
   /** So that the next one need not wait for the lease to run out. */
--- a/tests/rankmaps/known-group.test.ts
+++ b/tests/rankmaps/known-group.test.ts
@@ -131,6 +131,14 @@
       assert.is(site.searches, 1);
     });
 
+    it("stay as told when an order of an earlier epoch comes late", async () => {
+      const site = new Site();
+      site.isStoreAway = true;
+      site.group.tell(site.engines.epoch, site.addresses);
+      site.group.tell(site.engines.epoch - 1, ["10.0.0.0:1", "10.0.0.9:1"]);
+      assert.equal(await site.read(), site.addresses);
+    });
+
     it("are looked for when one of them is out of reach", async () => {
       const site = new Site();
       site.group.tell(site.engines.epoch, site.addresses);
