Count no crash against a request that was heard of late, and play the load

Cause, found by a new test that plays six entries before 48 ranks with one request that crashes them among 12,000 that don't: after an outage of the store the entries put together what each had seen alone. A popular request was lost in two crashes at different entries, came to its end elsewhere in between, where nobody knew that it was a suspect, and was then withheld by all, so that it could never clear itself.

Change: a crash that is heard of more than five seconds after it counts only at an entry that has just started.

--- a/fuzz/suspects/suspects.ts
+++ b/fuzz/suspects/suspects.ts
@@ -171,7 +171,7 @@
 
   private share(from: KnownEntry, to: KnownEntry): void {
     if (from === to) return;
-    to.suspects.take(from.written.record, false);
+    to.suspects.take(from.written.record, "start");
     for (const fact of from.written.facts) to.heard.add(fact);
   }
 
@@ -179,7 +179,7 @@
   private restart(known: KnownEntry): void {
     known.suspects = SuspectRequests.create(() => this.nowMs);
     known.heard.clear();
-    known.suspects.take(known.written.record, true);
+    known.suspects.take(known.written.record, "own");
   }
 }
 
--- a/src/suspects/suspect-notes.ts
+++ b/src/suspects/suspect-notes.ts
@@ -54,6 +54,7 @@
 }
 
 export class SuspectNotes {
+  private hasRead = false;
   private isScheduled = false;
   /** The last write failed. */
   private isLost = false;
@@ -67,10 +68,13 @@
   /** Doesn't throw: what can't be read is a finding. */
   take(records: readonly KeyedRecord[]): void {
     const { name, suspects, findings } = this.options;
+    const others = this.hasRead ? "live" : "start";
+    this.hasRead = true;
     for (const { key, value } of records) {
       if (value === undefined) continue;
       try {
-        suspects.take(decodeJson(recordSchema, value), key === name);
+        const source = key === name ? "own" : others;
+        suspects.take(decodeJson(recordSchema, value), source);
       } catch (error) {
         const reason = toFailure(error, 1903).message;
         findings.note({ stream: SUSPECTS_STREAM, key, content: value, reason });
--- a/src/suspects/suspect-requests.ts
+++ b/src/suspects/suspect-requests.ts
@@ -23,6 +23,8 @@
 export const SUSPECT_KEPT_MS = 60_000;
 /** A withheld request is, ms; what is wrong with it takes a release to mend. */
 export const WITHHELD_MS = 3_600_000;
+/** A crash is heard of by then, unless its entry or this one was cut off, ms. */
+const HEARD_WITHIN_MS = 5000;
 /** Crashes that several entries see differ by less than this, ms. */
 const SAME_CRASH_MS = 1000;
 /** Requests kept at once; beyond them the one seen longest ago is forgotten. */
@@ -30,6 +32,9 @@
 /** Newest suspicions and acquittals that an entry tells the others. */
 export const MOST_TOLD = 64;
 
+/** Whose record it is: this entry's, one found at the start, or a new one. */
+export type RecordSource = "own" | "start" | "live";
+
 interface KnownRun extends CrashedRun {
   /** Seen by this entry, which tells the others. */
   readonly isOwn: boolean;
@@ -94,11 +99,20 @@
     return true;
   }
 
-  /** What another entry has seen, or this one before it started again. */
-  take({ suspicions, acquittals }: SuspectRecord, isOwn: boolean): void {
+  /**
+   * What another entry has seen, or this one before it started again. Of a crash
+   * that is heard of late nobody here knew meanwhile, so that no end of the request
+   * was told to the others: taken in, it would make guilty who was never asked. An
+   * entry that has just started takes all, since the others did know.
+   */
+  take({ suspicions, acquittals }: SuspectRecord, source: RecordSource): void {
+    const isOwn = source === "own";
+    const heardWithinMs = source === "live" ? HEARD_WITHIN_MS : WITHHELD_MS;
+    const sinceMs = this.now() - heardWithinMs;
     for (const { digest, runs } of suspicions) {
-      for (const run of runs)
-        this.addRun(digest, { ...this.dated(run), isOwn });
+      for (const run of runs.map((one) => this.dated(one))) {
+        if (run.lostAtMs >= sinceMs) this.addRun(digest, { ...run, isOwn });
+      }
     }
     for (const { digest, atMs } of acquittals) {
       const seenAtMs = Math.min(atMs, this.now());
