Simplify what the parts on eras, suspects and seats wrote twice or too early

Read once more as a whole; behaviour stays as it is.

- A rank's order looked up the addresses of its whole group for each order of a switch, 64 times 64 between a hold and its release, and threw them away for all but maps to prepare.
They are looked up for those alone.
- Three places of the forwarder ended a request that no runner goes on with by the same rule; one method does.
- The look at a port is a socket, and left the modules that decide; it is passed in.
- An unused size, a default that nobody took, a set that was copied to remove one entry, and a callback that was written twice are gone.
Events stand by number.

--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -23,7 +23,7 @@
   SlowRunners,
   readPaceNotes,
 } from "../membership/slow-runners.js";
-import type { RegisterChange } from "../membership/types.js";
+import type { After, RegisterChange } from "../membership/types.js";
 import { SuspectDesk } from "../suspects/suspect-desk.js";
 import { SUSPECTS_STREAM } from "../suspects/suspect-notes.js";
 import type {
@@ -45,6 +45,7 @@
 import { Forwarder } from "./forwarder.js";
 import { PaceInquiry } from "./pace-inquiry.js";
 import { connectRunner, steadyUnixMs } from "./runner-connections.js";
+import { portState } from "./port-state.js";
 import { ServiceGate } from "./service-gate.js";
 import {
   changedFields,
@@ -152,6 +153,9 @@
       this.suspects.onStoreReturned();
     });
     const now = (): number => performance.now();
+    const after: After = (delayMs, action) => {
+      this.after(delayMs, action);
+    };
     const random = Math.random;
     const slowRunners = SlowRunners.create(now, emit);
     this.slowRunners = slowRunners;
@@ -182,9 +186,7 @@
     });
     this.directory = BackendServerDirectory.create({
       now,
-      after: (delayMs, action) => {
-        this.after(delayMs, action);
-      },
+      after,
       emit,
       isServiceNamed: (service) => this.routes?.namesService(service) ?? false,
       onServer: (server) => {
@@ -205,9 +207,8 @@
       name,
       notes: options.suspectNotes,
       findings,
-      after: (delayMs, action) => {
-        this.after(delayMs, action);
-      },
+      after,
+      portState,
       now: steadyUnixMs,
       emit,
       measurements,
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -162,7 +162,7 @@
   private async forward(): Promise<void> {
     const { call, options } = this;
     if (this.suspected.isWithheld) {
-      this.refuse(failure(1220), 0);
+      this.failOrBreakOff(1220);
       return;
     }
     const entered = await options.gate.enter(call);
@@ -191,7 +191,7 @@
       // It may have crashed another runner while it waited here.
       if (this.suspected.isWithheld) {
         gate.release(admitted, "none");
-        this.refuseWithheld();
+        this.failOrBreakOff(1220);
         return { isServed: false, place: admitted };
       }
       const end = await this.attemptAt(admitted);
@@ -363,16 +363,21 @@
 
   /** No runner is left to repeat at: what the last one said is the answer. */
   private concludeUnplaced(admitted: Admitted, end: AttemptEnd): void {
-    if (this.relay?.hasStarted === true) {
-      breakOff(this.response);
-      return;
-    }
-    if (end.kind === "answered") {
+    if (end.kind === "answered" && this.relay?.hasStarted !== true) {
       this.noteAnswered(admitted, end);
       this.deliver(end);
       return;
     }
-    const error = this.mayHaveRun ? 1211 : 1214;
+    this.failOrBreakOff(1214);
+  }
+
+  /** `whenNotRun`: said only when no runner may have run it. */
+  private failOrBreakOff(whenNotRun: ErrorNumber): void {
+    if (this.relay?.hasStarted === true) {
+      breakOff(this.response);
+      return;
+    }
+    const error = this.mayHaveRun ? 1211 : whenNotRun;
     this.refuse(failure(error), retryAfterOf(error));
   }
 
@@ -387,12 +392,6 @@
     response.end(body);
   }
 
-  /** "Not run" is said only when no runner may have run it. */
-  private refuseWithheld(): void {
-    if (this.relay?.hasStarted === true) breakOff(this.response);
-    else this.refuse(failure(this.mayHaveRun ? 1211 : 1220), 0);
-  }
-
   private refuse(error: ApricotdeckError, retryAfterMs: number): void {
     const { emit, fail, measurements } = this.options;
     measurements.count("admissionRefused", { error: String(error.number) });
--- a/src/suspects/port-state.ts
+++ b/src/direct/port-state.ts
@@ -1,7 +1,7 @@
 /** Looks whether anything listens at an address, over a connection of its own. */
 import { connect } from "node:net";
-import { hostPortOf } from "../direct/settings.js";
-import type { PortState } from "./crash-watch.js";
+import type { PortState } from "../suspects/crash-watch.js";
+import { hostPortOf } from "./settings.js";
 
 /** Whoever takes longer is out of reach, ms; a caller is waiting. */
 const CONNECT_TIMEOUT_MS = 150;
--- a/src/membership/ended-servers.ts
+++ b/src/membership/ended-servers.ts
@@ -29,10 +29,6 @@
     return new EndedServers(now, after);
   }
 
-  get size(): number {
-    return this.ended.size;
-  }
-
   /** As it registered last, or as it said that it leaves. */
   add(server: BackendServer): void {
     const { id } = server;
--- a/src/rankmaps/pace-reporter.ts
+++ b/src/rankmaps/pace-reporter.ts
@@ -36,7 +36,7 @@
   /** When a rank's note was last written, by address, monotonic ms. */
   private readonly written = new Map<string, number>();
   /** Written before the store came back: they may be gone. */
-  private lost: ReadonlySet<string> = new Set();
+  private readonly lost = new Set<string>();
   private isWriting = false;
 
   private constructor(private readonly options: PaceReporterOptions) {}
@@ -51,8 +51,9 @@
    */
   onStoreReturned(): void {
     const sinceMs = this.options.now() - REWRITTEN_MS;
-    const recent = [...this.written].filter(([, atMs]) => atMs >= sinceMs);
-    this.lost = new Set(recent.map(([address]) => address));
+    for (const [address, atMs] of this.written) {
+      if (atMs >= sinceMs) this.lost.add(address);
+    }
   }
 
   /**
@@ -101,7 +102,7 @@
 
   private noteWritten(address: string): void {
     this.written.set(address, this.options.now());
-    this.lost = new Set([...this.lost].filter((one) => one !== address));
+    this.lost.delete(address);
   }
 
   /** Whether this life of the rank was slow by its last note. */
--- a/src/rankmaps/planner-seat.ts
+++ b/src/rankmaps/planner-seat.ts
@@ -123,7 +123,7 @@
   async run(
     group: string,
     signal: AbortSignal,
-    stands: () => boolean = () => true,
+    stands: () => boolean,
   ): Promise<void> {
     const { leastLeaseMs } = this.options;
     const leaseMs = Math.max(leastLeaseMs, LEASE_MS);
--- a/src/rankmaps/rank-messages.ts
+++ b/src/rankmaps/rank-messages.ts
@@ -61,12 +61,7 @@
   fence: OrderFence,
   members: readonly string[],
 ): RankOrderRequest {
-  const isTold = order.kind === "prepare";
-  return {
-    ...fence,
-    order: orderMessage(order),
-    members: isTold ? members : [],
-  };
+  return { ...fence, order: orderMessage(order), members };
 }
 
 /** Undefined for an order that this release doesn't know. */
--- a/src/rankmaps/reachable-rank.ts
+++ b/src/rankmaps/reachable-rank.ts
@@ -42,7 +42,7 @@
 /** A rank by way of its agent alone. */
 export interface AgentRank {
   readonly observe: GroupRank["observe"];
-  /** `members`: host:port of all runners of the group, as this process knows. */
+  /** `members`: host:port of the group's runners, with a map to prepare. */
   readonly order: (
     order: AgentOrder,
     fence: OrderFence,
@@ -104,7 +104,10 @@
       ),
     order: (order, fence) =>
       attempt(
-        async () => admitResult(await agent.order(order, fence, members())),
+        async () => {
+          const told = order.kind === "prepare" ? members() : [];
+          return admitResult(await agent.order(order, fence, told));
+        },
         async () => admitResult(await runner.order(order, fence)),
       ),
     // Given straight to the runner: the agent's VM only has to let the step go.
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -408,20 +408,6 @@
     },
   ),
 
-  231: entry(
-    "crash-suspected",
-    "warn",
-    "A runner crashed; what ran there is suspected until it comes to its end.",
-    {
-      runner: "id of the runner",
-      suspects: "requests that were lost there",
-      withheld: "how many of them are not run any more",
-    },
-  ),
-  232: entry("suspect-acquitted", "info", "A suspect came to its end.", {
-    request: "attempt id of the caller",
-  }),
-
   // 220: expert maps of engines that hold a step
   220: entry("map-planned", "info", "A better expert map was planned.", {
     map: "version of the new map",
@@ -446,6 +432,21 @@
     address: "host:port of the runner",
     slowness: "times as long as usual that it takes; about 1 on recovery",
   }),
+
+  // 230: requests that crash runners
+  231: entry(
+    "crash-suspected",
+    "warn",
+    "A runner crashed; what ran there is suspected until it comes to its end.",
+    {
+      runner: "id of the runner",
+      suspects: "requests that were lost there",
+      withheld: "how many of them are not run any more",
+    },
+  ),
+  232: entry("suspect-acquitted", "info", "A suspect came to its end.", {
+    request: "attempt id of the caller",
+  }),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- a/src/suspects/suspect-desk.ts
+++ b/src/suspects/suspect-desk.ts
@@ -6,8 +6,7 @@
 import type { After } from "../membership/types.js";
 import type { KeyedRecord, KeyedWriter } from "../platform/keyed-topic.js";
 import type { RecordFindings } from "../platform/record-findings.js";
-import { CrashWatch } from "./crash-watch.js";
-import { portState } from "./port-state.js";
+import { CrashWatch, type CrashWatchOptions } from "./crash-watch.js";
 import { SuspectNotes } from "./suspect-notes.js";
 import { SuspectRequests } from "./suspect-requests.js";
 
@@ -17,6 +16,7 @@
   readonly notes: KeyedWriter;
   readonly findings: RecordFindings;
   readonly after: After;
+  readonly portState: CrashWatchOptions["portState"];
   /** Unix ms. */
   readonly now: Now;
   readonly emit: Emit;
@@ -30,7 +30,7 @@
   private readonly notes: SuspectNotes;
 
   private constructor(private readonly options: SuspectDeskOptions) {
-    const { now, emit } = options;
+    const { now, emit, portState } = options;
     this.now = now;
     this.requests = SuspectRequests.create(now);
     this.notes = SuspectNotes.create({ ...options, suspects: this.requests });
