Share the pause and the reading of a gauge between tests

Four new tests and two older ones had a pause of their own, and two read a gauge of the entry by the same lines. No check has changed; a digest is matched as it is, without a detour over JSON.

--- a/tests/platform/answer-ends.test.ts
+++ b/tests/platform/answer-ends.test.ts
@@ -8,6 +8,7 @@
   type Behaviour,
 } from "../../standins/signing-runner.js";
 import { describe, it } from "../support/describe.js";
+import { pause } from "../support/wait.js";
 import { CREDENTIAL, EntrySite } from "./entry-site.js";
 
 const OTHER_CODING = "transfer-encoding: identity\r\n";
@@ -25,7 +26,7 @@
   answerRaw(EVENTS_STREAM, eventOf(1))({ request, signed });
   for (let id = 2; !socket.destroyed; id += 1) {
     socket.write(eventOf(id));
-    await sleepMs(10);
+    await pause(10);
   }
 };
 
@@ -101,17 +102,11 @@
       ([name, value]) => `${name}: ${value}\r\n`,
     );
     socket.write(`HTTP/1.1 503 Full\r\n${lines.join("")}\r\n`);
-    await sleepMs(20);
+    await pause(20);
     response.writeHead(200, signed).end("second");
   };
 }
 
-function sleepMs(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 describe("the end of an answer", () => {
   it("is counted by what marked it", async () => {
     // Two answers that look alike to their callers but for the mark: an on-call
@@ -232,7 +227,7 @@
       const body = "a".repeat(LATE_BYTES);
       const site = await EntrySite.serving(answerRaw("", body, "end"));
       const caller = callLate(site.entry.addresses.callers);
-      await sleepMs(LATE_MS);
+      await pause(LATE_MS);
       await site[Symbol.asyncDispose]();
       const { bytes, isReset } = await caller.read();
       assert.ok(bytes >= LATE_BYTES || isReset);
@@ -248,7 +243,7 @@
         headers: { "apricotdeck-deadline-ms": "5000" },
       });
       await site.until(() => site.runners[0].arrivals.length === 1);
-      await sleepMs(50);
+      await pause(50);
       await site[Symbol.asyncDispose]();
       const answer = await call;
       assert.is(answer.status, 200);
--- a/tests/platform/crashing-request.test.ts
+++ b/tests/platform/crashing-request.test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import { answerWith, type Behaviour } from "../../standins/signing-runner.js";
 import { describe, it } from "../support/describe.js";
+import { pause } from "../support/wait.js";
 import { EntrySite, type CallerAnswer } from "./entry-site.js";
 
 /** Time that a runner is down for, ms. */
@@ -10,12 +11,7 @@
 /** What begins to run where this is the body crashes its runner. */
 const POISON = "poison";
 const RUNNERS = 4;
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
+const SUSPECTS = "apricotdeck_suspect_requests";
 
 /** Serves all but the one request that crashes it. */
 async function startRunners(site: EntrySite): Promise<void> {
@@ -119,7 +115,7 @@
     await entries.callEach("/often/bad", POISON, 3);
     await using late = await EntrySite.beside(entries.first, "entry-9");
     await late.until(async () => (await late.readiness()) === 200);
-    await late.until(async () => (await suspectsAt(late)) > 0);
+    await late.until(async () => (await late.gauge(SUSPECTS)) > 0);
     const options = { path: "/often/bad", method: "POST", body: POISON };
     assert.is((await late.call(options)).status, 502);
     assert.is(entries.crashes, 2);
@@ -143,13 +139,8 @@
     entries.first.store.returnFrom(copy);
     await pause(3000);
     await using late = await EntrySite.beside(entries.first, "entry-9");
-    await late.until(async () => (await suspectsAt(late)) > 0);
+    await late.until(async () => (await late.gauge(SUSPECTS)) > 0);
     await entries.callEach("/often/bad", POISON, 3);
     assert.is(entries.crashes, 2);
   });
 });
-
-async function suspectsAt(site: EntrySite): Promise<number> {
-  const [line = ""] = await site.metric("apricotdeck_suspect_requests");
-  return Number(line.split(" ").at(-1));
-}
--- a/tests/platform/direct-path-lives.test.ts
+++ b/tests/platform/direct-path-lives.test.ts
@@ -10,6 +10,7 @@
   type SigningRunner,
 } from "../../standins/signing-runner.js";
 import { describe, it } from "../support/describe.js";
+import { pause } from "../support/wait.js";
 import { EntrySite, type CallerAnswer } from "./entry-site.js";
 
 const HEARTBEATS_BEFORE = 500;
@@ -51,12 +52,6 @@
   return { answer, tookMs: performance.now() - startedAtMs };
 }
 
-async function waitMs(durationMs: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 /** Two events, and silence. */
 const fallSilent: Behaviour = ({ response, signed }) => {
   response.writeHead(200, signed);
@@ -65,7 +60,7 @@
 };
 
 async function arrival({ arrivals }: SigningRunner): Promise<void> {
-  while (arrivals.length === 0) await waitMs(5);
+  while (arrivals.length === 0) await pause(5);
 }
 
 describe("direct path, when a runner starts again under its id", () => {
@@ -153,7 +148,7 @@
       const [earlier] = site.runners;
       const call = callAt(site, "/once/a");
       await arrival(earlier);
-      await waitMs(50);
+      await pause(50);
       await site.startElsewhere(earlier, answerWith("after"), later());
       const { answer, tookMs } = await call;
       assert.is(answer.status, 504);
@@ -183,11 +178,11 @@
       const [runner] = site.runners;
       const before = callAt(site, "/once/before");
       await arrival(runner);
-      await waitMs(20);
+      await pause(20);
       const life = later();
-      await waitMs(20);
+      await pause(20);
       runner.behaviour = async (exchange) => {
-        await waitMs(1500);
+        await pause(1500);
         await answerWith("after")(exchange);
       };
       const after = callAt(site, "/once/after");
@@ -207,7 +202,7 @@
       const [runner] = site.runners;
       const call = callAt(site, "/often/a");
       await arrival(runner);
-      await waitMs(20);
+      await pause(20);
       runner.behaviour = answerWith("after");
       site.register(runner, "ready", later());
       const { answer, tookMs } = await call;
@@ -245,7 +240,7 @@
       const [runner] = site.runners;
       for (let round = 0; round < 4; round += 1) {
         await site.call({ path: "/once/a" });
-        await waitMs(130);
+        await pause(130);
       }
       runner.behaviour = answerWith("after");
       site.register(runner, "ready", later());
@@ -287,7 +282,7 @@
     const fields = { born: Date.now() - 60_000, sequence: 501 };
     site.register(earlier, "draining", fields);
     site.register(earlier, "ready", fields);
-    await waitMs(1500);
+    await pause(1500);
     assert.is((await callAt(site, "/often/a")).answer.body, "after");
   });
 });
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -205,6 +205,12 @@
     return lines.filter((line) => line.startsWith(name));
   }
 
+  /** The value of a gauge. */
+  async gauge(name: string): Promise<number> {
+    const [line = ""] = await this.metric(name);
+    return Number(line.split(" ").at(-1));
+  }
+
   /** Outages of the store that the entry has seen, in all of its topics. */
   async outages(): Promise<number> {
     const lines = await this.metric("apricotdeck_store_outages_total{");
--- a/tests/platform/returned-store.test.ts
+++ b/tests/platform/returned-store.test.ts
@@ -2,21 +2,12 @@
 import { headerNames, topics } from "../../platform/names.js";
 import { answerWith } from "../../standins/signing-runner.js";
 import { describe, it } from "../support/describe.js";
+import { pause } from "../support/wait.js";
 import { EntrySite } from "./entry-site.js";
 
 /** Longer than a registration is kept that the store has lost, ms. */
 const PAST_GRACE_MS = 3200;
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
-async function eraOf(site: EntrySite): Promise<number> {
-  const [line = ""] = await site.metric("apricotdeck_store_era");
-  return Number(line.split(" ").at(-1));
-}
+const ERA = "apricotdeck_store_era";
 
 describe("an entry whose store came back from an older copy", () => {
   it("sends nothing to a runner that has left and is ready in the copy", async () => {
@@ -32,7 +23,10 @@
     await site.soon("it is left out", () => site.entry.runnerCount === 1);
     site.store.returnFrom(copy);
     site.register(staying, "ready");
-    await site.soon("the era is known", async () => (await eraOf(site)) === 2);
+    await site.soon(
+      "the era is known",
+      async () => (await site.gauge(ERA)) === 2,
+    );
     await pause(PAST_GRACE_MS);
     assert.is(site.entry.runnerCount, 1);
     for (let turn = 0; turn < 10; turn += 1) {
@@ -50,7 +44,10 @@
     const runner = await site.addRunner(answerWith("here"));
     await site.soon("it is known", () => site.entry.runnerCount === 1);
     site.store.returnFrom(copy);
-    await site.soon("the era is known", async () => (await eraOf(site)) === 2);
+    await site.soon(
+      "the era is known",
+      async () => (await site.gauge(ERA)) === 2,
+    );
     assert.is((await site.call({ path: "/often/a" })).status, 200);
     site.register(runner, "ready");
     await pause(PAST_GRACE_MS);
@@ -71,7 +68,10 @@
     };
     await site.soon("it is in force", isOpen);
     store.returnFrom(copy);
-    await site.soon("the era is known", async () => (await eraOf(site)) === 2);
+    await site.soon(
+      "the era is known",
+      async () => (await site.gauge(ERA)) === 2,
+    );
     store.put(topics.pace, "127.0.0.1:1", { slowness: 1 });
     await pause(PAST_GRACE_MS);
     assert.ok(await isOpen());
--- a/tests/rankmaps/group-search.test.ts
+++ b/tests/rankmaps/group-search.test.ts
@@ -8,7 +8,7 @@
 import { describe, it } from "../support/describe.js";
 import { RANK_STATE } from "./rank-state.js";
 import { foreignRecords } from "../support/foreign-records.js";
-import { waitFor } from "../support/wait.js";
+import { pause, waitFor } from "../support/wait.js";
 
 const OWN = "127.0.0.1:9001";
 const OTHER = "127.0.0.1:9002";
@@ -17,12 +17,6 @@
 /** Longer than an agent takes from its start to a search, ms. */
 const SEARCH_MS = 1200;
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 const state: RankState = { ...RANK_STATE, rank: 0, size: 2, step: 0 };
 
 const startedAtMs = undefined;
--- a/tests/rankmaps/planner-seat.test.ts
+++ b/tests/rankmaps/planner-seat.test.ts
@@ -7,6 +7,7 @@
   type SeatService,
 } from "../../src/rankmaps/planner-seat.js";
 import { describe, it } from "../support/describe.js";
+import { pause } from "../support/wait.js";
 
 /** Answers with what the test has set; an outage is an undefined assignment. */
 class Seats {
@@ -50,12 +51,6 @@
   }
 }
 
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 async function withSeat(
   body: (seats: Seats, seat: PlannerSeat) => Promise<void>,
   seats = new Seats(),
--- a/tests/suspects/suspect-requests.test.ts
+++ b/tests/suspects/suspect-requests.test.ts
@@ -1,5 +1,4 @@
 import * as assert from "uvu/assert";
-import { decodeJson } from "../../src/platform/json-value.js";
 import { digestOf } from "../../src/suspects/request-digest.js";
 import {
   MOST_SUSPECTS,
@@ -8,7 +7,6 @@
   WITHHELD_MS,
 } from "../../src/suspects/suspect-requests.js";
 import { describe, it } from "../support/describe.js";
-import { z } from "zod";
 
 const GUILTY = "guilty";
 const START_MS = 1_790_000_000_000;
@@ -232,10 +230,6 @@
   });
 
   it("tells no part of the request", () => {
-    const digest = decodeJson(
-      z.string(),
-      Buffer.from(JSON.stringify(digestOf(content))),
-    );
-    assert.match(digest, /^[\w-]{22}$/);
+    assert.match(digestOf(content), /^[\w-]{22}$/);
   });
 });
