Need a third crash at a lone entry for suspects with a likelier explanation

Cause (known red, suspects/crash-load, store away): an entry that can't reach the store withholds whatever was lost in two crashes, and hears of no end elsewhere until the store is back. Change: while its record can't be written, an entry withholds a suspect only after a third crash if it has seen it come to its end before, or if another suspect explains the crashes better (lost sooner after it was sent).

--- a/src/direct/suspected-run.ts
+++ b/src/direct/suspected-run.ts
@@ -28,7 +28,6 @@
 
   get isWithheld(): boolean {
     const { requests } = this.suspects;
-    // While there is no suspect, no body is hashed.
     return requests.size > 0 && requests.isWithheld(this.digest);
   }
 
@@ -58,7 +57,7 @@
 
   private acquit(): void {
     const { requests } = this.suspects;
-    if (requests.size > 0 && requests.acquit(this.digest)) {
+    if (requests.acquit(this.digest)) {
       this.suspects.onAcquitted(this.call.id);
     }
   }
--- a/src/suspects/suspect-notes.ts
+++ b/src/suspects/suspect-notes.ts
@@ -102,7 +102,7 @@
     const record = suspects.record();
     try {
       await notes.put(name, encodeSuspects(record));
-      this.isLost = false;
+      this.setLost(false);
       after(LEAST_INTERVAL_MS, () => {
         this.isScheduled = false;
         const isNewer = !isSame(record, suspects.record());
@@ -111,11 +111,16 @@
     } catch (error) {
       const reason = toFailure(error, 1901).message;
       if (!this.isLost) emit(191, { stream: SUSPECTS_STREAM, reason });
-      this.isLost = true;
+      this.setLost(true);
       this.isScheduled = false;
       this.schedule(RETRY_MS);
     }
   }
+
+  private setLost(isLost: boolean): void {
+    this.isLost = isLost;
+    this.options.suspects.setAlone(isLost);
+  }
 }
 
 function isSame(one: SuspectRecord, other: SuspectRecord): boolean {
--- a/src/suspects/suspect-requests.ts
+++ b/src/suspects/suspect-requests.ts
@@ -7,6 +7,13 @@
  * a request that is often sent runs at several of them.
  */
 import type { Now } from "../internal.js";
+import {
+  NO_CONVICTION,
+  convictionOf,
+  explainsBetter,
+  successiveRuns,
+  type Conviction,
+} from "./conviction.js";
 import type {
   Acquittal,
   CrashedRun,
@@ -19,6 +26,14 @@
  * its caller if it isn't run again. Hardly any is there at a second crash.
  */
 export const CRASHES_UNTIL_WITHHELD = 2;
+/**
+ * The same while this entry is alone, for a request that came to its end here before,
+ * or beside one that explains the crashes better. An end elsewhere, which would clear
+ * it, isn't heard of then, and others go on to run what this entry withholds.
+ */
+export const CRASHES_UNTIL_CERTAIN = 3;
+/** Requests remembered for having come to their end, the newest. */
+const MOST_ENDED = 2000;
 /** A suspect of one crash is forgotten after this time, ms. */
 export const SUSPECT_KEPT_MS = 60_000;
 /** A withheld request is, ms; what is wrong with it takes a release to mend. */
@@ -55,6 +70,9 @@
 export class SuspectRequests {
   /** By digest, the one that changed last at the end. */
   private readonly suspects = new Map<string, Suspect>();
+  /** Digests of requests that came to their end here, the newest last. */
+  private readonly ended = new Set<string>();
+  private isAlone = false;
 
   private constructor(private readonly now: Now) {}
 
@@ -72,14 +90,22 @@
   }
 
   isWithheld(digest: string): boolean {
-    return this.crashesOf(digest) >= CRASHES_UNTIL_WITHHELD;
+    const crashes = this.crashesOf(digest);
+    if (crashes < CRASHES_UNTIL_WITHHELD) return false;
+    const isCertain = !this.isAlone || crashes >= CRASHES_UNTIL_CERTAIN;
+    return isCertain || !(this.ended.has(digest) || this.isExplained(digest));
+  }
+
+  /** Whether this entry can't tell the others what it sees, nor hear of it. */
+  setAlone(isAlone: boolean): void {
+    this.isAlone = isAlone;
   }
 
   /** Servers that the request has crashed, one after the other. */
   crashesOf(digest: string): number {
     const suspect = this.suspects.get(digest);
     if (suspect === undefined) return 0;
-    const crashes = countSuccessive(suspect);
+    const crashes = successiveRuns(suspect).length;
     const lostAtMs = suspect.runs.map((run) => run.lostAtMs);
     const lastMs = Math.max(suspect.acquittedAtMs, ...lostAtMs);
     if (this.now() - lastMs < keptMsOf(suspect, crashes)) return crashes;
@@ -94,6 +120,7 @@
 
   /** It came to its end. False where that changes nothing. */
   acquit(digest: string): boolean {
+    this.noteEnd(digest);
     if (!this.isSuspect(digest)) return false;
     this.addAcquittal({ digest, atMs: this.now() }, true);
     return true;
@@ -136,6 +163,29 @@
     };
   }
 
+  /** Another request explains the crashes better. */
+  private isExplained(digest: string): boolean {
+    const found = this.conviction(digest);
+    return [...this.suspects.keys()].some((other) =>
+      explainsBetter(this.conviction(other), found),
+    );
+  }
+
+  /** Infinite where the request isn't found to crash servers. */
+  private conviction(digest: string): Conviction {
+    if (this.crashesOf(digest) < CRASHES_UNTIL_WITHHELD) return NO_CONVICTION;
+    const known = this.suspects.get(digest) ?? UNKNOWN;
+    return convictionOf(known, CRASHES_UNTIL_WITHHELD);
+  }
+
+  private noteEnd(digest: string): void {
+    this.ended.delete(digest);
+    this.ended.add(digest);
+    if (this.ended.size <= MOST_ENDED) return;
+    const [oldest] = this.ended;
+    this.ended.delete(oldest);
+  }
+
   /** A clock that is ahead must not keep a request withheld for longer. */
   private dated(run: CrashedRun): CrashedRun {
     const lostAtMs = Math.min(run.lostAtMs, this.now());
@@ -169,22 +219,6 @@
   }
 }
 
-/**
- * The most runs of which none began before the one ahead of it was lost, each at
- * a server that crashed; those from before an acquittal don't count.
- */
-function countSuccessive({ runs, acquittedAtMs }: Suspect): number {
-  let count = 0;
-  let lastLostAtMs = acquittedAtMs;
-  const byEnd = runs.toSorted((one, other) => one.lostAtMs - other.lostAtMs);
-  for (const { sentAtMs, lostAtMs } of byEnd) {
-    if (sentAtMs < lastLostAtMs) continue;
-    count += 1;
-    lastLostAtMs = lostAtMs;
-  }
-  return count;
-}
-
 /**
  * An acquittal stays as long as the runs that it is about may be read from the
  * record of an entry that hasn't written since.
--- a/tests/suspects/crash-load.test.ts
+++ b/tests/suspects/crash-load.test.ts
@@ -7,6 +7,7 @@
 } from "./crash-world.js";
 
 const SEEDS = 10;
+const MORE_SEEDS = 50;
 /** Aim: a request that crashes its servers takes two of them. */
 const AIMED_CRASHES = 2;
 /** The platform's bound on runs once entries have heard of the third crash. */
@@ -21,9 +22,13 @@
 
 async function playAll(
   options: Partial<CrashWorldOptions>,
+  seeds: { readonly from: number; readonly count: number } = {
+    from: 1,
+    count: SEEDS,
+  },
 ): Promise<readonly CrashOutcome[]> {
   const outcomes: CrashOutcome[] = [];
-  for (let seed = 1; seed <= SEEDS; seed += 1) {
+  for (let seed = seeds.from; seed < seeds.from + seeds.count; seed += 1) {
     const world = CrashWorld.create({ ...USUAL, ...options, seed });
     outcomes.push(await world.play());
   }
@@ -76,4 +81,13 @@
     assert.ok(mostOf(outcomes, "crashes") <= bound);
     assertInnocentsServed(outcomes);
   });
+
+  it("takes no more on fifty further seeds while the store is away", async () => {
+    // A lone entry can only guess which of several suspects is guilty.
+    const seeds = { from: SEEDS + 1, count: MORE_SEEDS };
+    const outcomes = await playAll({ storeAwayUntilMs: 30_000 }, seeds);
+    const bound = AIMED_CRASHES * ENTRIES;
+    assert.ok(mostOf(outcomes, "crashes") <= bound);
+    assertInnocentsServed(outcomes);
+  });
 });
--- a/tests/suspects/suspect-requests.test.ts
+++ b/tests/suspects/suspect-requests.test.ts
@@ -115,6 +115,45 @@
     assert.ok(site.entries[0].isWithheld(GUILTY));
   });
 
+  it("need a third crash at a lone entry where they came to their end before", () => {
+    // A request that many callers send is lost in several crashes of other causes,
+    // and no other entry can tell of its ends.
+    const site = new Site();
+    const [entry] = site.entries;
+    entry.acquit("popular");
+    entry.setAlone(true);
+    for (const runner of ["r1", "r2"]) {
+      site.pass();
+      site.crash(0, "popular", runner);
+      site.crash(0, GUILTY, runner);
+    }
+    assert.ok(entry.isWithheld(GUILTY));
+    assert.not.ok(entry.isWithheld("popular"));
+    site.pass();
+    site.crash(0, "popular", "r3");
+    assert.ok(entry.isWithheld("popular"));
+  });
+
+  it("need a third crash at a lone entry that knows a likelier cause", () => {
+    // Other entries go on to run what this one withholds, and take its runs along.
+    const site = new Site();
+    const [entry] = site.entries;
+    entry.setAlone(true);
+    for (const runner of ["r1", "r2"]) {
+      site.pass();
+      site.crash(0, "beside", runner, 2 * RUN_MS);
+    }
+    assert.ok(entry.isWithheld("beside"));
+    for (const runner of ["r3", "r4"]) {
+      site.pass();
+      site.crash(0, GUILTY, runner);
+    }
+    assert.ok(entry.isWithheld(GUILTY));
+    assert.not.ok(entry.isWithheld("beside"));
+    entry.setAlone(false);
+    assert.ok(entry.isWithheld("beside"));
+  });
+
   it("are forgotten in time, the withheld ones later", () => {
     const site = new Site();
     const [entry] = site.entries;
