Reset the large answer of a test only once its caller has the first part

Cause (known red, path/early-ends): the test reset its connection 100 ms after it had written 24 MiB, and a reset discards what the other side hasn't taken. With less than the 16 MiB that an entry holds back taken by then, 502 is the true answer. Shown by a run: with 5 ms in place of 100 the test fails in the same way, each time. Change: the test resets when the caller has the first part, as its comment says; what it asserts stays as it was.

--- a/tests/path/early-ends.test.ts
+++ b/tests/path/early-ends.test.ts
@@ -7,6 +7,7 @@
   siteConfiguration,
 } from "../../demo/configurations.js";
 import { startSite, type Site } from "../../demo/site.js";
+import { createDeferred } from "../../src/internal.js";
 import { describe, it } from "../support/describe.js";
 import { callHttp, type SeenAnswer } from "../support/http-call.js";
 
@@ -63,7 +64,7 @@
 }
 
 /** An order runs once at the most, so that no second attempt hides the first. */
-function order(site: Site): Promise<SeenAnswer> {
+function order(site: Site, onFirstPart?: () => void): Promise<SeenAnswer> {
   return callHttp({
     address: site.entries[0].daemon.process.callers,
     path: "/services/records/valves/7",
@@ -71,6 +72,7 @@
       authorization: `Bearer ${credentialOf("dyfrwr", 1)}`,
       "apricotdeck-profile": "orders",
     },
+    onFirstPart,
   });
 }
 
@@ -123,8 +125,17 @@
     const [{ service }] = site.services;
     for (const end of [closeInOrder, reset]) {
       const text = UNMARKED + "a".repeat(LARGE_BYTES);
-      service.faults.answerRaw = answering(text, end);
-      const { status, headers, body, fault } = await order(site);
+      const firstPart = createDeferred<undefined>();
+      service.faults.answerRaw = (socket) => {
+        socket.write(text);
+        // A reset discards what the caller's side hasn't taken yet.
+        void firstPart.promise.then(() => {
+          end(socket);
+        });
+      };
+      const { status, headers, body, fault } = await order(site, () => {
+        firstPart.resolve(undefined);
+      });
       assert.equal([status, headers.connection], [200, "close"]);
       assert.is(headers["transfer-encoding"], undefined);
       assert.is(headers["content-length"], undefined);
--- a/tests/support/http-call.ts
+++ b/tests/support/http-call.ts
@@ -15,10 +15,12 @@
   readonly path: string;
   readonly method?: string;
   readonly headers?: Readonly<Record<string, string>>;
+  /** The first bytes of the answer's body have come. */
+  readonly onFirstPart?: (() => void) | undefined;
 }
 
 export function callHttp(call: HttpCall): Promise<SeenAnswer> {
-  const { address, path, method = "GET", headers = {} } = call;
+  const { address, path, method = "GET", headers = {}, onFirstPart } = call;
   const [host, port] = address.split(":");
   return new Promise((resolve, reject) => {
     const request = send({ host, port, path, method, headers, agent: false });
@@ -31,7 +33,10 @@
       request.off("error", reject).on("error", (error) => {
         fault = (error as NodeJS.ErrnoException).code ?? error.message;
       });
-      response.on("data", (part: Buffer) => parts.push(part));
+      response.on("data", (part: Buffer) => {
+        if (parts.length === 0) onFirstPart?.();
+        parts.push(part);
+      });
       response.on("error", (error: NodeJS.ErrnoException) => {
         fault = error.code ?? error.message;
       });
