Wait again before a group forms a second time

The time at which its formation was due stayed set once it was over, so one look at an engine's state from before its joining was enough for a second formation at once, which ends every proposal in the group. Change: the next formation waits its half second anew.

--- a/src/expertmap/formation.ts
+++ b/src/expertmap/formation.ts
@@ -161,7 +161,11 @@
     }
     if (message.kind === "joined" && phase.kind === "joining") {
       phase.joined.add(from);
-      if (phase.joined.size === phase.members.length) this.phase = undefined;
+      if (phase.joined.size < phase.members.length) return;
+      this.phase = undefined;
+      // What this engine last told may be older than its joining, and a second
+      // formation would end every proposal in the group that has just formed.
+      this.startAt = undefined;
     }
   }
 
--- a/tests/expertmap/recovery.test.ts
+++ b/tests/expertmap/recovery.test.ts
@@ -24,9 +24,34 @@
 const mapHash = hashMap(map);
 const weights = weightsOf(map, [0]);
 
+const engineA = { member: "a", engine: "a#1", bytesPerExpert: 1 };
+
+/** An engine that remembers no group. */
+const unformed = {
+  kind: "sealed",
+  group: null,
+  version: 0,
+  map: null,
+  armed: null,
+  armedMap: null,
+  rejected: false,
+} as const;
+
+function createFormer(): GroupFormer {
+  return GroupFormer.create(
+    {
+      member: "a",
+      agent: "a#1",
+      random: () => 0,
+      emit: ignoreEvents,
+      mayGoForward: true,
+    },
+    { version: 1, map },
+  );
+}
+
 function joinedRegister(): MapRegister {
-  const settings = { member: "a", engine: "a#1", bytesPerExpert: 1 };
-  const register = MapRegister.create(settings);
+  const register = MapRegister.create(engineA);
   register.call({ kind: "seal", formation: first }, 0);
   register.call({ kind: "stage", mapHash, weights }, 0);
   for (const weight of weights) register.putWeight(weight, 0, 1);
@@ -39,16 +64,7 @@
   // Two members joined different formations and each looks whole by itself.
   // Their steps stand still, and without a comparison they would for ever.
   it("forms anew when another member stands in another incarnation", () => {
-    const former = GroupFormer.create(
-      {
-        member: "a",
-        agent: "a#1",
-        random: () => 0,
-        emit: ignoreEvents,
-        mayGoForward: true,
-      },
-      { version: 1, map },
-    );
+    const former = createFormer();
     former.setMembers(members);
     const state = joinedRegister().state(0);
     const sent: string[] = [];
@@ -64,6 +80,33 @@
     assert.ok(sent.includes("seal"));
   });
 
+  // A group that forms anew for nothing ends each proposal in it.
+  it("doesn't form anew at once when its own engine's state is from before", () => {
+    const former = createFormer();
+    former.setMembers(members);
+    const before = MapRegister.create(engineA).state(0);
+    const sent: string[] = [];
+    let now = 0;
+    const run = (durationMs: number): void => {
+      for (const until = now + durationMs; now < until; now += 20) {
+        former.tick(before, now, (_to, { kind }) => sent.push(kind));
+      }
+    };
+    run(1_000);
+    assert.ok(sent.includes("seal"));
+    const formation = { number: 1, author: "a#1" };
+    for (const { member } of members) {
+      former.receive(member, { ...unformed, formation }, now);
+    }
+    run(100);
+    for (const { member } of members) {
+      former.receive(member, { kind: "joined", formation }, now);
+    }
+    sent.length = 0;
+    run(400);
+    assert.not(sent.includes("seal"));
+  });
+
   // An engine that is armed is sealed to a formation which takes another map.
   // If it took no weights for it, it could never join and the group stands.
   it("lets an armed engine stage for a formation, and hold meanwhile", () => {
