Limit, break and place by group of runners, as their planners tell the entries

Cause: a service of several groups had one limit, one breaker and one placing at an entry. A slow group made the limit of all lower, each group got the same, and a broken one was found out about by every request. Runners of no known group count as one, as before.

--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -23,6 +23,11 @@
   SlowRunners,
   readPaceNotes,
 } from "../membership/slow-runners.js";
+import {
+  GROUPS_STREAM,
+  RunnerGroups,
+  readGroupNotes,
+} from "../membership/runner-groups.js";
 import type { After, RegisterChange } from "../membership/types.js";
 import { SuspectDesk } from "../suspects/suspect-desk.js";
 import { SUSPECTS_STREAM } from "../suspects/suspect-notes.js";
@@ -70,6 +75,8 @@
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
   /** Which runners are slow. */
   readonly pace: KeyedTopic;
+  /** Which runners form a group. */
+  readonly groups: KeyedTopic;
   /** Which requests may have crashed runners, and where this entry tells. */
   readonly suspects: KeyedTopic;
   readonly suspectNotes: KeyedWriter;
@@ -118,6 +125,7 @@
   private readonly registry;
   private readonly gate: ServiceGate;
   private readonly slowRunners: SlowRunners;
+  private readonly runnerGroups = RunnerGroups.create();
   private readonly paceInquiry: PaceInquiry;
   private readonly findings: RecordFindings;
   private readonly registerReader: RegisterReader;
@@ -167,6 +175,7 @@
       connect: connectRunner,
       isSlow: (address, startedAtMs) =>
         slowRunners.isSlow(address, startedAtMs),
+      groupOf: (address) => this.runnerGroups.groupOf(address),
     });
     this.gate = gate;
     this.paceInquiry = PaceInquiry.create({
@@ -372,6 +381,9 @@
     this.followNotes(PACE_STREAM, this.options.pace, (records) => {
       this.onPace(records);
     });
+    this.followNotes(GROUPS_STREAM, this.options.groups, (records) => {
+      this.onGroups(records);
+    });
     this.followNotes(SUSPECTS_STREAM, this.options.suspects, (records) => {
       this.suspects.take(records);
     });
@@ -475,6 +487,16 @@
     for (const note of notes) this.slowRunners.take(note);
   }
 
+  private onGroups(records: readonly KeyedRecord[]): void {
+    for (const note of readGroupNotes(records, this.findings)) {
+      if (!this.runnerGroups.take(note)) continue;
+      const { name: group, epoch, addresses } = note;
+      this.emit(234, { group, epoch, ranks: addresses.length });
+      this.gate.onGroupFormed(group);
+    }
+    this.measurements.set("runnerGroups", this.runnerGroups.size);
+  }
+
   private onRegister(records: readonly KeyedRecord[]): void {
     const changes = this.registerReader.read(records);
     // Before what isn't there any more is taken for removed.
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -91,6 +91,8 @@
   private waitedMs = 0;
   private outcome = "broken-off";
   private attempt: Attempt | undefined;
+  /** Where the attempt runs. */
+  private place: Admitted | undefined;
   private givenUp: GiveUpReason | undefined;
   private readonly suspected: SuspectedRun;
   private readonly relay: EventRelay | undefined;
@@ -100,10 +102,9 @@
     private readonly call: Call,
     private readonly response: ServerResponse,
   ) {
-    const { route, fields, service } = call;
+    const { route, fields } = call;
     this.suspected = SuspectedRun.create(options.suspects, call);
     if (route.kind !== "stream") return;
-    const pace = options.gate.paceOf(service);
     let isFirst = true;
     this.relay = EventRelay.create({
       response,
@@ -111,15 +112,17 @@
       onEvent: (pauseMs) => {
         this.suspected.onEvent();
         const { measurements, gate } = options;
+        const { place } = this;
+        if (place === undefined) return;
         if (isFirst) {
           // The time to the first event is no pause between two.
           isFirst = false;
-          gate.onAccepted(service);
+          gate.onAccepted(place);
           measurements.observe("firstEventDelay", this.ageMs() / 1000);
           return;
         }
         measurements.observe("eventPause", pauseMs / 1000);
-        pace.onPause(pauseMs, route.pauseObjectiveMs, gate.runningOf(service));
+        gate.onPause(place, pauseMs, route.pauseObjectiveMs);
       },
     });
   }
@@ -198,7 +201,7 @@
       gate.release(admitted, verdictOf(end));
       await this.suspected.onEnd(admitted.runner.server, end);
       // A failure of its own is an answer too: the runner did take the request.
-      if (end.kind === "answered") gate.onAccepted(this.call.service);
+      if (end.kind === "answered") gate.onAccepted(admitted);
       const step = this.stepAfter(end);
       this.note(admitted, end, step);
       if (step.kind !== "repeat") {
@@ -250,6 +253,7 @@
     const { call, options, relay } = this;
     const { runner } = admitted;
     this.tried.add(runner);
+    this.place = admitted;
     if (this.givenUp !== undefined) {
       return { kind: "given-up", wasSent: false, reason: this.givenUp };
     }
@@ -294,11 +298,11 @@
   ): Promise<AttemptEnd> {
     const { relay, call, options } = this;
     if (relay === undefined) return attempt.run();
-    const pace = options.gate.paceOf(call.service);
     const startedAtMs = performance.now();
     const timer = setInterval(() => {
       const lastMs = Math.max(relay.lastEventAtMs, startedAtMs);
-      if (isStalled(performance.now(), lastMs, pace.lastEventAtMs)) {
+      const serviceMs = options.gate.lastEventAtMs(call.service);
+      if (isStalled(performance.now(), lastMs, serviceMs)) {
         attempt.giveUp("stalled");
       } else if (this.shouldMove(admitted)) {
         attempt.giveUp("slow");
--- a/src/direct/pace-limit.ts
+++ b/src/direct/pace-limit.ts
@@ -1,6 +1,6 @@
 /**
- * How many requests of a service one entry runs at once, found from the pace
- * of its streams. All ranks of a group share one step, and it grows with every
+ * How many requests one entry runs at once at a group, found from the pace of
+ * its streams. All ranks of a group share one step, and it grows with every
  * request that runs: past a point all streams of the group are late together.
  * Each entry sees that step as the pauses of its own streams, so entries find
  * a common limit without telling each other anything.
@@ -17,7 +17,8 @@
 export interface PaceLimitInputs {
   readonly now: Now;
   readonly emit: Emit;
-  readonly service: string;
+  /** Group, or service without groups. */
+  readonly group: string;
 }
 
 /** Part of the pause objective at which the mean pause is kept. */
@@ -59,8 +60,9 @@
     return new PaceLimit(inputs);
   }
 
-  hasRoom(running: number, slots: number): boolean {
-    return running < Math.min(Math.floor(this.limit), Math.max(slots, 1));
+  /** Requests that may run at once. */
+  roomFor(slots: number): number {
+    return Math.min(Math.floor(this.limit), Math.max(slots, 1));
   }
 
   /** Whether the mean pause has come close to the objective or passed it. */
@@ -68,7 +70,7 @@
     return this.meanPauseMs > this.objectiveMs * LATE_SHARE;
   }
 
-  /** Monotonic time of the last event of any stream of the service, ms. */
+  /** Monotonic time of the last event of any of the streams, ms. */
   get lastEventAtMs(): number {
     return this.eventAtMs;
   }
@@ -96,9 +98,9 @@
     this.limit = lowered;
     this.changedAtMs = nowMs;
     if (!this.isLate) return;
-    const { emit, service } = this.inputs;
+    const { emit, group } = this.inputs;
     const pauseMs = Math.round(this.meanPauseMs);
-    emit(213, { service, limit: Math.floor(lowered), pauseMs });
+    emit(213, { group, limit: Math.floor(lowered), pauseMs });
   }
 
   private raise(running: number, nowMs: number): void {
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -25,6 +25,12 @@
   isEnded: boolean;
 }
 
+/** Part of the slots of some runners that one entry has taken. */
+export interface Taken {
+  readonly running: number;
+  readonly slots: number;
+}
+
 /** Tells whether the life at host:port with this start is known to be slow. */
 export type IsSlow = (address: string, startedAtMs: LifeStart) => boolean;
 
@@ -57,6 +63,8 @@
  */
 const REPLACED_PAUSE_MS = 2000;
 
+const NOTHING_TAKEN: Taken = { running: 0, slots: 0 };
+
 export class RunnerPool {
   private readonly runners = new Map<string, Runner>();
   /** They get nothing new, and attempts still run there. */
@@ -77,16 +85,26 @@
     return Array.from(this.runners.values(), ({ server }) => server);
   }
 
-  /** Slots of all runners together. */
-  get slots(): number {
-    let slots = 0;
-    for (const { server } of this.runners.values()) slots += server.slots;
-    return slots;
+  /** What this entry runs, and all slots, by the key of a runner. */
+  takenBy(keyOf: (runner: Runner) => string): ReadonlyMap<string, Taken> {
+    const taken = new Map<string, Taken>();
+    for (const runner of this.runners.values()) {
+      const key = keyOf(runner);
+      const { running, slots } = taken.get(key) ?? NOTHING_TAKEN;
+      taken.set(key, {
+        running: running + runner.running,
+        slots: slots + runner.server.slots,
+      });
+    }
+    return taken;
   }
 
-  get running(): number {
+  /** Attempts of this entry at the runners that `isCounted` picks. */
+  runningIn(isCounted: (runner: Runner) => boolean): number {
     let running = 0;
-    for (const runner of this.runners.values()) running += runner.running;
+    for (const runner of this.runners.values()) {
+      if (isCounted(runner)) running += runner.running;
+    }
     return running;
   }
 
@@ -146,13 +164,16 @@
     for (const runner of ended) endConnections(runner, later);
   }
 
-  /** The least taken runner outside `excluded` that may take work. */
-  choose(excluded: ReadonlySet<Runner>): Runner | undefined {
+  /** The least taken runner of those allowed that may take work. */
+  choose(
+    excluded: ReadonlySet<Runner>,
+    isAllowed: (runner: Runner) => boolean = () => true,
+  ): Runner | undefined {
     const nowMs = this.inputs.now();
     let best: Runner | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     for (const runner of this.runners.values()) {
-      if (excluded.has(runner)) continue;
+      if (excluded.has(runner) || !isAllowed(runner)) continue;
       if (runner.fullUntilMs > nowMs) continue;
       if (!runner.health.mayTake(nowMs)) continue;
       const score = this.scoreOf(runner);
--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -18,9 +18,7 @@
 } from "../internal.js";
 import type { BackendServer } from "../membership/types.js";
 import type { Route } from "../routing/types.js";
-import { CircuitBreaker } from "./circuit-breaker.js";
 import type { LateService } from "./pace-inquiry.js";
-import { PaceLimit } from "./pace-limit.js";
 import type { RunnerConnections } from "./runner-connections.js";
 import {
   RunnerPool,
@@ -28,6 +26,7 @@
   type Runner,
   type Verdict,
 } from "./runner-pool.js";
+import { ServiceGroups, type GroupOf } from "./service-groups.js";
 import type { Call } from "./types.js";
 
 export interface ServiceGateInputs {
@@ -37,6 +36,7 @@
   readonly dataCentre: string;
   readonly connect: (address: string) => RunnerConnections;
   readonly isSlow: IsSlow;
+  readonly groupOf: GroupOf;
 }
 
 /** A request that has its place at a runner. */
@@ -47,16 +47,13 @@
 
 interface ServiceState {
   readonly pool: RunnerPool;
-  readonly pace: PaceLimit;
+  readonly groups: ServiceGroups;
   readonly retries: RetryAllowance;
-  readonly breaker: CircuitBreaker;
 }
 
 /** Resolves with a place, or with why there is none. */
 type Pending = Deferred<Either<Refusal, Runner>>;
 
-const NOTHING_EXCLUDED: ReadonlySet<Runner> = new Set();
-
 /** No runner at all: one that is replaced takes about this long to come, ms. */
 const NOBODY_RETRY_MS = 500;
 
@@ -142,9 +139,17 @@
    * of which nothing counts any more.
    */
   endLife(earlier: BackendServer, later: BackendServer): void {
-    for (const { pool, breaker } of this.services.values()) {
+    for (const { pool, groups } of this.services.values()) {
       pool.endLife(earlier, later);
-      breaker.forget(earlier.id);
+      groups.forget(earlier.id);
+    }
+  }
+
+  /** The group has formed anew: what it refused before says nothing. */
+  onGroupFormed(group: string): void {
+    for (const [service, { groups }] of this.services) {
+      groups.onFormed(group);
+      this.admission.drain(service);
     }
   }
 
@@ -168,16 +173,15 @@
     this.settle(id, Left(refusal));
   }
 
-  /** Services whose streams of this entry are late. */
+  /** Services of which a group's streams of this entry are late. */
   lateServices(): readonly LateService[] {
-    return [...this.services]
-      .filter(([, { pace }]) => pace.isLate)
-      .map(([name, { pool }]) => ({ name, runners: pool.servers }));
-  }
-
-  /** Attempts of this entry that run at the service. */
-  runningOf(service: string): number {
-    return this.serviceOf(service).pool.running;
+    return [...this.services].flatMap(([name, { pool, groups }]) => {
+      const { late } = groups;
+      if (late.size === 0) return [];
+      const isLate = ({ address }: BackendServer): boolean =>
+        late.has(this.inputs.groupOf(address));
+      return [{ name, runners: pool.servers.filter(isLate) }];
+    });
   }
 
   /** Another runner for an admitted request, which keeps its place. */
@@ -185,8 +189,8 @@
     admitted: Admitted,
     excluded: ReadonlySet<Runner>,
   ): Admitted | undefined {
-    const { pool } = this.serviceOf(admitted.request.pool);
-    const runner = pool.choose(excluded);
+    const { pool, groups } = this.serviceOf(admitted.request.pool);
+    const runner = groups.runnerToMoveTo(excluded);
     if (runner === undefined) return undefined;
     pool.start(runner);
     return { ...admitted, runner };
@@ -198,8 +202,8 @@
     tried: ReadonlySet<Runner>,
   ): boolean {
     if (!this.isSlow(runner)) return false;
-    const { pool } = this.serviceOf(request.pool);
-    const other = pool.choose(tried);
+    const { groups } = this.serviceOf(request.pool);
+    const other = groups.runnerToMoveTo(tried);
     return other !== undefined && !this.isSlow(other);
   }
 
@@ -210,11 +214,11 @@
 
   /** The attempt at the runner has ended. */
   release({ request, runner }: Admitted, verdict: Verdict): void {
-    const { pool, breaker } = this.serviceOf(request.pool);
+    const { pool, groups } = this.serviceOf(request.pool);
     pool.release(runner, verdict);
-    if (verdict === "served") breaker.onAccepted();
+    if (verdict === "served") groups.onAccepted(runner);
     const isRefused = verdict === "full" || verdict === "replaced";
-    if (isRefused && !runner.isEnded) breaker.onRefused(runner.server.id);
+    if (isRefused && !runner.isEnded) groups.onRefused(runner);
   }
 
   /** The request is over; its place is free. */
@@ -226,20 +230,31 @@
 
   /** Whether all runners of the service refuse. */
   isOut(service: string): boolean {
-    return this.serviceOf(service).breaker.isOpen;
+    return this.serviceOf(service).groups.isOut;
   }
 
-  /** A runner of the service has begun to answer. */
-  onAccepted(service: string): void {
-    this.serviceOf(service).breaker.onAccepted();
+  /** The runner has begun to answer. */
+  onAccepted({ request, runner }: Admitted): void {
+    this.serviceOf(request.pool).groups.onAccepted(runner);
+  }
+
+  /** An event of a stream came `pauseMs` after the one before. */
+  onPause(
+    { request, runner }: Admitted,
+    pauseMs: number,
+    objectiveMs: number,
+  ): void {
+    const { groups } = this.serviceOf(request.pool);
+    groups.onPause(runner, pauseMs, objectiveMs);
   }
 
   retriesOf(service: string): RetryAllowance {
     return this.serviceOf(service).retries;
   }
 
-  paceOf(service: string): PaceLimit {
-    return this.serviceOf(service).pace;
+  /** Monotonic time of the last event of any stream of the service, ms. */
+  lastEventAtMs(service: string): number {
+    return this.serviceOf(service).groups.lastEventAtMs;
   }
 
   async close(): Promise<void> {
@@ -249,10 +264,9 @@
   }
 
   private start(request: AdmissionRequest): boolean {
-    const { pool, pace, breaker } = this.serviceOf(request.pool);
-    if (!pace.hasRoom(pool.running, pool.slots)) return false;
-    const runner = pool.choose(NOTHING_EXCLUDED);
-    if (runner === undefined || !breaker.mayStart()) return false;
+    const { pool, groups } = this.serviceOf(request.pool);
+    const runner = groups.runnerToStart();
+    if (runner === undefined) return false;
     pool.start(runner);
     this.settle(request.id, Right(runner));
     return true;
@@ -264,8 +278,7 @@
 
   private longestWaitMs({ route, service }: Call): number {
     const waitMs = route.objectiveMs * QUEUE_SHARE_OF_OBJECTIVE;
-    const { isOpen } = this.serviceOf(service).breaker;
-    return isOpen ? Math.max(OUTAGE_QUEUE_MS, waitMs) : waitMs;
+    return this.isOut(service) ? Math.max(OUTAGE_QUEUE_MS, waitMs) : waitMs;
   }
 
   private settle(id: string, result: Either<Refusal, Runner>): void {
@@ -320,17 +333,17 @@
   private serviceOf(name: string): ServiceState {
     const known = this.services.get(name);
     if (known !== undefined) return known;
-    const { random, emit, now } = this.inputs;
+    const { random, emit } = this.inputs;
+    const pool = RunnerPool.create(this.inputs);
     const state = {
-      pool: RunnerPool.create(this.inputs),
-      pace: PaceLimit.create({ now, emit, service: name }),
+      pool,
+      groups: ServiceGroups.create({ ...this.inputs, service: name, pool }),
       retries: RetryAllowance.create({
         pool: name,
         random,
         emit,
         mostRetries: SAVED_RETRIES,
       }),
-      breaker: CircuitBreaker.create(now),
     };
     this.services.set(name, state);
     return state;
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -44,6 +44,7 @@
 import { RankAgentService } from "../wire/generated/rankmaps.js";
 import { Candidacy } from "./candidacy.js";
 import { GroupPlanner } from "./group-planner.js";
+import { GroupReporter } from "./group-reporter.js";
 import { HoldGuard } from "./hold-guard.js";
 import { KnownGroup } from "./known-group.js";
 import { PaceReporter } from "./pace-reporter.js";
@@ -69,6 +70,7 @@
   /** Throws 1903 for a record that can't be decoded. */
   readonly decodeServer: (record: KeyedRecord) => RegisterChange;
   readonly paceNotes: KeyedWriter;
+  readonly groupNotes: KeyedWriter;
 }
 
 /** Between two looks at a runner that belongs to no group yet, ms. */
@@ -102,6 +104,7 @@
   private readonly maps = RelayedMaps.create();
   private readonly port: RankPort;
   private readonly pace: PaceReporter;
+  private readonly groupReporter: GroupReporter;
   private readonly incarnation = randomUUID();
   private readonly registry;
   private readonly measurements: Measurements;
@@ -131,6 +134,10 @@
       now: () => performance.now(),
       emit: this.emit,
     });
+    this.groupReporter = GroupReporter.create({
+      notes: options.groupNotes,
+      emit: this.emit,
+    });
     this.group = KnownGroup.create({
       observeOwn: () => port.observe(),
       find: (own) => this.findGroup(own, this.stop.signal),
@@ -170,6 +177,7 @@
       this.emit(196, { era });
       measurements.set("storeEra", era);
       this.pace.onStoreReturned();
+      this.groupReporter.onStoreReturned();
     });
   }
 
@@ -221,6 +229,7 @@
     while (!signal.aborted) {
       if (this.seat.generation === undefined) {
         planner = undefined;
+        this.groupReporter.forget();
         const { turn } = this.seat;
         await Promise.race([turn, pause(SEARCH_INTERVAL_MS, signal)]);
         continue;
@@ -254,7 +263,10 @@
         await pause(SEARCH_INTERVAL_MS, signal);
         return undefined;
       }
-      await pause(await planner.step(this.group.ranks), signal);
+      const { ranks } = this.group;
+      const waitMs = await planner.step(ranks);
+      this.tellGroup(planner, ranks);
+      await pause(waitMs, signal);
       return planner;
     } catch (error) {
       this.noteUnreachable(error);
@@ -264,6 +276,17 @@
     }
   }
 
+  /** The planner has just seen these ranks whole, in its epoch. */
+  private tellGroup(
+    { group, epoch }: GroupPlanner,
+    ranks: readonly GroupRank[],
+  ): void {
+    const { service } = this.options.settings;
+    const addresses = ranks.map(({ address }) => address);
+    const name = `${service}.${group}`;
+    this.groupReporter.look({ name, epoch, addresses });
+  }
+
   /** Undefined where the service's engines have no expert maps. */
   private async createPlanner(
     { group }: RankState,
--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -93,6 +93,14 @@
     return new GroupPlanner(options);
   }
 
+  get group(): string {
+    return this.options.group;
+  }
+
+  get epoch(): number {
+    return this.options.epoch;
+  }
+
   /**
    * One look at the group and what follows from it. Resolves with the time to
    * the next one, ms. Throws 1607 when a rank can't be reached, 1606 when they
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -360,7 +360,7 @@
       "leaving, removed, lapsed, address taken, unusable entry or started again",
   }),
   213: entry("pace-limit-lowered", "info", "Streams are slow; less starts.", {
-    service: "service",
+    group: "group, or service without groups",
     limit: "requests that this entry runs at once",
     pauseMs: "mean pause between events, ms",
   }),
@@ -447,6 +447,16 @@
   232: entry("suspect-acquitted", "info", "A suspect came to its end.", {
     request: "attempt id of the caller",
   }),
+  233: entry("group-told", "info", "A group's ranks were written down.", {
+    group: "service and group",
+    epoch: "epoch of the group",
+    ranks: "how many ranks it has",
+  }),
+  234: entry("group-formed", "info", "A group has formed, anew or for once.", {
+    group: "service and group",
+    epoch: "epoch of the group",
+    ranks: "how many ranks it has",
+  }),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -87,6 +87,13 @@
     labels: [],
     meaning: "Runners that may get work as far as this process knows.",
   },
+  runnerGroups: {
+    name: "apricotdeck_runner_groups",
+    kind: "gauge",
+    unit: "groups",
+    labels: [],
+    meaning: "Groups of runners that this process knows of.",
+  },
   storeEra: {
     name: "apricotdeck_store_era",
     kind: "gauge",
--- a/tests/direct/pace-limit.test.ts
+++ b/tests/direct/pace-limit.test.ts
@@ -15,7 +15,7 @@
 function play(entries: number, msEachStream: number): number[] {
   let nowMs = 0;
   const limits = Array.from({ length: entries }, () =>
-    PaceLimit.create({ now: () => nowMs, emit: ignoreEvents, service: "m" }),
+    PaceLimit.create({ now: () => nowMs, emit: ignoreEvents, group: "m" }),
   );
   const running = limits.map(() => 0);
   const pauses: number[] = [];
@@ -23,7 +23,7 @@
     limits.forEach((limit, entry) => {
       // Every pass one stream in twenty ends; demand fills what is free.
       running[entry] -= Math.ceil(running[entry] / 20);
-      while (limit.hasRoom(running[entry], SLOTS / entries)) {
+      while (running[entry] < limit.roomFor(SLOTS / entries)) {
         running[entry] += 1;
       }
     });
@@ -69,7 +69,7 @@
   pass(): void {
     this.limits.forEach((limit, entry) => {
       this.endSome(entry);
-      while (limit.hasRoom(this.running[entry], SLOTS_OF_LARGE)) {
+      while (this.running[entry] < limit.roomFor(SLOTS_OF_LARGE)) {
         this.running[entry] += 1;
       }
     });
@@ -92,7 +92,7 @@
 
   private beginLimit(): PaceLimit {
     const now = (): number => this.nowMs;
-    return PaceLimit.create({ now, emit: ignoreEvents, service: "m" });
+    return PaceLimit.create({ now, emit: ignoreEvents, group: "m" });
   }
 }
 
--- a/tests/direct/runner-pool.test.ts
+++ b/tests/direct/runner-pool.test.ts
@@ -161,7 +161,10 @@
       startAgain(pool, SAME_ADDRESS);
       assert.is(connections.opened, 2);
       assert.ok(pool.choose(NOTHING) !== undefined);
-      assert.is(pool.running, 0);
+      assert.is(
+        pool.runningIn(() => true),
+        0,
+      );
     });
 
     it("aren't judged by attempts at the earlier life that end late", () => {
@@ -171,7 +174,10 @@
       startAgain(pool, SAME_ADDRESS);
       pool.release(late, "full");
       assert.ok(pool.choose(NOTHING) !== undefined);
-      assert.is(pool.running, 0);
+      assert.is(
+        pool.runningIn(() => true),
+        0,
+      );
     });
 
     it("may be tried again by a request that the earlier life failed", () => {
--- a/tests/direct/service-gate.test.ts
+++ b/tests/direct/service-gate.test.ts
@@ -8,6 +8,8 @@
 import type { RunnerConnections } from "../../src/direct/runner-connections.js";
 import type { IsSlow } from "../../src/direct/runner-pool.js";
 import { ServiceGate, type Admitted } from "../../src/direct/service-gate.js";
+import type { GroupOf } from "../../src/direct/service-groups.js";
+import { NO_GROUP } from "../../src/membership/runner-groups.js";
 import type { BackendServer } from "../../src/membership/types.js";
 import type { Call } from "../../src/direct/types.js";
 import { describe, it } from "../support/describe.js";
@@ -21,7 +23,11 @@
   endOpenedBefore: () => undefined,
 };
 
-function gateWith(runners: number, isSlow: IsSlow = () => false): ServiceGate {
+function gateWith(
+  runners: number,
+  isSlow: IsSlow = () => false,
+  groupOf: GroupOf = () => NO_GROUP,
+): ServiceGate {
   const gate = ServiceGate.create({
     now: () => performance.now(),
     random: createRandom(5),
@@ -29,6 +35,7 @@
     dataCentre: "here",
     connect: () => unused,
     isSlow,
+    groupOf,
   });
   for (let index = 0; index < runners; index += 1) {
     gate.setServer({
@@ -144,17 +151,19 @@
     // loses both attempts within milliseconds; most have come back once already
     // and don't come again.
     const gate = gateWith(4);
+    const tried: Admitted[] = [];
     for (let index = 0; index < 4; index += 1) {
       const result = await enter(gate, callOf(`c${index}`));
       assert.is(result.kind, "admitted");
       if (result.kind === "refused") continue;
+      tried.push(result.admitted);
       gate.release(result.admitted, "full");
       gate.leave(result.admitted, undefined);
     }
     assert.ok(gate.isOut("model"));
     const waiting = [4, 5, 6].map((index) => enter(gate, callOf(`c${index}`)));
     assert.is(gate.waitingCount, 3);
-    gate.onAccepted("model");
+    gate.onAccepted(tried[0]);
     gate.setServer({
       id: "r9",
       service: "model",
--- /dev/null
+++ b/tests/membership/runner-groups.test.ts
@@ -0,0 +1,59 @@
+import * as assert from "uvu/assert";
+import {
+  ignoreEvents,
+  ignoreMeasurements,
+  type Emit,
+} from "../../src/internal.js";
+import {
+  NO_GROUP,
+  RunnerGroups,
+  encodeGroupNote,
+  readGroupNotes,
+} from "../../src/membership/runner-groups.js";
+import { RecordFindings } from "../../src/platform/record-findings.js";
+import { describe, it } from "../support/describe.js";
+
+const FIRST = { name: "model.one", epoch: 1, addresses: ["10.0.0.1:80"] };
+
+function read(value: Buffer | undefined, emit: Emit = ignoreEvents) {
+  const findings = RecordFindings.create({
+    emit,
+    measurements: ignoreMeasurements,
+  });
+  return readGroupNotes([{ key: FIRST.name, value }], findings);
+}
+
+describe("groups of runners", () => {
+  it("are read as their planner wrote them", () => {
+    assert.equal(read(encodeGroupNote(FIRST)), [FIRST]);
+    assert.equal(read(undefined), []);
+  });
+
+  it("are left as they are by a note that can't be read", () => {
+    const numbers: number[] = [];
+    const emit: Emit = (number) => {
+      numbers.push(number);
+    };
+    const note = { epoch: 1, addresses: ["nowhere"] };
+    assert.equal(read(Buffer.from(JSON.stringify(note)), emit), []);
+    assert.is(numbers.length, 1);
+  });
+
+  it("are those of the last note, also for a runner that changed its group", () => {
+    // A runner that keeps its old group's name gets work by another group's pace.
+    const groups = RunnerGroups.create();
+    assert.ok(groups.take(FIRST));
+    const moved = { ...FIRST, name: "model.two" };
+    assert.ok(groups.take(moved));
+    assert.is(groups.groupOf("10.0.0.1:80"), "model.two");
+    groups.take({ ...moved, epoch: 2, addresses: [] });
+    assert.is(groups.groupOf("10.0.0.1:80"), NO_GROUP);
+  });
+
+  it("have formed anew only with another epoch", () => {
+    const groups = RunnerGroups.create();
+    groups.take(FIRST);
+    assert.not.ok(groups.take(FIRST));
+    assert.ok(groups.take({ ...FIRST, epoch: 2 }));
+  });
+});
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -83,6 +83,7 @@
       register: client.keyedTopic(topics.register),
       decodeServer: decodeRegistration,
       pace: client.keyedTopic(topics.pace),
+      groups: client.keyedTopic(topics.groups),
       suspects: client.keyedTopic(topics.suspects),
       suspectNotes: client.keyedWriter(topics.suspects),
       readinessPath: paths.readiness,
--- a/tests/rankmaps/group-search.test.ts
+++ b/tests/rankmaps/group-search.test.ts
@@ -124,6 +124,7 @@
     register: topicOf([runners[0], ...foreign, ...runners.slice(1)]),
     decodeServer: decodeRegistration,
     paceNotes: { put: () => Promise.resolve() },
+    groupNotes: { put: () => Promise.resolve() },
   });
 }
 
