Read the register as often as the bound for leaving servers asks, not every 0.7 s

Change: two readings and the grace of a replaced life fit into the time for which a leaving server may get work, which is a setting now (drain_ms of the platform): 0.7 s at 2 s as before, 1.2 s at 3 s. For 5 s after a start or a return of the store it stays 0.7 s, because living servers register again within their grace.

--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -23,6 +23,7 @@
   SlowRunners,
   readPaceNotes,
 } from "../membership/slow-runners.js";
+import { registerIntervalMs } from "../membership/register-interval.js";
 import {
   GROUPS_STREAM,
   RunnerGroups,
@@ -103,12 +104,6 @@
  * most of the time; a connection that fell silent costs no more than late news.
  */
 const NOTES_WAIT_MS = 10_000;
-/**
- * Time between two reads of the register, ms. A leaving runner may get work for
- * two seconds.
- */
-const REGISTER_INTERVAL_MS = 700;
-
 /**
  * New connections come until the balancer has noticed, which asks once a
  * second and believes the second miss, ms.
@@ -138,6 +133,8 @@
   private hasRegister = false;
   private isLeaving = false;
   private isClosed = false;
+  /** Monotonic, ms. An entry may start while servers register again. */
+  private storeReturnedAtMs = performance.now();
   /** Answers to the requests that are being served. */
   private readonly open = new Set<ServerResponse>();
   private readonly timers = new Set<NodeJS.Timeout>();
@@ -361,7 +358,7 @@
         name: CONFIGURATION_STREAM,
         topic: configuration,
         waitMs: CONFIGURATION_WAIT_MS,
-        intervalMs: 0,
+        intervalMs: () => 0,
         random,
         emit,
         findings,
@@ -392,7 +389,7 @@
         name: REGISTER_STREAM,
         topic: register,
         waitMs: 0,
-        intervalMs: REGISTER_INTERVAL_MS,
+        intervalMs: () => this.registerIntervalMs(),
         random,
         emit,
         findings,
@@ -404,6 +401,7 @@
           this.hasRegister = true;
         },
         onReturned: (lastBeforeMs) => {
+          this.storeReturnedAtMs = performance.now();
           this.directory.onStoreReturned(lastBeforeMs);
         },
         onLost: () => {
@@ -411,6 +409,7 @@
           this.directory.onStoreLost();
         },
         onRestored: (lastFailedAtMs) => {
+          this.storeReturnedAtMs = performance.now();
           this.directory.onStoreRestored(lastFailedAtMs);
         },
       },
@@ -418,6 +417,12 @@
     );
   }
 
+  private registerIntervalMs(): number {
+    const { drainMs } = this.options.settings;
+    const sinceReturnMs = performance.now() - this.storeReturnedAtMs;
+    return registerIntervalMs(drainMs, sinceReturnMs);
+  }
+
   /** Notes that planners or other entries write; none of them is removed. */
   private followNotes(
     name: string,
@@ -431,7 +436,7 @@
         name,
         topic,
         waitMs: NOTES_WAIT_MS,
-        intervalMs: 0,
+        intervalMs: () => 0,
         random: Math.random,
         emit,
         findings,
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -43,6 +43,11 @@
     ...common,
     callers: address,
     readiness: address,
+    drainMs: z
+      .int()
+      .min(1000)
+      .default(2000)
+      .describe("Time for which a leaving runner may still get work, ms."),
   })
   .readonly();
 
--- a/src/platform/topic-follower.ts
+++ b/src/platform/topic-follower.ts
@@ -27,8 +27,8 @@
   readonly topic: KeyedTopic;
   /** How long the store holds a read open for a record, ms. */
   readonly waitMs: number;
-  /** Least time between two reads, ms. */
-  readonly intervalMs: number;
+  /** Least time from one read to the next, ms. */
+  readonly intervalMs: () => number;
   readonly random: Random;
   readonly emit: Emit;
   /** Takes what the topic holds beside records. */
@@ -91,7 +91,7 @@
       await this.read(calledAtMs);
       this.onSuccess();
       const isReadAnew = this.offset === undefined;
-      if (!isReadAnew) await pause(this.options.intervalMs, this.signal);
+      if (!isReadAnew) await pause(this.options.intervalMs(), this.signal);
     } catch (error) {
       if (this.signal.aborted) return;
       const failure = toFailure(error, 1901);
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -70,6 +70,7 @@
         dataCentre: "here",
         store: { address: store.address, leastLeaseMs: 1000 },
         logLevel: "error",
+        drainMs: 2000,
         graceSeconds: 3,
         metrics: "127.0.0.1:0",
         callers: "127.0.0.1:0",
--- a/tests/platform/topic-follower.test.ts
+++ b/tests/platform/topic-follower.test.ts
@@ -72,7 +72,7 @@
         name: TOPIC,
         topic: this.client.keyedTopic(TOPIC),
         waitMs: 300,
-        intervalMs: 5,
+        intervalMs: () => 5,
         random: () => 0.5,
         emit: ignoreEvents,
         findings: RecordFindings.create({
