--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -14,16 +14,12 @@
 import { startMetricsServer } from "../daemon/operators-server.js";
 import { HybridClock, type Emit, type Measurements } from "../internal.js";
 import { BackendServerDirectory } from "../membership/directory.js";
-import {
-  REGISTER_STREAM,
-  RegisterReader,
-} from "../membership/register-reader.js";
+import { RegisterReader } from "../membership/register-reader.js";
 import {
   PACE_STREAM,
   SlowRunners,
   readPaceNotes,
 } from "../membership/slow-runners.js";
-import { registerIntervalMs } from "../membership/register-interval.js";
 import {
   GROUPS_STREAM,
   RunnerGroups,
@@ -39,7 +35,6 @@
 } from "../platform/keyed-topic.js";
 import { RecordFindings } from "../platform/record-findings.js";
 import type { StoreEra } from "../platform/store-era.js";
-import { followTopic } from "../platform/topic-follower.js";
 import { RELEASE } from "../release.js";
 import {
   CONFIGURATION_STREAM,
@@ -48,6 +43,7 @@
 import { RouteTable } from "../routing/route-table.js";
 import type { SiteConfiguration } from "../routing/types.js";
 import { applyBounds, createCallerListener } from "./caller-listener.js";
+import { EntryTopics } from "./entry-topics.js";
 import { Forwarder } from "./forwarder.js";
 import { PaceInquiry } from "./pace-inquiry.js";
 import { connectRunner, steadyUnixMs } from "./runner-connections.js";
@@ -94,16 +90,6 @@
   readonly metrics: string | undefined;
 }
 
-/**
- * Longest read of the configuration, ms. The store answers as soon as there is
- * a change; a connection that fell silent is noticed after this time.
- */
-const CONFIGURATION_WAIT_MS = 2000;
-/**
- * Longest read of notes of planners and other entries, ms. There are none for
- * most of the time; a connection that fell silent costs no more than late news.
- */
-const NOTES_WAIT_MS = 10_000;
 /**
  * New connections come until the balancer has noticed, which asks once a
  * second and believes the second miss, ms.
@@ -133,8 +119,6 @@
   private hasRegister = false;
   private isLeaving = false;
   private isClosed = false;
-  /** Monotonic, ms. An entry may start while servers register again. */
-  private storeReturnedAtMs = performance.now();
   /** Answers to the requests that are being served. */
   private readonly open = new Set<ServerResponse>();
   private readonly timers = new Set<NodeJS.Timeout>();
@@ -345,117 +329,62 @@
   }
 
   private follow(): void {
-    const { configuration, register } = this.options;
-    const { signal } = this.stop;
-    const { emit, findings } = this;
-    const random = Math.random;
-    const nothing = (): void => undefined;
-    const onConfiguration = (records: readonly KeyedRecord[]): void => {
-      this.onConfiguration(records);
-    };
-    void followTopic(
+    const { directory, findings, options } = this;
+    const topics = EntryTopics.create(
       {
-        name: CONFIGURATION_STREAM,
-        topic: configuration,
-        waitMs: CONFIGURATION_WAIT_MS,
-        intervalMs: () => 0,
-        random,
-        emit,
+        emit: this.emit,
+        measurements: this.measurements,
         findings,
-        onSnapshot: onConfiguration,
-        onChanges: onConfiguration,
-        onReturned: nothing,
+        drainMs: options.settings.drainMs,
+      },
+      this.stop.signal,
+    );
+    topics.followConfiguration(
+      options.configuration,
+      (records) => {
+        this.onConfiguration(records);
+      },
+      {
         onLost: () => {
-          this.countOutage(CONFIGURATION_STREAM);
           this.paceInquiry.onStoreLost();
         },
         onRestored: () => {
           this.paceInquiry.onStoreRestored();
         },
       },
-      signal,
     );
-    this.followNotes(PACE_STREAM, this.options.pace, (records) => {
+    topics.followNotes(PACE_STREAM, options.pace, (records) => {
       this.onPace(records);
     });
-    this.followNotes(GROUPS_STREAM, this.options.groups, (records) => {
+    topics.followNotes(GROUPS_STREAM, options.groups, (records) => {
       this.onGroups(records);
     });
-    this.followNotes(SUSPECTS_STREAM, this.options.suspects, (records) => {
+    topics.followNotes(SUSPECTS_STREAM, options.suspects, (records) => {
       this.suspects.take(records);
     });
-    void followTopic(
+    topics.followRegister(
+      options.register,
+      (records) => {
+        this.onRegister(records);
+      },
+      (records) => {
+        directory.apply(this.registerReader.read(records));
+        this.hasRegister = true;
+      },
       {
-        name: REGISTER_STREAM,
-        topic: register,
-        waitMs: 0,
-        intervalMs: () => this.registerIntervalMs(),
-        random,
-        emit,
-        findings,
-        onSnapshot: (records) => {
-          this.onRegister(records);
-        },
-        onChanges: (records) => {
-          this.directory.apply(this.registerReader.read(records));
-          this.hasRegister = true;
-        },
         onReturned: (lastBeforeMs) => {
-          this.storeReturnedAtMs = performance.now();
-          this.directory.onStoreReturned(lastBeforeMs);
+          directory.onStoreReturned(lastBeforeMs);
         },
         onLost: () => {
-          this.countOutage(REGISTER_STREAM);
-          this.directory.onStoreLost();
+          directory.onStoreLost();
         },
         onRestored: (lastFailedAtMs) => {
-          this.storeReturnedAtMs = performance.now();
-          this.directory.onStoreRestored(lastFailedAtMs);
+          directory.onStoreRestored(lastFailedAtMs);
         },
       },
-      signal,
     );
   }
 
-  private registerIntervalMs(): number {
-    const { drainMs } = this.options.settings;
-    const sinceReturnMs = performance.now() - this.storeReturnedAtMs;
-    return registerIntervalMs(drainMs, sinceReturnMs);
-  }
-
-  /** Notes that planners or other entries write; none of them is removed. */
-  private followNotes(
-    name: string,
-    topic: KeyedTopic,
-    onRecords: (records: readonly KeyedRecord[]) => void,
-  ): void {
-    const nothing = (): void => undefined;
-    const { emit, findings } = this;
-    void followTopic(
-      {
-        name,
-        topic,
-        waitMs: NOTES_WAIT_MS,
-        intervalMs: () => 0,
-        random: Math.random,
-        emit,
-        findings,
-        onSnapshot: onRecords,
-        onChanges: onRecords,
-        onReturned: nothing,
-        onLost: () => {
-          this.countOutage(name);
-        },
-        onRestored: nothing,
-      },
-      this.stop.signal,
-    );
-  }
-
-  private countOutage(topic: string): void {
-    this.measurements.count("storeOutages", { topic });
-  }
-
   private onConfiguration(records: readonly KeyedRecord[]): void {
     const { configurationKey, decodeConfiguration } = this.options;
     const newest = newestConfiguration(records, {
--- a/src/direct/pace-limit.ts
+++ b/src/direct/pace-limit.ts
@@ -31,9 +31,8 @@
 const DECREASE = 0.95;
 const LATE_DECREASE = 0.85;
 /**
- * Requests by which the limit rises in one interval. All entries raise theirs, and
- * of 16 that each let in one more, half of a group's capacity comes at once: its
- * pace swings past the objective and back, and all of its streams are late.
+ * Requests by which the limit rises in one interval. Small, since all entries raise
+ * theirs: with whole requests the pace of the group swings past the objective.
  */
 const INCREASE = 0.25;
 /**
