--- a/src/direct/pace-limit.ts
+++ b/src/direct/pace-limit.ts
@@ -30,11 +30,8 @@
 /** What is left of the limit above the target, and above the late share. */
 const DECREASE = 0.95;
 const LATE_DECREASE = 0.85;
-/**
- * Requests by which the limit rises in one interval. Small, since all entries raise
- * theirs: with whole requests the pace of the group swings past the objective.
- */
-const INCREASE = 0.25;
+/** Requests by which the limit rises in one interval. */
+const INCREASE = 1;
 /**
  * Factor by which it rises until the target is first passed. One request at a
  * time, an entry would refuse callers for seconds after its start.
@@ -42,14 +39,15 @@
 const SEARCH_GROWTH = 1.5;
 /** A change of the limit shows in the pauses after about this time, ms. */
 const INTERVAL_MS = 250;
-/** The first limit: an entry doesn't know how many others there are. */
-const FIRST_LIMIT = 4;
-/** Where many entries share a slow group, it serves little for each. */
-const LEAST_LIMIT = 1;
+/**
+ * The first limit: an entry doesn't know how many others there are. With less
+ * it can't even tell that the pace is good.
+ */
+const LEAST_LIMIT = 4;
 
 export class PaceLimit {
   /** Not a whole number: small decreases have to count. */
-  private limit = FIRST_LIMIT;
+  private limit = LEAST_LIMIT;
   private isSearching = true;
   private meanPauseMs = 0;
   private objectiveMs = Number.POSITIVE_INFINITY;
