Decide on a service with one group as a whole, as before groups were known

Cause, by reading: a rank that came back at another address counted as a group of its own until the planner had seen the whole group and written it down. Meanwhile the service wasn't out as long as that one rank hadn't refused four times, so callers didn't wait for the group to open but were sent there and lost an attempt. Change: groups are told apart only where a service has two of them or more; the note names the service.

--- a/src/membership/runner-groups.ts
+++ b/src/membership/runner-groups.ts
@@ -14,6 +14,7 @@
 export interface GroupNote {
   /** Service and group. */
   readonly name: string;
+  readonly service: string;
   /** New whenever the group was formed anew. */
   readonly epoch: number;
   /** host:port of its runners. */
@@ -29,14 +30,16 @@
 const MOST_RANKS = 4096;
 
 const valueSchema = z.object({
+  service: z.string().min(1),
   epoch: z.int(),
   addresses: z
     .array(z.string().refine(isHostPort, "no host:port"))
     .max(MOST_RANKS),
 });
 
-export function encodeGroupNote({ epoch, addresses }: GroupNote): Buffer {
-  return Buffer.from(JSON.stringify({ epoch, addresses }));
+export function encodeGroupNote(note: GroupNote): Buffer {
+  const { service, epoch, addresses } = note;
+  return Buffer.from(JSON.stringify({ service, epoch, addresses }));
 }
 
 /** The notes that can be read; the others are findings. Doesn't throw. */
@@ -56,10 +59,15 @@
   });
 }
 
+/** Services with fewer groups are decided on as a whole. */
+const LEAST_GROUPS = 2;
+
 export class RunnerGroups {
   private readonly epochs = new Map<string, number>();
-  /** Group of a runner, by host:port; the last note that names it counts. */
-  private readonly byAddress = new Map<string, string>();
+  /** By host:port of a runner; the last note that names it counts. */
+  private readonly byAddress = new Map<string, GroupNote>();
+  /** Groups that have runners, by service. */
+  private readonly ofService = new Map<string, Set<string>>();
 
   static create(): RunnerGroups {
     return new RunnerGroups();
@@ -71,18 +79,34 @@
   }
 
   /** True when the group has formed anew, or wasn't known before. */
-  take({ name, epoch, addresses }: GroupNote): boolean {
+  take(note: GroupNote): boolean {
+    const { name, epoch, addresses } = note;
     for (const [address, known] of this.byAddress) {
-      if (known === name) this.byAddress.delete(address);
+      if (known.name === name) this.byAddress.delete(address);
     }
-    for (const address of addresses) this.byAddress.set(address, name);
+    for (const address of addresses) this.byAddress.set(address, note);
+    this.countGroups();
     const isNew = this.epochs.get(name) !== epoch;
     this.epochs.set(name, epoch);
     return isNew;
   }
 
-  /** `address`: host:port of a runner. */
+  /**
+   * `address`: host:port of a runner. In a service with one group no runner is told
+   * apart: one that has just come back belongs to it before its planner says so.
+   */
   groupOf(address: string): string {
-    return this.byAddress.get(address) ?? NO_GROUP;
+    const note = this.byAddress.get(address);
+    if (note === undefined) return NO_GROUP;
+    const groups = this.ofService.get(note.service)?.size ?? 0;
+    return groups < LEAST_GROUPS ? NO_GROUP : note.name;
+  }
+
+  private countGroups(): void {
+    this.ofService.clear();
+    for (const { service, name } of this.byAddress.values()) {
+      const groups = this.ofService.get(service) ?? new Set();
+      this.ofService.set(service, groups.add(name));
+    }
   }
 }
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -284,7 +284,7 @@
     const { service } = this.options.settings;
     const addresses = ranks.map(({ address }) => address);
     const name = `${service}.${group}`;
-    this.groupReporter.look({ name, epoch, addresses });
+    this.groupReporter.look({ name, service, epoch, addresses });
   }
 
   /** Undefined where the service's engines have no expert maps. */
--- a/tests/membership/runner-groups.test.ts
+++ b/tests/membership/runner-groups.test.ts
@@ -13,7 +13,13 @@
 import { RecordFindings } from "../../src/platform/record-findings.js";
 import { describe, it } from "../support/describe.js";
 
-const FIRST = { name: "model.one", epoch: 1, addresses: ["10.0.0.1:80"] };
+const FIRST = {
+  name: "model.one",
+  service: "model",
+  epoch: 1,
+  addresses: ["10.0.0.1:80"],
+};
+const OTHER = { ...FIRST, name: "model.other", addresses: ["10.0.0.9:80"] };
 
 function read(value: Buffer | undefined, emit: Emit = ignoreEvents) {
   const findings = RecordFindings.create({
@@ -34,7 +40,7 @@
     const emit: Emit = (number) => {
       numbers.push(number);
     };
-    const note = { epoch: 1, addresses: ["nowhere"] };
+    const note = { service: "model", epoch: 1, addresses: ["nowhere"] };
     assert.equal(read(Buffer.from(JSON.stringify(note)), emit), []);
     assert.is(numbers.length, 1);
   });
@@ -42,6 +48,7 @@
   it("are those of the last note, also for a runner that changed its group", () => {
     // A runner that keeps its old group's name gets work by another group's pace.
     const groups = RunnerGroups.create();
+    groups.take(OTHER);
     assert.ok(groups.take(FIRST));
     const moved = { ...FIRST, name: "model.two" };
     assert.ok(groups.take(moved));
@@ -50,6 +57,18 @@
     assert.is(groups.groupOf("10.0.0.1:80"), NO_GROUP);
   });
 
+  it("aren't told apart in a service that has one", () => {
+    // A rank that came back at another address would count as a group of its own
+    // until its planner names it, and callers wouldn't wait for the group to open.
+    const groups = RunnerGroups.create();
+    groups.take(FIRST);
+    assert.is(groups.groupOf("10.0.0.1:80"), NO_GROUP);
+    groups.take(OTHER);
+    assert.is(groups.groupOf("10.0.0.1:80"), FIRST.name);
+    groups.take({ ...OTHER, addresses: [] });
+    assert.is(groups.groupOf("10.0.0.1:80"), NO_GROUP);
+  });
+
   it("have formed anew only with another epoch", () => {
     const groups = RunnerGroups.create();
     groups.take(FIRST);
--- a/tests/platform/broken-group.test.ts
+++ b/tests/platform/broken-group.test.ts
@@ -30,7 +30,7 @@
     const addresses = site.runners.map(({ address }) => address);
     const groups = [addresses.slice(0, 2), addresses.slice(2)];
     groups.forEach((members, at) => {
-      const note = { epoch: 1, addresses: members };
+      const note = { service: "service", epoch: 1, addresses: members };
       site.store.put(topics.groups, `service.${at}`, note);
     });
     await site.until(async () => (await site.readiness()) === 200);
--- a/tests/rankmaps/group-reporter.test.ts
+++ b/tests/rankmaps/group-reporter.test.ts
@@ -3,7 +3,12 @@
 import { GroupReporter } from "../../src/rankmaps/group-reporter.js";
 import { describe, it } from "../support/describe.js";
 
-const NOTE = { name: "model.one", epoch: 1, addresses: ["10.0.0.1:80"] };
+const NOTE = {
+  name: "model.one",
+  service: "model",
+  epoch: 1,
+  addresses: ["10.0.0.1:80"],
+};
 
 function reporting(): {
   readonly reporter: GroupReporter;
