Count a group's running requests only where its limit is decided on

Found by reading the whole change once more; behaviour as before. - Each event of each stream summed what runs over all runners of the service, with two lookups a runner; the sum is used four times a second. The only difference that can be seen: a service whose late group has no runner left isn't listed among the late ones, where nobody could be asked.

--- a/src/direct/pace-limit.ts
+++ b/src/direct/pace-limit.ts
@@ -75,8 +75,15 @@
     return this.eventAtMs;
   }
 
-  /** A stream's event came `pauseMs` after the one before. */
-  onPause(pauseMs: number, objectiveMs: number, running: number): void {
+  /**
+   * A stream's event came `pauseMs` after the one before. `countRunning` is called
+   * only where a decision is due, not for each event.
+   */
+  onPause(
+    pauseMs: number,
+    objectiveMs: number,
+    countRunning: () => number,
+  ): void {
     const change = PAUSE_SHARE * (pauseMs - this.meanPauseMs);
     this.meanPauseMs += change;
     this.objectiveMs = objectiveMs;
@@ -84,6 +91,7 @@
     this.eventAtMs = nowMs;
     if (nowMs - this.changedAtMs < INTERVAL_MS) return;
     const isAbove = this.meanPauseMs > objectiveMs * TARGET_SHARE;
+    const running = countRunning();
     if (isAbove) this.lower(running, nowMs);
     else this.raise(running, nowMs);
   }
--- a/src/direct/service-gate.ts
+++ b/src/direct/service-gate.ts
@@ -175,13 +175,9 @@
 
   /** Services of which a group's streams of this entry are late. */
   lateServices(): readonly LateService[] {
-    return [...this.services].flatMap(([name, { pool, groups }]) => {
-      const { late } = groups;
-      if (late.size === 0) return [];
-      const isLate = ({ address }: BackendServer): boolean =>
-        late.has(this.inputs.groupOf(address));
-      return [{ name, runners: pool.servers.filter(isLate) }];
-    });
+    return [...this.services]
+      .map(([name, { groups }]) => ({ name, runners: groups.lateServers }))
+      .filter(({ runners }) => runners.length > 0);
   }
 
   /** Another runner for an admitted request, which keeps its place. */
--- a/src/direct/service-groups.ts
+++ b/src/direct/service-groups.ts
@@ -4,6 +4,7 @@
  * those of a plain service, count as one.
  */
 import type { Emit, Now } from "../internal.js";
+import type { BackendServer } from "../membership/types.js";
 import { NO_GROUP } from "../membership/runner-groups.js";
 import { CircuitBreaker } from "./circuit-breaker.js";
 import {
@@ -55,20 +56,22 @@
     return Math.max(Number.NEGATIVE_INFINITY, ...times);
   }
 
-  /** Groups whose streams of this entry are late. */
-  get late(): ReadonlySet<string> {
-    const late = [...this.groups].filter(([, { pace }]) => pace.isLate);
-    return new Set(late.map(([name]) => name));
+  /** Registrations in groups whose streams of this entry are late. */
+  get lateServers(): readonly BackendServer[] {
+    const { pool, groupOf } = this.options;
+    return pool.servers.filter(
+      ({ address }) => this.groups.get(groupOf(address))?.pace.isLate,
+    );
   }
 
   /** A runner for a new request; takes a trial if it is one. */
   runnerToStart(): Runner | undefined {
     const loads = this.loads();
-    const isAlternative = loads.some(({ isOut }) => !isOut);
+    const hasAlternative = loads.some(({ isOut }) => !isOut);
     for (const { name } of groupsToStartIn(loads)) {
       const runner = this.choose(name, NOTHING_EXCLUDED);
       if (runner === undefined) continue;
-      if (this.group(name).breaker.mayStart(isAlternative)) return runner;
+      if (this.group(name).breaker.mayStart(hasAlternative)) return runner;
     }
     return undefined;
   }
@@ -106,9 +109,10 @@
 
   /** A stream's event came `pauseMs` after the one before. */
   onPause(runner: Runner, pauseMs: number, objectiveMs: number): void {
-    const name = this.options.groupOf(runner.server.address);
-    const running = this.options.pool.runningIn(this.isIn(name));
-    this.group(name).pace.onPause(pauseMs, objectiveMs, running);
+    const { groupOf, pool } = this.options;
+    const name = groupOf(runner.server.address);
+    const { pace } = this.group(name);
+    pace.onPause(pauseMs, objectiveMs, () => pool.runningIn(this.isIn(name)));
   }
 
   private choose(
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -30,8 +30,8 @@
  * After a later life has replaced an earlier one, ms: a removal within this
  * time is the earlier one's that came late, because no life is silent for
  * several heartbeats at its very start. Should the later life have left after
- * all, it may be sent work for two seconds; two readings of the register, 0.7 s
- * each, and this stay within them.
+ * all, it may be sent work for as long as a leaving one; two readings of the
+ * register and this stay within that (`register-interval`).
  */
 export const REPLACED_GRACE_MS = 600;
 
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -177,7 +177,7 @@
       this.emit(196, { era });
       measurements.set("storeEra", era);
       this.pace.onStoreReturned();
-      this.groupReporter.onStoreReturned();
+      this.groupReporter.forget();
     });
   }
 
--- a/src/rankmaps/group-reporter.ts
+++ b/src/rankmaps/group-reporter.ts
@@ -23,12 +23,10 @@
     return new GroupReporter(options);
   }
 
-  /** The store came back from an older copy, which may not hold the note. */
-  onStoreReturned(): void {
-    this.written = undefined;
-  }
-
-  /** Another process has planned meanwhile, and written of a later epoch. */
+  /**
+   * The store may not hold the note any more: it came back from an older copy, or
+   * another process has planned meanwhile.
+   */
   forget(): void {
     this.written = undefined;
   }
--- a/tests/direct/group-world.ts
+++ b/tests/direct/group-world.ts
@@ -4,11 +4,11 @@
  * may be slow, or refuse everything for a while.
  */
 import { VirtualTime } from "../../fuzz/virtual-time.js";
-import type { RunnerConnections } from "../../src/direct/runner-connections.js";
 import { RunnerPool, type Runner } from "../../src/direct/runner-pool.js";
 import { ServiceGroups } from "../../src/direct/service-groups.js";
 import { createRandom, ignoreEvents, type Random } from "../../src/internal.js";
 import { NO_GROUP } from "../../src/membership/runner-groups.js";
+import { unusedConnections } from "./unused-connections.js";
 
 export interface GroupWorldOptions {
   readonly seed: number;
@@ -45,13 +45,6 @@
 const SETTLING_MS = 8000;
 const MOST_ATTEMPTS = 2;
 
-const connections: RunnerConnections = {
-  dispatch: () => true,
-  close: () => Promise.resolve(),
-  endAll: () => undefined,
-  endOpenedBefore: () => undefined,
-};
-
 interface Stream {
   readonly entry: Entry;
   readonly runner: Runner;
@@ -105,7 +98,7 @@
       now: () => this.time.nowMs,
       random: this.random,
       emit: ignoreEvents,
-      connect: () => connections,
+      connect: () => unusedConnections,
       dataCentre: "here",
       isSlow: () => false,
     });
--- a/tests/direct/pace-limit.test.ts
+++ b/tests/direct/pace-limit.test.ts
@@ -33,7 +33,7 @@
     pauses.push(pauseMs);
     limits.forEach((limit, entry) => {
       for (let stream = 0; stream < running[entry]; stream += 1) {
-        limit.onPause(pauseMs, OBJECTIVE_MS, running[entry]);
+        limit.onPause(pauseMs, OBJECTIVE_MS, () => running[entry]);
       }
     });
   }
@@ -79,7 +79,7 @@
       const count = this.running[entry];
       for (let stream = 0; stream < count; stream += 1) {
         const seenMs = pauseMs * (0.9 + 0.2 * this.random());
-        limit.onPause(seenMs, OBJECTIVE_MS, count);
+        limit.onPause(seenMs, OBJECTIVE_MS, () => count);
       }
     });
   }
--- a/tests/direct/service-gate.test.ts
+++ b/tests/direct/service-gate.test.ts
@@ -5,7 +5,6 @@
   ignoreEvents,
   type Refusal,
 } from "../../src/internal.js";
-import type { RunnerConnections } from "../../src/direct/runner-connections.js";
 import type { IsSlow } from "../../src/direct/runner-pool.js";
 import { ServiceGate, type Admitted } from "../../src/direct/service-gate.js";
 import type { GroupOf } from "../../src/direct/service-groups.js";
@@ -14,15 +13,9 @@
 import type { Call } from "../../src/direct/types.js";
 import { describe, it } from "../support/describe.js";
 import { routeOf } from "../routing/support.js";
+import { unusedConnections } from "./unused-connections.js";
 
 const SLOTS = 4;
-const unused: RunnerConnections = {
-  dispatch: () => true,
-  close: () => Promise.resolve(),
-  endAll: () => undefined,
-  endOpenedBefore: () => undefined,
-};
-
 function gateWith(
   runners: number,
   isSlow: IsSlow = () => false,
@@ -33,7 +26,7 @@
     random: createRandom(5),
     emit: ignoreEvents,
     dataCentre: "here",
-    connect: () => unused,
+    connect: () => unusedConnections,
     isSlow,
     groupOf,
   });
--- a/tests/rankmaps/group-reporter.test.ts
+++ b/tests/rankmaps/group-reporter.test.ts
@@ -60,7 +60,7 @@
   it("is written again once the store came back from an older copy", async () => {
     const { reporter, look, written } = reporting();
     await look(1);
-    reporter.onStoreReturned();
+    reporter.forget();
     await look(1);
     assert.is(written.length, 2);
   });
