Tell why streams are late, and each group's limit and mean pause, in metrics

Callers of the grown sites got most of their streams late, and nothing told whether by the first event, by one pause or by many, nor which group's limit moved.

--- a/src/direct/concurrency-limit.ts
+++ b/src/direct/concurrency-limit.ts
@@ -13,11 +13,12 @@
  * keeps it, and callers of its data centre are refused several times as often
  * as the others.
  */
-import type { Emit, Now } from "../internal.js";
+import type { Emit, Measurements, Now } from "../internal.js";
 
 export interface ConcurrencyLimitInputs {
   readonly now: Now;
   readonly emit: Emit;
+  readonly measurements: Measurements;
   /** Name of the group, or of a service without groups. */
   readonly group: string;
 }
@@ -103,6 +104,13 @@
     const running = countRunning();
     if (isAboveTarget) this.lower(running, nowMs);
     else this.raise(running, nowMs);
+    this.report();
+  }
+
+  private report(): void {
+    const { group, measurements } = this.inputs;
+    measurements.set("groupLimit", Math.floor(this.limit), { group });
+    measurements.set("groupPause", this.meanPauseMs / 1000, { group });
   }
 
   private lower(running: number, nowMs: number): void {
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -156,6 +156,7 @@
       now,
       random,
       emit,
+      measurements,
       dataCentre,
       connect: connectRunner,
       isSlow: (address, startedAtMs) =>
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -26,6 +26,7 @@
 } from "./next-step.js";
 import type { Runner, RunnerVerdict } from "./runner-pool.js";
 import type { AdmittedRequest, RequestScheduler } from "./request-scheduler.js";
+import { StreamTimeliness } from "./stream-timeliness.js";
 import { STALL_CHECK_INTERVAL_MS, isStalled } from "./stall.js";
 import { CrashTracker } from "./crash-tracker.js";
 import type {
@@ -104,6 +105,7 @@
   private giveUpReason: GiveUpReason | undefined;
   private readonly crashTracker: CrashTracker;
   private readonly relay: EventRelay | undefined;
+  private readonly timeliness: StreamTimeliness | undefined;
 
   private constructor(
     private readonly options: ForwarderOptions,
@@ -114,6 +116,8 @@
     this.crashTracker = CrashTracker.create(options.suspects, call);
     if (route.kind !== "stream") return;
     let isFirstEvent = true;
+    const timeliness = StreamTimeliness.create(route);
+    this.timeliness = timeliness;
     this.relay = EventRelay.create({
       response,
       lastEventId: fields.lastEventId,
@@ -127,9 +131,11 @@
           isFirstEvent = false;
           scheduler.onAccepted(currentAdmission);
           measurements.observe("firstEventDelay", this.ageMs() / 1000);
+          timeliness.onFirstEvent(this.ageMs());
           return;
         }
         measurements.observe("eventPause", pauseMs / 1000);
+        timeliness.onPause(pauseMs);
         scheduler.onPause(currentAdmission, pauseMs, route.pauseObjectiveMs);
       },
     });
@@ -426,6 +432,10 @@
 
   private deliver(end: AttemptEnd): void {
     this.options.scheduler.retriesOf(this.call.service).onSuccess();
+    if (end.kind === "streamed" && this.timeliness !== undefined) {
+      const timeliness = this.timeliness.result;
+      this.options.measurements.count("streamsAnswered", { timeliness });
+    }
     if (end.kind !== "answered" || this.response.destroyed) return;
     const { status, headers, body, endMark } = end.answer;
     const { response } = this;
--- a/src/direct/request-scheduler.ts
+++ b/src/direct/request-scheduler.ts
@@ -12,6 +12,7 @@
   type AdmissionRequest,
   type Deferred,
   type Emit,
+  type Measurements,
   type Now,
   type Random,
   type Refusal,
@@ -33,6 +34,7 @@
   readonly now: Now;
   readonly random: Random;
   readonly emit: Emit;
+  readonly measurements: Measurements;
   readonly dataCentre: string;
   readonly connect: (address: string) => RunnerConnections;
   readonly isSlow: IsSlow;
--- a/src/direct/service-groups.ts
+++ b/src/direct/service-groups.ts
@@ -3,7 +3,7 @@
  * the objective, and whether it refuses. Runners without a known group, such as
  * those of a plain service, form a single group.
  */
-import type { Emit, Now } from "../internal.js";
+import type { Emit, Measurements, Now } from "../internal.js";
 import type { BackendServer } from "../membership/types.js";
 import { NO_GROUP } from "../membership/runner-groups.js";
 import { CircuitBreaker } from "./circuit-breaker.js";
@@ -21,6 +21,7 @@
 export interface ServiceGroupsOptions {
   readonly now: Now;
   readonly emit: Emit;
+  readonly measurements: Measurements;
   readonly service: string;
   readonly pool: RunnerPool;
   readonly groupOf: GroupOf;
@@ -161,10 +162,15 @@
   private groupNamed(name: string): Group {
     const known = this.groups.get(name);
     if (known !== undefined) return known;
-    const { now, emit, service } = this.options;
-    const label = name === NO_GROUP ? service : name;
+    const { now, emit, measurements, service } = this.options;
+    const inputs = {
+      now,
+      emit,
+      measurements,
+      group: name === NO_GROUP ? service : name,
+    };
     const group = {
-      concurrencyLimit: ConcurrencyLimit.create({ now, emit, group: label }),
+      concurrencyLimit: ConcurrencyLimit.create(inputs),
       breaker: CircuitBreaker.create(now),
     };
     this.groups.set(name, group);
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -67,6 +67,28 @@
     meaning: "Pause between two events of a stream.",
     buckets: DURATION_BUCKETS_SECONDS,
   },
+  streamsAnswered: {
+    name: "apricotdeck_streams_answered_total",
+    kind: "counter",
+    unit: "streams",
+    labels: ["timeliness"],
+    meaning:
+      "Streams that were passed on to their end: in-time, or late-start, late-pause or late-start-and-pause by what took longer than the route's objectives.",
+  },
+  groupLimit: {
+    name: "apricotdeck_group_limit_requests",
+    kind: "gauge",
+    unit: "requests",
+    labels: ["group"],
+    meaning: "Most requests that this entry runs in the group at a time.",
+  },
+  groupPause: {
+    name: "apricotdeck_group_pause_seconds",
+    kind: "gauge",
+    unit: "s",
+    labels: ["group"],
+    meaning: "Mean pause between two events of this entry's streams.",
+  },
   attemptsEnded: {
     name: "apricotdeck_attempts_ended_total",
     kind: "counter",
--- a/tests/direct/concurrency-limit.test.ts
+++ b/tests/direct/concurrency-limit.test.ts
@@ -1,7 +1,12 @@
 import * as assert from "uvu/assert";
 import { ConcurrencyLimit } from "../../src/direct/concurrency-limit.js";
 import { sum } from "../../src/balance/numbers.js";
-import { createRandom, ignoreEvents, type Random } from "../../src/internal.js";
+import {
+  createRandom,
+  ignoreEvents,
+  ignoreMeasurements,
+  type Random,
+} from "../../src/internal.js";
 import { describe, it } from "../support/describe.js";
 
 const OBJECTIVE_MS = 120;
@@ -18,6 +23,7 @@
     ConcurrencyLimit.create({
       now: () => nowMs,
       emit: ignoreEvents,
+      measurements: ignoreMeasurements,
       group: "m",
     }),
   );
@@ -98,7 +104,12 @@
 
   private createLimit(): ConcurrencyLimit {
     const now = (): number => this.nowMs;
-    return ConcurrencyLimit.create({ now, emit: ignoreEvents, group: "m" });
+    return ConcurrencyLimit.create({
+      now,
+      emit: ignoreEvents,
+      measurements: ignoreMeasurements,
+      group: "m",
+    });
   }
 }
 
--- a/tests/direct/group-simulation.ts
+++ b/tests/direct/group-simulation.ts
@@ -6,7 +6,12 @@
 import { VirtualTime } from "../../fuzz/virtual-time.js";
 import { RunnerPool, type Runner } from "../../src/direct/runner-pool.js";
 import { ServiceGroups } from "../../src/direct/service-groups.js";
-import { createRandom, ignoreEvents, type Random } from "../../src/internal.js";
+import {
+  createRandom,
+  ignoreEvents,
+  ignoreMeasurements,
+  type Random,
+} from "../../src/internal.js";
 import { NO_GROUP } from "../../src/membership/runner-groups.js";
 import { unusedConnections } from "./unused-connections.js";
 
@@ -120,6 +125,7 @@
     const groups = ServiceGroups.create({
       now: () => this.time.nowMs,
       emit: ignoreEvents,
+      measurements: ignoreMeasurements,
       service: "model",
       pool,
       groupOf: (address) =>
--- a/tests/direct/request-scheduler.test.ts
+++ b/tests/direct/request-scheduler.test.ts
@@ -3,6 +3,7 @@
   createRandom,
   failure,
   ignoreEvents,
+  ignoreMeasurements,
   type Refusal,
 } from "../../src/internal.js";
 import type { IsSlow } from "../../src/direct/runner-pool.js";
@@ -28,6 +29,7 @@
     now: () => performance.now(),
     random: createRandom(5),
     emit: ignoreEvents,
+    measurements: ignoreMeasurements,
     dataCentre: "here",
     connect: () => unusedConnections,
     isSlow,
