--- a/tests/direct/group-simulation.ts
+++ b/tests/direct/group-simulation.ts
@@ -25,6 +25,16 @@
   readonly slowness: number;
   /** Period in which the first group refuses all requests, ms. */
   readonly outage: { readonly fromMs: number; readonly toMs: number };
+  /**
+   * Standard deviation of a step's duration relative to its mean, as demand for
+   * experts shifts; 0 if left out.
+   */
+  readonly stepVariation?: number;
+  /**
+   * Constant number of concurrent requests of each entry in each group, in
+   * place of the adaptive limit.
+   */
+  readonly fixedLimit?: number | undefined;
 }
 
 /**
@@ -34,6 +44,8 @@
   readonly calls: number;
   /** Calls answered completely with no pause above the objective. */
   readonly inTime: number;
+  /** Calls answered completely with a pause above the objective. */
+  readonly late: number;
   /** Attempts refused by the group with the outage. */
   readonly refusals: number;
 }
@@ -52,6 +64,8 @@
  */
 const WARM_UP_MS = 8000;
 const MAXIMUM_ATTEMPTS = 2;
+/** Time for which a shift of demand keeps steps longer or shorter, ms. */
+const VARIATION_TIME_MS = 400;
 
 interface Stream {
   readonly entry: Entry;
@@ -80,7 +94,10 @@
   });
   private calls = 0;
   private inTime = 0;
+  private late = 0;
   private refusals = 0;
+  /** Deviation of each group's current step from its mean, relative. */
+  private readonly deviations = Array.from({ length: GROUPS }, () => 0);
 
   private constructor(private readonly options: GroupSimulationOptions) {
     this.random = createRandom(options.seed);
@@ -97,8 +114,8 @@
     for (let group = 0; group < GROUPS; group += 1) this.scheduleStep(group);
     this.scheduleCall();
     this.time.advance(DURATION_MS);
-    const { calls, inTime, refusals } = this;
-    return { calls, inTime, refusals };
+    const { calls, inTime, late, refusals } = this;
+    return { calls, inTime, late, refusals };
   }
 
   private startEntry(): Entry {
@@ -116,7 +133,7 @@
         service: "model",
         address: `10.0.${index % GROUPS}.${index}:80`,
         dataCentre: "here",
-        slots: SLOTS_PER_RANK,
+        slots: this.slotsPerRank,
         isLeaving: false,
         heartbeat: 1,
         startedAtMs: undefined,
@@ -134,6 +151,13 @@
     return { pool, groups };
   }
 
+  private get slotsPerRank(): number {
+    const { fixedLimit } = this.options;
+    return fixedLimit === undefined
+      ? SLOTS_PER_RANK
+      : fixedLimit / RANKS_PER_GROUP;
+  }
+
   private scheduleCall(): void {
     const waitMs =
       (-Math.log(1 - this.random()) * 1000) / this.options.requestsPerSecond;
@@ -185,15 +209,26 @@
 
   private scheduleStep(group: number): void {
     const slowness = group === 0 ? this.options.slowness : 1;
-    const stepMs =
+    const meanMs =
       slowness *
       (MINIMUM_STEP_MS + STEP_MS_PER_STREAM * this.streams[group].size);
+    const stepMs = meanMs * this.nextVariation(group, meanMs);
     this.time.schedule(stepMs, () => {
       for (const stream of this.streams[group]) this.onEvent(stream);
       this.scheduleStep(group);
     });
   }
 
+  /** Factor of the group's next step; autocorrelated, with mean 1. */
+  private nextVariation(group: number, stepMs: number): number {
+    const { stepVariation = 0 } = this.options;
+    if (stepVariation === 0) return 1;
+    const kept = Math.exp(-stepMs / VARIATION_TIME_MS);
+    const noise = Math.sqrt(1 - kept ** 2) * normal(this.random);
+    this.deviations[group] = kept * this.deviations[group] + noise;
+    return Math.exp(stepVariation * this.deviations[group]);
+  }
+
   private onEvent(stream: Stream): void {
     const { entry, runner } = stream;
     const pauseMs = this.time.nowMs - stream.eventAtMs;
@@ -202,12 +237,27 @@
     if (stream.events === 1) {
       entry.groups.onAccepted(runner);
     } else {
-      entry.groups.onPause(runner, pauseMs, OBJECTIVE_MS);
+      entry.groups.onPause(runner, pauseMs, this.controlledObjectiveMs);
       stream.isLate ||= pauseMs > OBJECTIVE_MS;
     }
     if (stream.events < EVENTS_PER_STREAM) return;
     this.streams[groupAt(runner.server.address)].delete(stream);
     entry.pool.release(runner, "served");
-    if (stream.isCounted && !stream.isLate) this.inTime += 1;
+    if (!stream.isCounted) return;
+    if (stream.isLate) this.late += 1;
+    else this.inTime += 1;
   }
+
+  /** Without an objective, the adaptive limit grows up to the slots. */
+  private get controlledObjectiveMs(): number {
+    return this.options.fixedLimit === undefined
+      ? OBJECTIVE_MS
+      : Number.POSITIVE_INFINITY;
+  }
+}
+
+/** Box-Muller transform. */
+function normal(random: Random): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random()));
+  return radius * Math.cos(2 * Math.PI * random());
 }
--- a/tests/direct/groups-load.test.ts
+++ b/tests/direct/groups-load.test.ts
@@ -1,4 +1,5 @@
 import * as assert from "uvu/assert";
+import { sum } from "../../src/balance/numbers.js";
 import { describe, it } from "../support/describe.js";
 import {
   GroupSimulation,
@@ -12,6 +13,33 @@
 const NO_OUTAGE = { fromMs: 0, toMs: 0 };
 const OUTAGE = { fromMs: 10_000, toMs: 16_000 };
 
+/** Part of an answer in time that a late answer is worth. */
+const LATE_VALUE = 0.5;
+/** Concurrent streams of a group that are tried as constant limits. */
+const FIXED_GROUP_LIMITS = [50, 60, 70, 80];
+
+/** What callers get out of a load above what the groups can serve in time. */
+function valueUnderOverload(entries: number, fixedLimit?: number): number {
+  const outcomes = runAll(
+    {
+      requestsPerSecond: 200,
+      slowness: 1,
+      outage: NO_OUTAGE,
+      knowsGroups: true,
+      stepVariation: 0.2,
+      fixedLimit,
+    },
+    entries,
+  );
+  return sum(outcomes.map(({ inTime, late }) => inTime + late * LATE_VALUE));
+}
+
+function bestValueUnderOverload(entries: number): number {
+  const limits = FIXED_GROUP_LIMITS.map((limit) => Math.round(limit / entries));
+  const values = limits.map((limit) => valueUnderOverload(entries, limit));
+  return Math.max(...values);
+}
+
 function runAll(
   options: Omit<GroupSimulationOptions, "seed" | "entries">,
   entries = ENTRIES,
@@ -75,4 +103,14 @@
     const many = shareInTime(runAll(load, MANY_ENTRIES));
     assert.ok(many >= few * 0.9, `${many} ${few}`);
   });
+
+  for (const entries of [6, 12, 34]) {
+    it(`earns nearly as much as with the best constant limit, ${entries} entries`, () => {
+      // Guards against a limit that keeps the mean pause within the objective
+      // while most streams have a longer one and are late.
+      const adaptive = valueUnderOverload(entries);
+      const best = bestValueUnderOverload(entries);
+      assert.ok(adaptive >= best * 0.9, `${adaptive} ${best}`);
+    });
+  }
 });
