Keep pauses below the objective by their deviation, in steps that fit any number of entries

What callers saw: on the grown sites under overload four streams in five were late, each by one or a few pauses, and callers of some data centres fared worse.

Cause: the limit kept the mean pause at 0.85 of the objective, and a stream with 23 events is late if one of its pauses isn't. Each entry raised its limit by a whole request every 250 ms, whatever the distance; twelve entries drove a group from 76 to 120 ms and back every three to four seconds. The class of fault: a control loop whose step grows with the number of controllers, with a target for the mean of what is judged by its worst.

Change: the target is the objective less three standard deviations of the pauses; the limit changes in proportion to the distance from it. Entries come to even shares by droop: the target falls as an entry's limit grows. Held steps are clipped, or one switch of a map would count as variation for seconds.

--- a/src/direct/concurrency-limit.ts
+++ b/src/direct/concurrency-limit.ts
@@ -5,15 +5,20 @@
  * step as the pauses between events of its own streams, so entries converge on
  * a common limit without communicating.
  *
- * The limit is controlled by additive increase below a target pause and
- * multiplicative decrease above it, at most once in the time that a change
- * takes to show. There is no dead band between the two: larger limits lose more
- * and all limits gain the same, so the shares of the entries converge. With a
- * dead band, or with a proportional increase, an entry whose share is small
- * keeps it, and callers of its data centre are refused several times as often
- * as the others.
+ * A stream is late if any of its pauses exceeds the objective, so the mean has
+ * to stay below the objective by a multiple of the pauses' standard deviation.
+ * The limit changes in proportion to the distance from that target. All entries
+ * measure the same distance, so the group's load changes by the same proportion
+ * however many entries there are.
+ *
+ * The target falls as the limit grows (droop control): at the same pause, an
+ * entry with a large limit lowers it while one with a small limit raises it, so
+ * the shares of the entries converge. Without droop, each entry keeps the share
+ * that it happens to have, and callers of a data centre whose entries have
+ * small ones are refused several times as often as the others.
  */
 import type { Emit, Measurements, Now } from "../internal.js";
+import { PauseStatistics } from "./pause-statistics.js";
 
 export interface ConcurrencyLimitInputs {
   readonly now: Now;
@@ -23,44 +28,41 @@
   readonly group: string;
 }
 
-/** Target of the mean pause, as a share of the pause objective. */
-const TARGET_PAUSE_SHARE = 0.85;
 /**
- * Share of the pause objective above which many streams are late, because
- * pauses vary around their mean.
+ * Standard deviations between the target of the mean pause and the objective.
  */
+const TARGET_DEVIATIONS = 3;
+/** Maximum target of the mean pause, as a share of the pause objective. */
+const MAXIMUM_TARGET_SHARE = 0.9;
+/** Share of the pause objective above which the streams count as late. */
 const LATE_PAUSE_SHARE = 0.9;
-/** Weight of a new pause in the exponential moving average. */
-const PAUSE_SMOOTHING_FACTOR = 0.05;
-/**
- * Factors by which the limit is lowered above the target, and above the late
- * share.
- */
-const DECREASE_FACTOR = 0.95;
-const LATE_DECREASE_FACTOR = 0.85;
-/** Additive increase per interval, requests. */
-const INCREASE_REQUESTS = 1;
+/** Relative change of the limit per relative distance from the target. */
+const PROPORTIONAL_GAIN = 0.7;
+/** Maximum relative distance that is acted on at once. */
+const MAXIMUM_DISTANCE = 0.3;
+/** Relative change of the target as the limit changes by a factor of e. */
+const DROOP = 0.1;
+/** Limit at which the droop is zero, requests. */
+const DROOP_REFERENCE = 8;
 /**
- * Growth per interval until the target is first exceeded. With the additive
- * increase alone, an entry would refuse callers for seconds after its start.
+ * Relative growth per relative distance until the target is first exceeded.
+ * With the usual gain, an entry would refuse callers for seconds after its
+ * start.
  */
-const SLOW_START_FACTOR = 1.5;
+const SLOW_START_GAIN = 1.5;
 /** Time after which a change of the limit shows in the pauses, ms. */
 const ADJUSTMENT_INTERVAL_MS = 250;
-/**
- * Initial and minimum limit, requests. An entry doesn't know how many other
- * entries there are; with fewer requests it can't measure the pauses well
- * enough to raise the limit.
- */
-const MINIMUM_LIMIT = 4;
+/** Initial limit, requests. */
+const INITIAL_LIMIT = 4;
+/** Minimum limit, requests; the pauses are measured with the running ones. */
+const MINIMUM_LIMIT = 1;
 
 export class ConcurrencyLimit {
-  /** Requests; fractional, so that small decreases accumulate. */
-  private limit = MINIMUM_LIMIT;
+  /** Requests; fractional, so that small changes accumulate. */
+  private limit = INITIAL_LIMIT;
   private isSlowStarting = true;
-  private meanPauseMs = 0;
+  private readonly pauses = PauseStatistics.create();
   private objectiveMs = Number.POSITIVE_INFINITY;
-  private latestEventAtMs = Number.NEGATIVE_INFINITY;
   private adjustedAtMs = 0;
 
   private constructor(private readonly inputs: ConcurrencyLimitInputs) {}
@@ -76,12 +78,12 @@
 
   /** Whether the mean pause is close to the objective or above it. */
   get isLate(): boolean {
-    return this.meanPauseMs > this.objectiveMs * LATE_PAUSE_SHARE;
+    return this.pauses.meanMs > this.objectiveMs * LATE_PAUSE_SHARE;
   }
 
   /** Monotonic time of the last event of any stream, ms. */
   get lastEventAtMs(): number {
-    return this.latestEventAtMs;
+    return this.pauses.lastAtMs;
   }
 
   /**
@@ -94,46 +96,53 @@
     objectiveMs: number,
     countRunning: () => number,
   ): void {
-    const change = PAUSE_SMOOTHING_FACTOR * (pauseMs - this.meanPauseMs);
-    this.meanPauseMs += change;
-    this.objectiveMs = objectiveMs;
     const nowMs = this.inputs.now();
-    this.latestEventAtMs = nowMs;
+    this.pauses.add(pauseMs, nowMs);
+    this.objectiveMs = objectiveMs;
     if (nowMs - this.adjustedAtMs < ADJUSTMENT_INTERVAL_MS) return;
-    const isAboveTarget = this.meanPauseMs > objectiveMs * TARGET_PAUSE_SHARE;
-    const running = countRunning();
-    if (isAboveTarget) this.lower(running, nowMs);
-    else this.raise(running, nowMs);
+    const distance = this.distanceFromTarget();
+    if (distance > 0) this.lower(countRunning(), distance, nowMs);
+    else this.raise(countRunning(), distance, nowMs);
     this.report();
   }
 
-  private report(): void {
-    const { group, measurements } = this.inputs;
-    measurements.set("groupLimit", Math.floor(this.limit), { group });
-    measurements.set("groupPause", this.meanPauseMs / 1000, { group });
+  /** Relative distance of the mean pause from this entry's target. */
+  private distanceFromTarget(): number {
+    const { meanMs, variation } = this.pauses;
+    const share = 1 / (1 + TARGET_DEVIATIONS * variation);
+    const targetMs = this.objectiveMs * Math.min(MAXIMUM_TARGET_SHARE, share);
+    const droop = DROOP * Math.log(this.limit / DROOP_REFERENCE);
+    const distance = meanMs / targetMs - 1 + droop;
+    return Math.max(-MAXIMUM_DISTANCE, Math.min(MAXIMUM_DISTANCE, distance));
   }
 
-  private lower(running: number, nowMs: number): void {
+  private lower(running: number, distance: number, nowMs: number): void {
     this.isSlowStarting = false;
     // The previous decrease hasn't taken effect: more requests run than the
     // limit allows.
     if (running > this.limit) return;
-    const factor = this.isLate ? LATE_DECREASE_FACTOR : DECREASE_FACTOR;
-    const lowered = Math.max(MINIMUM_LIMIT, running * factor);
-    if (lowered >= this.limit) return;
-    this.limit = lowered;
     this.adjustedAtMs = nowMs;
+    // An unused part of the limit adds nothing to the load.
+    const used = Math.min(this.limit, running + 1);
+    const lowered = used * (1 - PROPORTIONAL_GAIN * distance);
+    this.limit = Math.max(MINIMUM_LIMIT, lowered);
     if (!this.isLate) return;
     const { emit, group } = this.inputs;
-    const pauseMs = Math.round(this.meanPauseMs);
-    emit(213, { group, limit: Math.floor(lowered), pauseMs });
+    const pauseMs = Math.round(this.pauses.meanMs);
+    emit(213, { group, limit: Math.floor(this.limit), pauseMs });
   }
 
-  private raise(running: number, nowMs: number): void {
+  private raise(running: number, distance: number, nowMs: number): void {
     this.adjustedAtMs = nowMs;
     // An unused limit must not grow, or a burst would fill it at once.
     if (running < Math.floor(this.limit) - 1) return;
-    if (this.isSlowStarting) this.limit *= SLOW_START_FACTOR;
-    else this.limit += INCREASE_REQUESTS;
+    const gain = this.isSlowStarting ? SLOW_START_GAIN : PROPORTIONAL_GAIN;
+    this.limit *= 1 - gain * distance;
+  }
+
+  private report(): void {
+    const { group, measurements } = this.inputs;
+    measurements.set("groupLimit", Math.floor(this.limit), { group });
+    measurements.set("groupPause", this.pauses.meanMs / 1000, { group });
   }
 }
--- a/tests/direct/group-simulation.ts
+++ b/tests/direct/group-simulation.ts
@@ -30,6 +30,11 @@
    * experts shifts; 0 if left out.
    */
   readonly stepVariation?: number;
+  /**
+   * Whether a step of each group is held for 300 ms now and then, as for a
+   * switch of its expert map; false if left out.
+   */
+  readonly hasHeldSteps?: boolean;
   /**
    * Constant number of concurrent requests of each entry in each group, in
    * place of the adaptive limit.
@@ -64,6 +69,9 @@
  */
 const WARM_UP_MS = 8000;
 const MAXIMUM_ATTEMPTS = 2;
+const HELD_STEP_MS = 300;
+/** Mean interval between two held steps of a group, ms. */
+const HELD_STEP_INTERVAL_MS = 5000;
 /** Time for which a shift of demand keeps steps longer or shorter, ms. */
 const VARIATION_TIME_MS = 400;
 
@@ -212,7 +220,8 @@
     const meanMs =
       slowness *
       (MINIMUM_STEP_MS + STEP_MS_PER_STREAM * this.streams[group].size);
-    const stepMs = meanMs * this.nextVariation(group, meanMs);
+    const stepMs =
+      meanMs * this.nextVariation(group, meanMs) + this.nextHoldMs(meanMs);
     this.time.schedule(stepMs, () => {
       for (const stream of this.streams[group]) this.onEvent(stream);
       this.scheduleStep(group);
@@ -229,6 +238,12 @@
     return Math.exp(stepVariation * this.deviations[group]);
   }
 
+  private nextHoldMs(stepMs: number): number {
+    if (this.options.hasHeldSteps !== true) return 0;
+    const isHeld = this.random() < stepMs / HELD_STEP_INTERVAL_MS;
+    return isHeld ? HELD_STEP_MS : 0;
+  }
+
   private onEvent(stream: Stream): void {
     const { entry, runner } = stream;
     const pauseMs = this.time.nowMs - stream.eventAtMs;
--- a/tests/direct/groups-load.test.ts
+++ b/tests/direct/groups-load.test.ts
@@ -19,7 +19,10 @@
 const FIXED_GROUP_LIMITS = [50, 60, 70, 80];
 
 /** What callers get out of a load above what the groups can serve in time. */
-function valueUnderOverload(entries: number, fixedLimit?: number): number {
+function valueUnderOverload(
+  entries: number,
+  options: Pick<GroupSimulationOptions, "fixedLimit" | "hasHeldSteps">,
+): number {
   const outcomes = runAll(
     {
       requestsPerSecond: 200,
@@ -27,16 +30,21 @@
       outage: NO_OUTAGE,
       knowsGroups: true,
       stepVariation: 0.2,
-      fixedLimit,
+      ...options,
     },
     entries,
   );
   return sum(outcomes.map(({ inTime, late }) => inTime + late * LATE_VALUE));
 }
 
-function bestValueUnderOverload(entries: number): number {
+function bestValueUnderOverload(
+  entries: number,
+  hasHeldSteps: boolean,
+): number {
   const limits = FIXED_GROUP_LIMITS.map((limit) => Math.round(limit / entries));
-  const values = limits.map((limit) => valueUnderOverload(entries, limit));
+  const values = limits.map((fixedLimit) =>
+    valueUnderOverload(entries, { fixedLimit, hasHeldSteps }),
+  );
   return Math.max(...values);
 }
 
@@ -108,9 +116,18 @@
     it(`earns nearly as much as with the best constant limit, ${entries} entries`, () => {
       // Guards against a limit that keeps the mean pause within the objective
       // while most streams have a longer one and are late.
-      const adaptive = valueUnderOverload(entries);
-      const best = bestValueUnderOverload(entries);
+      const adaptive = valueUnderOverload(entries, {});
+      const best = bestValueUnderOverload(entries, false);
       assert.ok(adaptive >= best * 0.9, `${adaptive} ${best}`);
     });
   }
+
+  it("earns as much although a step is held now and then", () => {
+    // Guards against a held step that is taken for load and for variation, and
+    // so lowers the limit for seconds.
+    const hasHeldSteps = true;
+    const adaptive = valueUnderOverload(MANY_ENTRIES, { hasHeldSteps });
+    const best = bestValueUnderOverload(MANY_ENTRIES, hasHeldSteps);
+    assert.ok(adaptive >= best * 0.9, `${adaptive} ${best}`);
+  });
 });
