Let the target of the mean pause follow from the steps that exceed the objective

Pauses of one group of twelve ranks vary as much, but hardly ever beyond one and a half times their mean; the target, and the droop on top of it, refused what fits.

Change: the target falls with each step that exceeds the objective and rises slowly with the others, so that about one step in two hundred exceeds it. What else biases the mean is taken up by it too.

The tests of virtual time pass as before. Trials in virtual time only: a tracked quantile of the pauses, and other references of the droop; each failed one of the tests.

--- a/src/direct/concurrency-limit.ts
+++ b/src/direct/concurrency-limit.ts
@@ -5,11 +5,11 @@
  * step as the pauses between events of its own streams, so entries converge on
  * a common limit without communicating.
  *
- * A stream is late if any of its pauses exceeds the objective, so the mean has
- * to stay below the objective by a multiple of the pauses' standard deviation.
- * The limit changes in proportion to the distance from that target. All entries
- * measure the same distance, so the group's load changes by the same proportion
- * however many entries there are.
+ * A stream is late if any of its pauses exceeds the objective, so the target of
+ * the mean pause follows from how many pauses do. The limit changes in
+ * proportion to the distance from that target. All entries measure the same
+ * distance, so the group's load changes by the same proportion however many
+ * entries there are.
  *
  * The target falls as the limit grows (droop control): at the same pause, an
  * entry with a large limit lowers it while one with a small limit raises it, so
@@ -28,12 +28,6 @@
   readonly group: string;
 }
 
-/**
- * Standard deviations between the target of the mean pause and the objective.
- */
-const TARGET_DEVIATIONS = 3;
-/** Maximum target of the mean pause, as a share of the pause objective. */
-const MAXIMUM_TARGET_SHARE = 0.9;
 /** Share of the pause objective above which the streams count as late. */
 const LATE_PAUSE_SHARE = 0.9;
 /** Relative change of the limit per relative distance from the target. */
@@ -97,7 +91,7 @@
     countRunning: () => number,
   ): void {
     const nowMs = this.inputs.now();
-    this.pauses.add(pauseMs, nowMs);
+    this.pauses.add(pauseMs, objectiveMs, nowMs);
     this.objectiveMs = objectiveMs;
     if (nowMs - this.adjustedAtMs < ADJUSTMENT_INTERVAL_MS) return;
     const distance = this.distanceFromTarget();
@@ -108,9 +102,8 @@
 
   /** Relative distance of the mean pause from this entry's target. */
   private distanceFromTarget(): number {
-    const { meanMs, variation } = this.pauses;
-    const share = 1 / (1 + TARGET_DEVIATIONS * variation);
-    const targetMs = this.objectiveMs * Math.min(MAXIMUM_TARGET_SHARE, share);
+    const { meanMs, targetShare } = this.pauses;
+    const targetMs = this.objectiveMs * targetShare;
     const droop = DROOP * Math.log(this.limit / DROOP_REFERENCE);
     const distance = meanMs / targetMs - 1 + droop;
     return Math.max(-MAXIMUM_DISTANCE, Math.min(MAXIMUM_DISTANCE, distance));
--- a/src/direct/pause-statistics.ts
+++ b/src/direct/pause-statistics.ts
@@ -1,32 +1,44 @@
 /**
- * Mean and variation of the pauses between events of a group's streams. All
- * streams of a group have an event in each step, so samples are weighted by the
- * time since the previous one: a step counts the same whether this entry runs
- * two streams in the group or fifty.
+ * Pauses between events of a group's streams: their mean, and how far below the
+ * objective the mean has to stay. All streams of a group have an event in each
+ * step, so samples are weighted by the time since the previous one: a step
+ * counts the same whether this entry runs two streams in the group or fifty.
+ *
+ * A stream is late if any of its pauses exceeds the objective. How many steps
+ * exceed it at a given mean depends on the deployment, so the target of the mean
+ * follows from it: it falls with each step that exceeds the objective and rises
+ * slowly with all others, until about one step in two hundred exceeds it.
  */
 
 /** Time constant of the mean, ms. */
 const MEAN_TIME_MS = 300;
 /**
- * Time constant of the mean from which deviations are measured, ms: longer than
- * a shift of the demand for experts lasts, shorter than a change of the load.
+ * Time constant of the mean with which single pauses are compared, ms: shorter
+ * than a change of the load.
  */
 const REFERENCE_TIME_MS = 1000;
-/** Time constant of the variation, ms. */
-const VARIATION_TIME_MS = 5000;
 /**
  * Maximum pause that is taken into account, relative to the mean. A single step
  * may be held much longer, for a switch of the expert map, whatever the load.
  */
 const MAXIMUM_PAUSE_RATIO = 1.5;
-/** Relative standard deviation that is assumed until it has been measured. */
-const INITIAL_VARIATION = 0.2;
+/** Bounds of the target, as shares of the pause objective. */
+const MINIMUM_TARGET_SHARE = 0.5;
+const MAXIMUM_TARGET_SHARE = 0.9;
+const INITIAL_TARGET_SHARE = 0.8;
+/**
+ * Rates at which the target approaches its minimum during steps that exceed the
+ * objective, and its maximum during others, per second.
+ */
+const DECREASE_RATE = 6;
+const INCREASE_RATE = 0.03;
+
+const MS_PER_SECOND = 1000;
 
 export class PauseStatistics {
   private mean = 0;
   private referenceMean = 0;
-  /** Mean square of the deviations relative to the reference mean. */
-  private variance = INITIAL_VARIATION ** 2;
+  private share = INITIAL_TARGET_SHARE;
   private latestAtMs = Number.NEGATIVE_INFINITY;
 
   static create(): PauseStatistics {
@@ -38,9 +50,9 @@
     return this.mean;
   }
 
-  /** Standard deviation of the pauses relative to their mean. */
-  get variation(): number {
-    return Math.sqrt(this.variance);
+  /** Target of the mean pause as a share of the objective. */
+  get targetShare(): number {
+    return this.share;
   }
 
   /** Monotonic time of the latest pause's end, ms. */
@@ -48,7 +60,7 @@
     return this.latestAtMs;
   }
 
-  add(pauseMs: number, nowMs: number): void {
+  add(pauseMs: number, objectiveMs: number, nowMs: number): void {
     const sinceLatestMs = nowMs - this.latestAtMs;
     this.latestAtMs = nowMs;
     if (this.referenceMean === 0) {
@@ -58,14 +70,20 @@
     }
     const maximumMs = this.referenceMean * MAXIMUM_PAUSE_RATIO;
     const elapsedMs = Math.min(sinceLatestMs, maximumMs);
+    if (pauseMs <= maximumMs)
+      this.adjustTarget(pauseMs > objectiveMs, elapsedMs);
     const usualMs = Math.min(pauseMs, maximumMs);
-    const deviation = usualMs / this.referenceMean - 1;
-    this.variance +=
-      weightOf(elapsedMs, VARIATION_TIME_MS) * (deviation ** 2 - this.variance);
     this.referenceMean +=
       weightOf(elapsedMs, REFERENCE_TIME_MS) * (usualMs - this.referenceMean);
     this.mean += weightOf(elapsedMs, MEAN_TIME_MS) * (usualMs - this.mean);
   }
+
+  private adjustTarget(isLate: boolean, elapsedMs: number): void {
+    const rate = isLate ? DECREASE_RATE : INCREASE_RATE;
+    const bound = isLate ? MINIMUM_TARGET_SHARE : MAXIMUM_TARGET_SHARE;
+    const weight = weightOf(elapsedMs, MS_PER_SECOND / rate);
+    this.share += weight * (bound - this.share);
+  }
 }
 
 /** Weight of a sample in an exponential moving average over time. */
