Plan no new map while a rank leaves orders unanswered

Cause: an arm order without an answer costs its timeouts while the group waits at the held step. The prepare orders before it show that orders go unanswered, and nobody looked.

Change: after a prepare order without an answer the map is dropped and none is planned for two seconds; the next one's prepare orders show whether all ranks answer again. The test failed before: the step was held.

--- a/src/rankmaps/group-planner.ts
+++ b/src/rankmaps/group-planner.ts
@@ -88,6 +88,12 @@
  * ms.
  */
 export const SWITCH_INTERVAL_MS = 60;
+/**
+ * Time without a new map after a rank has left a prepare order unanswered, ms.
+ * A rank that leaves an arm order unanswered keeps the whole group at the held
+ * step for several timeouts, and every stream of the group is late.
+ */
+export const UNANSWERED_PAUSE_MS = 2000;
 /** Interval between observations while ranks are being armed, ms. */
 const ARMING_INTERVAL_MS = 5;
 /**
@@ -101,6 +107,8 @@
   private goal: Goal | undefined;
   private coordinator: SwitchCoordinator | undefined;
   private countedAtMs = Number.NEGATIVE_INFINITY;
+  /** No map is planned until then, monotonic, ms. */
+  private pausedUntilMs = Number.NEGATIVE_INFINITY;
 
   private constructor(private readonly options: GroupPlannerOptions) {}
 
@@ -158,10 +166,13 @@
       const placeholderMap = this.snapshot?.map ?? this.goal?.sets;
       const orders = coordinator.nextOrders(states, this.goal, placeholderMap);
       if (orders.length === 0) return this.waitingInterval();
-      const done = await this.send(ranks, states, orders, coordinator);
+      const results = await this.send(ranks, states, orders, coordinator);
       const isPreparing = orders.some(({ order }) => order.kind === "prepare");
-      if (isPreparing) return SWITCH_INTERVAL_MS;
-      if (!done) return ARMING_INTERVAL_MS;
+      if (isPreparing) {
+        if (results.includes(undefined)) this.dropGoal();
+        return SWITCH_INTERVAL_MS;
+      }
+      if (!results.every(isConfirmed)) return ARMING_INTERVAL_MS;
       const isHold = orders.some(({ order }) => order.kind === "hold");
       const next = isHold
         ? await this.observeAgain(ranks)
@@ -189,6 +200,12 @@
     return states ?? raise(1606, { ranks: observations.length });
   }
 
+  /** The prepare orders of the next map show whether all ranks answer again. */
+  private dropGoal(): void {
+    this.goal = undefined;
+    this.pausedUntilMs = performance.now() + UNANSWERED_PAUSE_MS;
+  }
+
   private waitingInterval(): number {
     return this.goal === undefined ? COUNT_INTERVAL_MS : SWITCH_INTERVAL_MS;
   }
@@ -292,6 +309,7 @@
   ): Goal | undefined {
     const { snapshot } = this;
     if (snapshot?.demand.hasEnoughCounts !== true) return undefined;
+    if (performance.now() < this.pausedUntilMs) return undefined;
     const plan = snapshot.planner.plan(
       snapshot.map,
       snapshot.demand.tokens,
@@ -311,25 +329,23 @@
     return { version, sets, holder, plan, startedAtMs: performance.now() };
   }
 
-  /** True when every rank confirms that its order has taken effect. */
+  /** Results of the orders; undefined where there was no response. */
   private async send(
     ranks: readonly GroupRank[],
     states: readonly RankState[],
     orders: readonly AddressedOrder[],
     coordinator: SwitchCoordinator,
-  ): Promise<boolean> {
+  ): Promise<readonly (OrderResult | undefined)[]> {
     const { epoch } = states[0];
     const fence = { epoch, fencing: coordinator.fencing };
-    const confirmed = await Promise.all(
-      orders.map(async ({ rank, order }) => {
+    return Promise.all(
+      orders.map(({ rank, order }) => {
         const index = states.findIndex((state) => state.rank === rank);
         const { startedAtMs } = states[index];
         const addressed = { order, startedAtMs };
-        const result = await this.sendOrder(ranks[index], addressed, fence);
-        return result?.kind === "accepted" && result.isDone;
+        return this.sendOrder(ranks[index], addressed, fence);
       }),
     );
-    return confirmed.every((isDone) => isDone);
   }
 
   /** An order without a response is sent again after the next observation. */
@@ -367,6 +383,11 @@
   }
 }
 
+/** Whether the rank confirms that its order has taken effect. */
+function isConfirmed(result: OrderResult | undefined): boolean {
+  return result?.kind === "accepted" && result.isDone;
+}
+
 function hasSameIncarnations(
   states: readonly RankState[],
   { startTimes }: GroupSnapshot,
--- a/tests/rankmaps/group-planner.test.ts
+++ b/tests/rankmaps/group-planner.test.ts
@@ -10,6 +10,7 @@
 import {
   COUNT_INTERVAL_MS,
   GroupPlanner,
+  UNANSWERED_PAUSE_MS,
 } from "../../src/rankmaps/group-planner.js";
 import {
   createReachableRank,
@@ -190,6 +191,21 @@
     assert.ok(group.engines.states().every(({ mapVersion }) => mapVersion > 0));
   });
 
+  it("holds no step while a rank leaves orders unanswered", async () => {
+    // Guards against a group that waits at the held step for the timeouts of
+    // arm orders, so that all of its streams are late.
+    const group = new PlannedGroup();
+    group.onOrder = (rank, { kind }) => {
+      if (rank === 2 && kind === "prepare") raise(1607);
+    };
+    await group.run(10);
+    assert.not(group.orderLog.some(({ kind }) => kind === "hold"));
+    group.onOrder = () => undefined;
+    await pause(UNANSWERED_PAUSE_MS, new AbortController().signal);
+    await group.run(10);
+    assert.ok(group.orderLog.some(({ kind }) => kind === "hold"));
+  });
+
   it("arms no rank when one stops answering after the hold", async () => {
     // The VM of a rank freezes right after the hold. Nobody could tell whether
     // the rank was armed, so no rank is armed, and the holder's agent releases
