Let a request wait only as long as its response can start in time

Cause: a request could wait for its whole objective. With more requests than capacity the queue is never empty, and all that start have waited about that long; the first event comes some 200 ms later.

Change: the wait is bounded by the objective less the mean time to the start of a response on the route, and by a quarter of the objective from below. Beyond it the caller is refused and told when to come back. The test failed before: the request waited for 400 ms.

--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -130,6 +130,10 @@
           // The delay of the first event is no pause between two events.
           isFirstEvent = false;
           scheduler.onAccepted(currentAdmission);
+          scheduler.onResponseStarted(
+            currentAdmission,
+            this.ageMs() - this.waitedMs,
+          );
           measurements.observe("firstEventDelay", this.ageMs() / 1000);
           timeliness.onFirstEvent(this.ageMs());
           return;
@@ -198,6 +202,9 @@
     const { isServed, heldAdmission } = await this.runAttempts(admitted);
     if (heldAdmission === undefined) return;
     const durationMs = performance.now() - startedAtMs;
+    if (isServed && this.relay === undefined) {
+      this.options.scheduler.onResponseStarted(heldAdmission, durationMs);
+    }
     this.options.scheduler.finish(
       heldAdmission,
       isServed ? durationMs : undefined,
--- a/src/direct/request-scheduler.ts
+++ b/src/direct/request-scheduler.ts
@@ -69,11 +69,10 @@
 const MAXIMUM_QUEUED_TOKENS = 1_000_000;
 
 /**
- * Share of the route's objective that a request may wait in the queue. A late
- * response is better than a refusal, but a longer wait only makes the requests
- * behind it late as well.
+ * Minimum share of the route's objective that a request may wait in the queue,
+ * however long responses take to start.
  */
-const QUEUE_WAIT_SHARE_OF_OBJECTIVE = 1;
+const MINIMUM_WAIT_SHARE_OF_OBJECTIVE = 0.25;
 
 /**
  * Time that a request may wait in the queue while no runner of the service
@@ -111,6 +110,8 @@
   private readonly services = new Map<string, ServiceState>();
   private readonly pending = new Map<string, Pending>();
   private readonly meanDurationsMs = new Map<string, number>();
+  /** Mean time from the start of an attempt to the response's, by route, ms. */
+  private readonly meanStartsMs = new Map<string, number>();
   private readonly admission: Admission;
   private sweepTimer: NodeJS.Timeout | undefined;
 
@@ -241,7 +242,9 @@
   /** The request has ended: frees its admission. */
   finish({ request }: AdmittedRequest, durationMs: number | undefined): void {
     const { costTokens, profile } = request;
-    if (durationMs !== undefined) this.updateMeanDuration(profile, durationMs);
+    if (durationMs !== undefined) {
+      updateMean(this.meanDurationsMs, profile, durationMs);
+    }
     this.admission.onEnded(request, { costTokens, durationMs });
   }
 
@@ -255,6 +258,11 @@
     this.serviceOf(request.pool).groups.onAccepted(runner);
   }
 
+  /** The response has started `delayMs` after the request left the queue. */
+  onResponseStarted({ request }: AdmittedRequest, delayMs: number): void {
+    updateMean(this.meanStartsMs, request.profile, delayMs);
+  }
+
   /**
    * Records that an event of a stream came `pauseMs` after the previous one.
    */
@@ -295,8 +303,17 @@
     return this.inputs.isSlow(server.address, server.startedAtMs);
   }
 
+  /**
+   * While there are more requests than capacity, all that start have waited for
+   * as long as they may. A request that waits longer than it can and still be in
+   * time takes the place of one that would be in time.
+   */
   private maximumWaitMs({ route, service }: DirectCall): number {
-    const waitMs = route.objectiveMs * QUEUE_WAIT_SHARE_OF_OBJECTIVE;
+    const startMs = this.meanStartsMs.get(route.name) ?? 0;
+    const waitMs = Math.max(
+      route.objectiveMs - startMs,
+      route.objectiveMs * MINIMUM_WAIT_SHARE_OF_OBJECTIVE,
+    );
     return this.isUnavailable(service)
       ? Math.max(OUTAGE_QUEUE_WAIT_MS, waitMs)
       : waitMs;
@@ -329,12 +346,6 @@
     };
   }
 
-  private updateMeanDuration(profile: Route["name"], durationMs: number): void {
-    const known = this.meanDurationsMs.get(profile) ?? durationMs;
-    const change = DURATION_SMOOTHING_FACTOR * (durationMs - known);
-    this.meanDurationsMs.set(profile, known + change);
-  }
-
   private scheduleSweep(): void {
     if (this.sweepTimer !== undefined) return;
     const waitMs = this.admission.nextGiveUpAtMs - this.inputs.now();
@@ -371,6 +382,15 @@
   }
 }
 
+function updateMean(
+  means: Map<Route["name"], number>,
+  route: Route["name"],
+  valueMs: number,
+): void {
+  const known = means.get(route) ?? valueMs;
+  means.set(route, known + DURATION_SMOOTHING_FACTOR * (valueMs - known));
+}
+
 function noRunnerRefusal(call: DirectCall): Refusal {
   return {
     error: failure(1209, { pool: call.service }),
--- a/tests/direct/request-scheduler.test.ts
+++ b/tests/direct/request-scheduler.test.ts
@@ -126,6 +126,24 @@
     await scheduler.close();
   });
 
+  it("lets no request wait until its response would be late", async () => {
+    // Guards against a queue in which all requests wait for the whole objective
+    // before they start, so that every response is late.
+    const scheduler = schedulerWith(1);
+    const route = createRoute({ kind: "stream", objectiveMs: 400 });
+    for (let index = 0; index < SLOTS; index += 1) {
+      const result = await admit(scheduler, callOf(`c${index}`, { route }));
+      if (result.kind === "refused") throw new Error("no runner");
+      scheduler.onResponseStarted(result.admitted, 300);
+    }
+    const startedAtMs = performance.now();
+    const result = await admit(scheduler, callOf("waiting", { route }));
+    const waitedMs = performance.now() - startedAtMs;
+    assert.is(result.kind, "refused");
+    assert.ok(waitedMs < 200, String(waitedMs));
+    await scheduler.close();
+  });
+
   it("refuses at once when the service has no runner", async () => {
     const scheduler = schedulerWith(0);
     const result = await admit(scheduler, callOf("c"));
