--- a/standins/signing-runner.ts
+++ b/standins/signing-runner.ts
@@ -17,6 +17,8 @@
   readonly target: string;
   readonly headers: IncomingMessage["headers"];
   readonly body: string;
+  /** Monotonic, ms. */
+  readonly receivedAtMs: number;
   /** Set if the connection closed before the response was complete. */
   isAborted: boolean;
 }
@@ -119,6 +121,24 @@
   };
 }
 
+/**
+ * Names a limit in the answers of `behave`, requests per second from all
+ * entries together, while `limit` returns one.
+ */
+export function namingLimit(
+  limit: () => number | undefined,
+  behave: Behaviour,
+): Behaviour {
+  return (exchange) => {
+    const requestsPerSecond = limit();
+    if (requestsPerSecond !== undefined) {
+      const value = String(requestsPerSecond);
+      exchange.response.setHeader(headerNames.requestsPerSecond, value);
+    }
+    return behave(exchange);
+  };
+}
+
 /** What happens to the connection after a raw response was written. */
 export type ConnectionEnd = "end" | "reset" | "open";
 
@@ -202,6 +222,7 @@
     target: request.url ?? "",
     headers: request.headers,
     body: Buffer.concat(parts).toString(),
+    receivedAtMs: performance.now(),
     isAborted: false,
   };
 }
