Divide the limit that a runner names among the entries that it has told

What callers saw: a runner in need got as many requests as before. Cause: no code read the header Server-Limit.

Change: an entry that hears a limit writes it under its own name to a keyed topic and renews the record; all entries follow the topic and divide the limit by those that list it. Turns come at regular times and are lost when unused, so that saved-up requests don't come together. Without the store an entry takes one part in 128, since the others can't count it. An answer without a limit ends it. First and repeated sends choose a runner the same way, so both keep it.

Not covered: an entry without the store hears of the end of a limit up to a minute late; the product's own path has nothing of this.

--- a/fuzz/targets.ts
+++ b/fuzz/targets.ts
@@ -13,6 +13,7 @@
   records: async () => (await import("./records.js")).recordsTarget,
   claims: async () => (await import("./claims/claims.js")).claimsTarget,
   suspects: async () => (await import("./suspects/suspects.js")).suspectsTarget,
+  limits: async () => (await import("./limits/limits.js")).limitsTarget,
   lives: async () =>
     (await import("./membership/incarnations.js")).incarnationsTarget,
 };
--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -15,6 +15,7 @@
   EndMark,
   GiveUpReason,
   HeaderCodec,
+  ResponseFields,
 } from "./types.js";
 
 /**
@@ -51,6 +52,8 @@
    * hasn't read yet, bytes.
    */
   readonly maximumBufferedBytes: number;
+  /** Called with the head of an answer to this attempt. */
+  readonly onAnswer: (status: number, fields: ResponseFields) => void;
 }
 
 const FIRST_NON_SUCCESS_STATUS = 300;
@@ -146,6 +149,7 @@
       this.abortBroken(controller, fault);
       return;
     }
+    this.options.onAnswer(status, fields);
     this.status = status;
     this.headers = headers;
     this.endMark = endMarkOf(status, headers);
@@ -158,7 +162,7 @@
   /** Returns why the response must not be forwarded, or undefined. */
   private protocolViolation(
     status: number,
-    fields: ReturnType<HeaderCodec["readAnswer"]>,
+    fields: ResponseFields,
     headers: IncomingHttpHeaders,
     attemptId: string | undefined,
   ): string | undefined {
--- a/src/direct/entry-topics.ts
+++ b/src/direct/entry-topics.ts
@@ -88,6 +88,7 @@
     name: string,
     topic: KeyedTopic,
     onRecords: RecordsHandler,
+    onLost: () => void = noop,
   ): void {
     this.follow(name, topic, {
       waitMs: NOTES_LONG_POLL_TIMEOUT_MS,
@@ -95,7 +96,7 @@
       onSnapshot: onRecords,
       onChanges: onRecords,
       onReturned: noop,
-      onLost: noop,
+      onLost,
       onRestored: noop,
     });
   }
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -27,6 +27,8 @@
   readGroupNotes,
 } from "../membership/runner-groups.js";
 import type { ScheduleAfter, RegisterChange } from "../membership/types.js";
+import { LIMITS_STREAM, LimitSync } from "../limits/limit-sync.js";
+import { RunnerLimits } from "../limits/runner-limits.js";
 import { SuspectTracker } from "../suspects/suspect-tracker.js";
 import { SUSPECTS_STREAM } from "../suspects/suspect-sync.js";
 import type {
@@ -81,6 +83,12 @@
    */
   readonly suspects: KeyedTopic;
   readonly suspectNotes: KeyedWriter;
+  /**
+   * Limits that runners have named to entries. This entry writes those that it
+   * has heard of through `limitNotes`.
+   */
+  readonly limits: KeyedTopic;
+  readonly limitNotes: KeyedWriter;
   /** Ratio of the runner's response time to its usual one. Throws 1607. */
   readonly slownessOf: (address: string) => Promise<number>;
   /** Path of the readiness check of the platform's load balancer. */
@@ -116,6 +124,8 @@
   private readonly registerReader: RegisterReader;
   private readonly directory: BackendServerDirectory;
   private readonly suspects: SuspectTracker;
+  private readonly limits: RunnerLimits;
+  private readonly limitSync: LimitSync;
   private readonly forwarder: Forwarder;
   private readonly stopController = new AbortController();
   private readonly server;
@@ -144,6 +154,7 @@
       emit(196, { era });
       measurements.set("storeEra", era);
       this.suspects.onStoreRolledBack();
+      this.limitSync.onStoreRolledBack();
     });
     const now = (): number => performance.now();
     const after: ScheduleAfter = (delayMs, action) => {
@@ -152,6 +163,16 @@
     const random = Math.random;
     const slowRunners = SlowRunners.create(now, emit);
     this.slowRunners = slowRunners;
+    const limits = RunnerLimits.create({
+      now,
+      random,
+      emit,
+      measurements,
+      onChanged: () => {
+        this.limitSync.publish();
+      },
+    });
+    this.limits = limits;
     const scheduler = RequestScheduler.create({
       now,
       random,
@@ -162,6 +183,15 @@
       isSlow: (address, startedAtMs) =>
         slowRunners.isSlow(address, startedAtMs),
       groupOf: (address) => this.runnerGroups.groupOf(address),
+      limits: {
+        isOpen: (runner) => limits.isOpen(runner),
+        onSent: (runner) => {
+          limits.onSent(runner);
+        },
+        forget: (runner) => {
+          limits.forget(runner);
+        },
+      },
     });
     this.scheduler = scheduler;
     this.slowRunnerProbe = SlowRunnerProbe.create({
@@ -179,6 +209,15 @@
       decode: options.decodeServer,
       findings,
     });
+    this.limitSync = LimitSync.create({
+      name,
+      limits,
+      notes: options.limitNotes,
+      findings,
+      now,
+      after,
+      emit,
+    });
     this.directory = BackendServerDirectory.create({
       now,
       after,
@@ -214,6 +253,7 @@
       emit,
       measurements,
       suspects: this.suspects,
+      limits,
       fail: sendError,
     });
     this.server = createCallerListener({
@@ -388,6 +428,16 @@
     topics.followNotes(SUSPECTS_STREAM, options.suspects, (records) => {
       this.suspects.apply(records);
     });
+    topics.followNotes(
+      LIMITS_STREAM,
+      options.limits,
+      (records) => {
+        this.limitSync.apply(records);
+      },
+      () => {
+        this.limits.onStoreLost();
+      },
+    );
     topics.followRegister(
       options.register,
       (records) => {
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -10,12 +10,13 @@
   type ErrorNumber,
   type Measurements,
 } from "../internal.js";
+import type { RunnerLimits } from "../limits/runner-limits.js";
 import type { SuspectTracker } from "../suspects/suspect-tracker.js";
 import {
   breakOff,
   delimitByConnectionClose,
 } from "../daemon/entry/answer-framing.js";
-import { Attempt } from "./attempt.js";
+import { Attempt, type AttemptOptions } from "./attempt.js";
 import { endToEndResponseHeaders } from "./end-to-end-headers.js";
 import { EventRelay } from "./event-relay.js";
 import {
@@ -43,6 +44,7 @@
   readonly emit: Emit;
   readonly measurements: Measurements;
   readonly suspects: SuspectTracker;
+  readonly limits: RunnerLimits;
   /** Sends an error response for a request that no runner has answered. */
   readonly fail: (
     response: ServerResponse,
@@ -316,6 +318,7 @@
       codec: options.codec,
       sink: relay?.sink(),
       maximumBufferedBytes: MAXIMUM_BUFFERED_RESPONSE_BYTES,
+      onAnswer: this.limitObserver(runner),
     });
     this.attempt = attempt;
     this.crashTracker.onAttemptSent();
@@ -331,6 +334,19 @@
     return end;
   }
 
+  /** Returns what to do with the head of an answer to an attempt sent now. */
+  private limitObserver(runner: Runner): AttemptOptions["onAnswer"] {
+    const sentAtMs = performance.now();
+    return (status, { requestsPerSecond, signature }) => {
+      // Another runner answers at this address.
+      if (status === HTTP_MISDIRECTED_REQUEST) return;
+      // A refusal that names no limit doesn't say that there is none.
+      if (requestsPerSecond === undefined && signature === undefined) return;
+      const { limits } = this.options;
+      limits.onAnswer(runner.server.id, requestsPerSecond, sentAtMs);
+    };
+  }
+
   /**
    * Runs the attempt and gives it up if its stream stalls or should move away
    * from a slow runner.
--- a/src/direct/request-scheduler.ts
+++ b/src/direct/request-scheduler.ts
@@ -24,6 +24,7 @@
 import {
   RunnerPool,
   type IsSlow,
+  type RequestLimits,
   type Runner,
   type RunnerVerdict,
 } from "./runner-pool.js";
@@ -38,6 +39,7 @@
   readonly dataCentre: string;
   readonly connect: (address: string) => RunnerConnections;
   readonly isSlow: IsSlow;
+  readonly limits: RequestLimits;
   readonly groupOf: GroupOf;
 }
 
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -57,6 +57,17 @@
   /** Data centre of this entry. */
   readonly dataCentre: string;
   readonly isSlow: IsSlow;
+  readonly limits: RequestLimits;
+}
+
+/** Limits that runners name for the requests that they receive. */
+export interface RequestLimits {
+  /** Whether a request may be sent to the runner now. `runner`: its id. */
+  readonly isOpen: (runner: string) => boolean;
+  /** A request is sent to the runner. */
+  readonly onSent: (runner: string) => void;
+  /** The runner's incarnation has ended. */
+  readonly forget: (runner: string) => void;
 }
 
 /** What the end of an attempt says about the runner. */
@@ -186,6 +197,8 @@
       ended.push(current);
     }
     for (const runner of ended) abortConnections(runner, later);
+    if (isSameIncarnation(earlier, later)) return;
+    this.inputs.limits.forget(earlier.id);
   }
 
   /** Returns the available runner with the lowest load score. */
@@ -200,6 +213,7 @@
       if (excluded.has(runner) || !isAllowed(runner)) continue;
       if (runner.backoffUntilMs > nowMs) continue;
       if (!runner.health.isAvailable(nowMs)) continue;
+      if (!this.inputs.limits.isOpen(runner.server.id)) continue;
       const score = this.loadScoreOf(runner);
       if (score >= bestScore) continue;
       best = runner;
@@ -211,6 +225,7 @@
   start(runner: Runner): void {
     runner.running += 1;
     runner.health.onPlaced();
+    this.inputs.limits.onSent(runner.server.id);
   }
 
   release(runner: Runner, verdict: RunnerVerdict): void {
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -37,6 +37,8 @@
   readonly signature: string | undefined;
   /** Id of the runner that a refusal names as its cause. */
   readonly faultyRunner: string | undefined;
+  /** Limit that the runner names for all entries together, requests/s. */
+  readonly requestsPerSecond: number | undefined;
 }
 
 /** Fields that an entry sets on a request to a runner. */
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -530,6 +530,15 @@
       ranks: "number of its ranks",
     },
   ),
+  235: entry(
+    "runner-limited",
+    "info",
+    "A runner names a limit for the requests from all entries together.",
+    { runner: "id of the runner", requestsPerSecond: "limit, requests/s" },
+  ),
+  236: entry("runner-unlimited", "info", "A runner names no limit any more.", {
+    runner: "id of the runner",
+  }),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -75,6 +75,13 @@
     meaning:
       "Streams that were passed on to their end: in-time, or late-start, late-pause or late-start-and-pause by what took longer than the route's objectives.",
   },
+  limitedRunners: {
+    name: "apricotdeck_limited_runners",
+    kind: "gauge",
+    unit: "runners",
+    labels: [],
+    meaning: "Runners that name this entry a limit for their requests.",
+  },
   groupLimit: {
     name: "apricotdeck_group_limit_requests",
     kind: "gauge",
--- a/tests/direct/attempt.test.ts
+++ b/tests/direct/attempt.test.ts
@@ -55,6 +55,7 @@
         },
         onEnd: () => undefined,
       },
+      onAnswer: () => undefined,
       maximumBufferedBytes: MAXIMUM_BUFFERED_BYTES,
     });
     const overdueTimer = setTimeout(() => {
--- a/tests/direct/group-simulation.ts
+++ b/tests/direct/group-simulation.ts
@@ -13,6 +13,7 @@
   type Random,
 } from "../../src/internal.js";
 import { NO_GROUP } from "../../src/membership/runner-groups.js";
+import { unlimited } from "./unlimited.js";
 import { unusedConnections } from "./unused-connections.js";
 
 export interface GroupSimulationOptions {
@@ -134,6 +135,7 @@
       connect: () => unusedConnections,
       dataCentre: "here",
       isSlow: () => false,
+      limits: unlimited,
     });
     for (let index = 0; index < GROUPS * RANKS_PER_GROUP; index += 1) {
       pool.set({
--- a/tests/direct/request-scheduler.test.ts
+++ b/tests/direct/request-scheduler.test.ts
@@ -17,6 +17,7 @@
 import type { DirectCall } from "../../src/direct/types.js";
 import { describe, it } from "../support/describe.js";
 import { createRoute } from "../routing/support.js";
+import { unlimited } from "./unlimited.js";
 import { unusedConnections } from "./unused-connections.js";
 
 const SLOTS = 4;
@@ -33,6 +34,7 @@
     dataCentre: "here",
     connect: () => unusedConnections,
     isSlow,
+    limits: unlimited,
     groupOf,
   });
   for (let index = 0; index < runnerCount; index += 1) {
--- a/tests/direct/runner-pool.test.ts
+++ b/tests/direct/runner-pool.test.ts
@@ -2,6 +2,7 @@
 import { createRandom, ignoreEvents } from "../../src/internal.js";
 import type { RunnerConnections } from "../../src/direct/runner-connections.js";
 import { RunnerPool, type Runner } from "../../src/direct/runner-pool.js";
+import { unlimited } from "./unlimited.js";
 import { describe, it } from "../support/describe.js";
 
 const SERVER = {
@@ -55,6 +56,7 @@
     connect: connections.connect,
     dataCentre: "here",
     isSlow: () => false,
+    limits: unlimited,
   });
 }
 
--- /dev/null
+++ b/tests/direct/unlimited.ts
@@ -0,0 +1,8 @@
+/** Runners that name no limit. */
+import type { RequestLimits } from "../../src/direct/runner-pool.js";
+
+export const unlimited: RequestLimits = {
+  isOpen: () => true,
+  onSent: () => undefined,
+  forget: () => undefined,
+};
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -96,6 +96,8 @@
       groups: client.keyedTopic(topics.groups),
       suspects: client.keyedTopic(topics.suspects),
       suspectNotes: client.keyedWriter(topics.suspects),
+      limits: client.keyedTopic(topics.limits),
+      limitNotes: client.keyedWriter(topics.limits),
       readinessPath: paths.readiness,
       slownessOf: readSlowness,
     });
