Tell in the log whether the requests of several crashes share a part

Event 231 told how many requests were lost in a crash and how many are withheld, not whether they had anything in common with those of earlier crashes, so the record of the incident can't tell a guilty part of a prompt from runners that crash of themselves. Entries now read the parts of a prompt, keep those of lost runs, and 231 says in how many crashes the most recurrent one was.

--- a/src/direct/crash-tracker.ts
+++ b/src/direct/crash-tracker.ts
@@ -3,7 +3,7 @@
  * suspect, and which of its attempts were lost to a crash.
  */
 import type { BackendServer } from "../membership/types.js";
-import { digestOf } from "../suspects/request-digest.js";
+import { digestOf, partDigestsOf } from "../suspects/request-digest.js";
 import type { SuspectTracker } from "../suspects/suspect-tracker.js";
 import type { AttemptEnd, DirectCall } from "./types.js";
 
@@ -15,6 +15,7 @@
 
 export class CrashTracker {
   private cachedDigest: string | undefined;
+  private cachedParts: readonly string[] | undefined;
   private sentAtMs = 0;
   private firstEventAtMs: number | undefined;
 
@@ -52,8 +53,8 @@
     if (end.kind === "streamed" || end.kind === "answered") this.acquit();
     const isLost = end.kind === "broken" && end.isLost;
     if (!isLost || this.hasPassedStartup()) return;
-    const { digest, sentAtMs } = this;
-    await crashes.onLost(runner, { digest, sentAtMs });
+    const { digest, sharedParts: parts, sentAtMs } = this;
+    await crashes.onLost(runner, { digest, parts, sentAtMs });
   }
 
   private acquit(): void {
@@ -68,6 +69,17 @@
     return this.suspects.now() - this.firstEventAtMs > STARTUP_CRASH_WINDOW_MS;
   }
 
+  /** Digests of the parts that other requests may share. */
+  private get sharedParts(): readonly string[] {
+    return this.parts.slice(0, -1);
+  }
+
+  private get parts(): readonly string[] {
+    const { model, promptParts } = this.call.fields;
+    this.cachedParts ??= partDigestsOf(model, promptParts);
+    return this.cachedParts;
+  }
+
   private get digest(): string {
     this.cachedDigest ??= digestOf(this.call);
     return this.cachedDigest;
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -21,6 +21,13 @@
   readonly promptTokens: number;
   /** Maximum number of tokens of the response. */
   readonly outputTokens: number;
+  /** Name of the model. */
+  readonly model: string | undefined;
+  /**
+   * Ids of the prompt's parts in order. Requests share parts, except for the
+   * last one, which belongs to the request or to its session.
+   */
+  readonly promptParts: readonly string[];
   /**
    * Id of the last event of the stream that the caller has received; 0 for
    * none.
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -510,6 +510,8 @@
       runner: "id of the runner",
       suspects: "requests that were lost there",
       withheld: "number of them that are no longer run",
+      samePart:
+        "crashes, this one included, with the part of their prompts that recurs most",
     },
   ),
   232: entry("suspect-acquitted", "info", "A suspected request completed.", {
--- a/src/suspects/crash-detector.ts
+++ b/src/suspects/crash-detector.ts
@@ -6,6 +6,7 @@
  * names as faulty, or that has restarted.
  */
 import type { Emit, Now } from "../internal.js";
+import type { LostPromptRuns } from "./lost-prompt-runs.js";
 import type { SuspectRequests } from "./suspect-requests.js";
 
 /** Result of a connection attempt; `silent`: no response within the timeout. */
@@ -19,6 +20,8 @@
 
 export interface LostRun {
   readonly digest: string;
+  /** Digests of the prompt's parts that other requests may share. */
+  readonly parts: readonly string[];
   /** Unix ms. */
   readonly sentAtMs: number;
 }
@@ -28,6 +31,7 @@
   readonly now: Now;
   readonly emit: Emit;
   readonly suspects: SuspectRequests;
+  readonly promptRuns: LostPromptRuns;
   readonly portState: (address: string) => Promise<PortState>;
   /** Called when there is new evidence to share with the other entries. */
   readonly onEvidence: () => void;
@@ -70,16 +74,23 @@
 
   /** The server was reported as faulty, has restarted or is gone. */
   onCrashed(runner: string): void {
-    const { suspects, emit, onEvidence } = this.options;
+    const { suspects, promptRuns, emit, onEvidence } = this.options;
     const lost = this.pendingAt(runner);
     this.pending.delete(runner);
     if (lost.length === 0) return;
-    for (const { digest, sentAtMs, lostAtMs } of lost) {
-      suspects.addOwnRun(digest, { runner, sentAtMs, lostAtMs });
+    for (const { digest, parts, sentAtMs, lostAtMs } of lost) {
+      const run = { runner, sentAtMs, lostAtMs };
+      suspects.addOwnRun(digest, run);
+      promptRuns.add({ ...run, request: digest, parts }, true);
     }
     const digests = [...new Set(lost.map(({ digest }) => digest))];
     const withheld = digests.filter((one) => suspects.isWithheld(one)).length;
-    emit(231, { runner, suspects: digests.length, withheld });
+    emit(231, {
+      runner,
+      suspects: digests.length,
+      withheld,
+      samePart: promptRuns.mostCrashesOf(lost.flatMap(({ parts }) => parts)),
+    });
     onEvidence();
   }
 
--- a/src/suspects/crash-evidence.ts
+++ b/src/suspects/crash-evidence.ts
@@ -4,6 +4,9 @@
  */
 import type { CrashedRun } from "./types.js";
 
+/** Reports of one crash by several entries differ by less than this, ms. */
+const SAME_CRASH_WINDOW_MS = 1000;
+
 export interface LostRunHistory {
   readonly runs: readonly CrashedRun[];
   /** Runs that were sent before this time don't count, Unix ms. */
@@ -69,3 +72,8 @@
   if (one.runMs !== other.runMs) return one.runMs < other.runMs;
   return one.atMs < other.atMs;
 }
+
+export function isSameCrash(one: CrashedRun, other: CrashedRun): boolean {
+  const apartMs = Math.abs(one.lostAtMs - other.lostAtMs);
+  return one.runner === other.runner && apartMs < SAME_CRASH_WINDOW_MS;
+}
--- a/src/suspects/request-digest.ts
+++ b/src/suspects/request-digest.ts
@@ -1,5 +1,8 @@
-/** Computes a digest that identifies a request when it is sent again. */
-import { createHmac } from "node:crypto";
+/**
+ * Computes digests that identify a request when it is sent again, and a part of
+ * a prompt in whatever request it occurs.
+ */
+import { createHash, createHmac } from "node:crypto";
 
 export interface RequestContent {
   readonly method: string;
@@ -27,3 +30,20 @@
     .subarray(0, DIGEST_BYTES)
     .toString("base64url");
 }
+
+/**
+ * Digests of the prompt's parts, in order. They are the same for all accounts,
+ * since a part crashes a server whoever sends it.
+ */
+export function partDigestsOf(
+  model: string | undefined,
+  partIds: readonly string[],
+): readonly string[] {
+  return partIds.map((id) =>
+    createHash("sha256")
+      .update(JSON.stringify([model ?? "", id]))
+      .digest()
+      .subarray(0, DIGEST_BYTES)
+      .toString("base64url"),
+  );
+}
--- a/src/suspects/suspect-requests.ts
+++ b/src/suspects/suspect-requests.ts
@@ -10,6 +10,7 @@
 import {
   NO_EVIDENCE,
   crashEvidenceOf,
+  isSameCrash,
   isStrongerEvidence,
   successiveRuns,
   type CrashEvidence,
@@ -45,8 +46,6 @@
  * one was isolated, ms.
  */
 const MAXIMUM_REPORT_AGE_MS = 5000;
-/** Reports of one crash by several entries differ by less than this, ms. */
-const SAME_CRASH_WINDOW_MS = 1000;
 /**
  * Beyond this number, the suspect that changed longest ago and isn't withheld
  * is dropped.
@@ -217,7 +216,7 @@
 
   private addRun(digest: string, run: KnownRun): void {
     const known = this.suspects.get(digest) ?? UNKNOWN_SUSPECT;
-    if (known.runs.some((one) => isSameRun(one, run))) return;
+    if (known.runs.some((one) => isSameCrash(one, run))) return;
     if (this.now() - run.lostAtMs >= WITHHOLD_DURATION_MS) return;
     const runs = [...known.runs, run].slice(-MAXIMUM_RECORD_ITEMS);
     this.store(digest, { ...known, runs });
@@ -261,11 +260,6 @@
     : SUSPECT_RETENTION_MS;
 }
 
-function isSameRun(one: CrashedRun, other: CrashedRun): boolean {
-  const apartMs = Math.abs(one.lostAtMs - other.lostAtMs);
-  return one.runner === other.runner && apartMs < SAME_CRASH_WINDOW_MS;
-}
-
 function toCrashedRun({ runner, sentAtMs, lostAtMs }: KnownRun): CrashedRun {
   return { runner, sentAtMs, lostAtMs };
 }
--- a/src/suspects/suspect-tracker.ts
+++ b/src/suspects/suspect-tracker.ts
@@ -7,6 +7,7 @@
 import type { KeyedRecord, KeyedWriter } from "../platform/keyed-topic.js";
 import type { RecordFindings } from "../platform/record-findings.js";
 import { CrashDetector, type CrashDetectorOptions } from "./crash-detector.js";
+import { LostPromptRuns } from "./lost-prompt-runs.js";
 import { SuspectSync } from "./suspect-sync.js";
 import { SuspectRequests } from "./suspect-requests.js";
 
@@ -25,6 +26,7 @@
 
 export class SuspectTracker {
   readonly requests: SuspectRequests;
+  readonly promptRuns: LostPromptRuns;
   readonly crashes: CrashDetector;
   readonly now: Now;
   private readonly sync: SuspectSync;
@@ -33,11 +35,13 @@
     const { now, emit, portState } = options;
     this.now = now;
     this.requests = SuspectRequests.create(now);
+    this.promptRuns = LostPromptRuns.create(now);
     this.sync = SuspectSync.create({ ...options, suspects: this.requests });
     this.crashes = CrashDetector.create({
       now,
       emit,
       suspects: this.requests,
+      promptRuns: this.promptRuns,
       portState,
       onEvidence: () => {
         this.updateGauge();
--- a/src/suspects/types.ts
+++ b/src/suspects/types.ts
@@ -30,7 +30,15 @@
   readonly atMs: number;
 }
 
-/** Observations of one entry. */
+/** A lost run of a request whose prompt consists of several parts. */
+export interface LostPromptRun extends CrashedRun {
+  /** Digest of the request. */
+  readonly request: string;
+  /** Digests of the parts that other requests may share. */
+  readonly parts: readonly string[];
+}
+
+/** Observations of one entry about whole requests. */
 export interface SuspectRecord {
   readonly suspicions: readonly Suspicion[];
   readonly acquittals: readonly Acquittal[];
--- a/tests/direct/request-scheduler.test.ts
+++ b/tests/direct/request-scheduler.test.ts
@@ -65,6 +65,8 @@
       deadlineMs: 2000,
       credential: undefined,
       promptTokens: 100,
+      model: undefined,
+      promptParts: [],
       outputTokens: 10,
       lastEventId: 0,
     },
--- a/tests/suspects/crash-detector.test.ts
+++ b/tests/suspects/crash-detector.test.ts
@@ -1,10 +1,10 @@
 import * as assert from "uvu/assert";
-import { ignoreEvents } from "../../src/internal.js";
 import {
   CrashDetector,
   DETECTION_WINDOW_MS,
   type PortState,
 } from "../../src/suspects/crash-detector.js";
+import { LostPromptRuns } from "../../src/suspects/lost-prompt-runs.js";
 import { SuspectRequests } from "../../src/suspects/suspect-requests.js";
 import { describe, it } from "../support/describe.js";
 
@@ -15,11 +15,16 @@
   port: PortState = "closed";
   probes = 0;
   evidenceCalls = 0;
+  readonly samePart: unknown[] = [];
   readonly suspects = SuspectRequests.create(() => this.nowMs);
+  readonly promptRuns = LostPromptRuns.create(() => this.nowMs);
   readonly detector = CrashDetector.create({
     now: () => this.nowMs,
-    emit: ignoreEvents,
+    emit: (number, fields) => {
+      if (number === 231) this.samePart.push(fields?.samePart);
+    },
     suspects: this.suspects,
+    promptRuns: this.promptRuns,
     portState: () => {
       this.probes += 1;
       return Promise.resolve(this.port);
@@ -29,8 +34,12 @@
     },
   });
 
-  loseRun(digest: string): Promise<void> {
-    return this.detector.onLost(RUNNER, { digest, sentAtMs: this.nowMs - 10 });
+  loseRun(digest: string, parts: readonly string[] = []): Promise<void> {
+    return this.detector.onLost(RUNNER, {
+      digest,
+      parts,
+      sentAtMs: this.nowMs - 10,
+    });
   }
 }
 
@@ -44,6 +53,17 @@
     assert.equal([fixture.probes, fixture.evidenceCalls], [1, 1]);
   });
 
+  it("tells in how many crashes a part of its prompt was lost", async () => {
+    // Requests that crash servers may have one part of their prompts in common
+    // and differ otherwise.
+    const fixture = new DetectorFixture();
+    for (const digest of ["one", "two", "three"]) {
+      await fixture.loseRun(digest, [digest, "common"]);
+      fixture.nowMs += 5000;
+    }
+    assert.equal(fixture.samePart, [1, 2, 3]);
+  });
+
   it("makes none where the server is alive", async () => {
     // The connection was reset on the way, or broke with its group.
     const fixture = new DetectorFixture();
--- a/tests/suspects/crash-simulation.ts
+++ b/tests/suspects/crash-simulation.ts
@@ -15,6 +15,7 @@
 import type { KeyedRecord } from "../../src/platform/keyed-topic.js";
 import { RecordFindings } from "../../src/platform/record-findings.js";
 import { CrashDetector } from "../../src/suspects/crash-detector.js";
+import { LostPromptRuns } from "../../src/suspects/lost-prompt-runs.js";
 import { SuspectSync } from "../../src/suspects/suspect-sync.js";
 import { SuspectRequests } from "../../src/suspects/suspect-requests.js";
 
@@ -189,7 +190,7 @@
       if (run.entry.isStopped) continue;
       const { digest, sentAtMs } = run;
       const server = { id: run.rank.id, address: run.rank.id };
-      void run.entry.detector.onLost(server, { digest, sentAtMs });
+      void run.entry.detector.onLost(server, { digest, parts: [], sentAtMs });
     }
   }
 
@@ -230,6 +231,7 @@
       now,
       emit: ignoreEvents,
       suspects,
+      promptRuns: LostPromptRuns.create(now),
       portState: (address) => {
         const rank = this.ranks.find(({ id }) => id === address);
         const isDown = (rank?.downUntilMs ?? 0) > now();
