Withhold a part of prompts that crashes runners, and no harmless neighbour

Callers saw refusals for over thirty seconds while requests with one part in their prompts crashed one runner after the other, 9 and 11 in all. Cause: a suspect was known by a digest of the whole request only, and no two of these requests are alike. The class: evidence is kept for an identity that the fault needn't share.

Entries now keep each lost run with the parts of its prompt, share them in the record of suspects, and find the part that recurs from crash to crash and never survives. A run survives once it has written for a second or ended; what it carries is harmless then, and the others are told if one of its parts is suspected. What one part explains doesn't speak against its neighbours; parts that can't be told apart are withheld only together. Where many servers crash at once, a suspect must have run on most of them; the same now holds for whole requests, and one that was harmless before needs four crashes. The order of two runs of a writer whose clock is ahead is kept.

--- a/src/direct/crash-tracker.ts
+++ b/src/direct/crash-tracker.ts
@@ -13,11 +13,18 @@
  */
 const STARTUP_CRASH_WINDOW_MS = 1000;
 
+/** Number of events by which a stream must have passed that window. */
+const MINIMUM_EVENTS = 5;
+
+const FIRST_FAILURE_STATUS = 300;
+
 export class CrashTracker {
   private cachedDigest: string | undefined;
   private cachedParts: readonly string[] | undefined;
   private sentAtMs = 0;
   private firstEventAtMs: number | undefined;
+  private events = 0;
+  private hasSurvived = false;
 
   private constructor(
     private readonly suspects: SuspectTracker,
@@ -29,19 +36,26 @@
   }
 
   get isWithheld(): boolean {
-    const { requests } = this.suspects;
-    return requests.size > 0 && requests.isWithheld(this.digest);
+    const { requests, parts } = this.suspects;
+    if (requests.size > 0 && requests.isWithheld(this.digest)) return true;
+    return parts.withheldParts.length > 0 && parts.isWithheld(this.parts);
   }
 
   /** An attempt has been sent. */
   onAttemptSent(): void {
     this.sentAtMs = this.suspects.now();
     this.firstEventAtMs = undefined;
+    this.events = 0;
+    this.hasSurvived = false;
   }
 
   /** An event of the attempt's response has arrived. */
   onStreamEvent(): void {
     this.firstEventAtMs ??= this.suspects.now();
+    this.events += 1;
+    // After a freeze of this process, events of the first moments come late.
+    if (this.events < MINIMUM_EVENTS || !this.hasPassedStartup()) return;
+    this.onSurvived();
   }
 
   /** Resolves when it is known whether the attempt was lost to a crash. */
@@ -51,6 +65,7 @@
       crashes.onCrashed(end.faultyRunner);
     }
     if (end.kind === "streamed" || end.kind === "answered") this.acquit();
+    if (isSuccess(end)) this.onSurvived();
     const isLost = end.kind === "broken" && end.isLost;
     if (!isLost || this.hasPassedStartup()) return;
     const { digest, sharedParts: parts, sentAtMs } = this;
@@ -64,6 +79,13 @@
     }
   }
 
+  /** No part of the prompt has crashed the runner. */
+  private onSurvived(): void {
+    if (this.hasSurvived) return;
+    this.hasSurvived = true;
+    this.suspects.onSurvived([...this.parts, this.digest]);
+  }
+
   private hasPassedStartup(): boolean {
     if (this.firstEventAtMs === undefined) return false;
     return this.suspects.now() - this.firstEventAtMs > STARTUP_CRASH_WINDOW_MS;
@@ -85,3 +107,12 @@
     return this.cachedDigest;
   }
 }
+
+/**
+ * A stream that only its connection delimits may have been broken off between
+ * two events, which looks like its end.
+ */
+function isSuccess(end: AttemptEnd): boolean {
+  if (end.kind === "streamed") return end.endMark !== "connection";
+  return end.kind === "answered" && end.answer.status < FIRST_FAILURE_STATUS;
+}
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -541,6 +541,18 @@
   236: entry("runner-unlimited", "info", "A runner names no limit any more.", {
     runner: "id of the runner",
   }),
+  237: entry(
+    "part-withheld",
+    "warn",
+    "Requests with this part of a prompt crash runners and aren't run any more.",
+    { part: "digest of the part" },
+  ),
+  238: entry(
+    "part-allowed",
+    "info",
+    "Requests with this part of a prompt are run again.",
+    { part: "digest of the part" },
+  ),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -147,6 +147,13 @@
     labels: [],
     meaning: "Requests suspected of crashing runners, innocent ones included.",
   },
+  withheldParts: {
+    name: "apricotdeck_withheld_parts",
+    kind: "gauge",
+    unit: "parts",
+    labels: [],
+    meaning: "Parts of prompts because of which requests are withheld.",
+  },
   recordsUnusable: {
     name: "apricotdeck_records_unusable_total",
     kind: "counter",
--- a/src/suspects/crash-detector.ts
+++ b/src/suspects/crash-detector.ts
@@ -6,7 +6,7 @@
  * names as faulty, or that has restarted.
  */
 import type { Emit, Now } from "../internal.js";
-import type { LostPromptRuns } from "./lost-prompt-runs.js";
+import type { SuspectParts } from "./suspect-parts.js";
 import type { SuspectRequests } from "./suspect-requests.js";
 
 /** Result of a connection attempt; `silent`: no response within the timeout. */
@@ -31,7 +31,7 @@
   readonly now: Now;
   readonly emit: Emit;
   readonly suspects: SuspectRequests;
-  readonly promptRuns: LostPromptRuns;
+  readonly parts: SuspectParts;
   readonly portState: (address: string) => Promise<PortState>;
   /** Called when there is new evidence to share with the other entries. */
   readonly onEvidence: () => void;
@@ -74,14 +74,14 @@
 
   /** The server was reported as faulty, has restarted or is gone. */
   onCrashed(runner: string): void {
-    const { suspects, promptRuns, emit, onEvidence } = this.options;
+    const { suspects, parts: suspectParts, emit, onEvidence } = this.options;
     const lost = this.pendingAt(runner);
     this.pending.delete(runner);
     if (lost.length === 0) return;
     for (const { digest, parts, sentAtMs, lostAtMs } of lost) {
       const run = { runner, sentAtMs, lostAtMs };
+      suspectParts.addOwnRun({ ...run, request: digest, parts });
       suspects.addOwnRun(digest, run);
-      promptRuns.add({ ...run, request: digest, parts }, true);
     }
     const digests = [...new Set(lost.map(({ digest }) => digest))];
     const withheld = digests.filter((one) => suspects.isWithheld(one)).length;
@@ -89,7 +89,7 @@
       runner,
       suspects: digests.length,
       withheld,
-      samePart: promptRuns.mostCrashesOf(lost.flatMap(({ parts }) => parts)),
+      samePart: suspectParts.mostCrashesOf(lost.flatMap(({ parts }) => parts)),
     });
     onEvidence();
   }
--- a/src/suspects/crash-evidence.ts
+++ b/src/suspects/crash-evidence.ts
@@ -4,8 +4,22 @@
  */
 import type { CrashedRun } from "./types.js";
 
-/** Reports of one crash by several entries differ by less than this, ms. */
-const SAME_CRASH_WINDOW_MS = 1000;
+/**
+ * Reports of one crash by several entries differ by less than this, and servers
+ * that crash of one cause by no more, ms.
+ */
+export const MAXIMUM_SAME_TIME_MS = 1000;
+
+/** Servers that may crash by chance beside those of a suspect. */
+const MAXIMUM_OTHER_SERVERS = 2;
+/** The same as a share of all. */
+const MAXIMUM_SHARE_OF_OTHER_SERVERS = 0.25;
+
+/**
+ * Crashes, one after the other, after which a request or a part is withheld that
+ * was harmless before: a release of the servers may have changed that.
+ */
+export const CRASHES_IF_ONCE_HARMLESS = 4;
 
 export interface LostRunHistory {
   readonly runs: readonly CrashedRun[];
@@ -37,7 +51,9 @@
     (one, other) => one.lostAtMs - other.lostAtMs,
   );
   for (const run of byLossTime) {
-    if (run.sentAtMs < lastLostAtMs) continue;
+    // A run that was lost as it was sent shows nothing.
+    const isEmpty = run.sentAtMs >= run.lostAtMs;
+    if (isEmpty || run.sentAtMs < lastLostAtMs) continue;
     successive.push(run);
     lastLostAtMs = run.lostAtMs;
   }
@@ -73,7 +89,35 @@
   return one.atMs < other.atMs;
 }
 
+export function isSameTime(oneMs: number, otherMs: number): boolean {
+  return Math.abs(oneMs - otherMs) < MAXIMUM_SAME_TIME_MS;
+}
+
 export function isSameCrash(one: CrashedRun, other: CrashedRun): boolean {
-  const apartMs = Math.abs(one.lostAtMs - other.lostAtMs);
-  return one.runner === other.runner && apartMs < SAME_CRASH_WINDOW_MS;
+  return (
+    one.runner === other.runner && isSameTime(one.lostAtMs, other.lostAtMs)
+  );
+}
+
+/**
+ * Whether a suspect that ran on `own` of `all` servers that crashed at about the
+ * same time can be their cause. When a rack fails, popular requests run on some
+ * of its servers; and a server may crash by chance beside those of the suspect.
+ */
+export function isCommon(own: number, all: number): boolean {
+  const others = all - own;
+  return (
+    others <=
+    Math.max(MAXIMUM_OTHER_SERVERS, all * MAXIMUM_SHARE_OF_OTHER_SERVERS)
+  );
+}
+
+/**
+ * The run as if it had been lost by now at the latest: a writer whose clock is
+ * ahead must not extend the time for which it counts.
+ */
+export function notAfter<Run extends CrashedRun>(run: Run, nowMs: number): Run {
+  const aheadMs = Math.max(0, run.lostAtMs - nowMs);
+  const { sentAtMs, lostAtMs } = run;
+  return { ...run, sentAtMs: sentAtMs - aheadMs, lostAtMs: lostAtMs - aheadMs };
 }
--- a/src/suspects/lost-prompt-runs.ts
+++ b/src/suspects/lost-prompt-runs.ts
@@ -3,14 +3,9 @@
  * prompts, so that a part that recurs from crash to crash can be found though no
  * two requests are alike.
  */
-import type { Now } from "../internal.js";
 import { isSameCrash } from "./crash-evidence.js";
 import type { LostPromptRun } from "./types.js";
 
-/** How long a lost run is remembered, ms. */
-export const PROMPT_RUN_RETENTION_MS = 600_000;
-/** Beyond this number, the run that was added first is dropped. */
-export const MAXIMUM_PROMPT_RUNS = 1000;
 /**
  * Maximum number of parts of one run. Parts of a longer prompt beyond it aren't
  * tracked.
@@ -24,39 +19,55 @@
 
 export class LostPromptRuns {
   private runs: readonly KnownPromptRun[] = [];
+  /** When the last lost run with a part was sent, by part, Unix ms. */
+  private readonly lastSentAtMs = new Map<string, number>();
 
-  private constructor(private readonly now: Now) {}
-
-  /** `now`: Unix ms. */
-  static create(now: Now): LostPromptRuns {
-    return new LostPromptRuns(now);
+  static create(): LostPromptRuns {
+    return new LostPromptRuns();
   }
 
+  /** In the order in which they were added. */
   get all(): readonly KnownPromptRun[] {
     return this.runs;
   }
 
-  add(run: LostPromptRun, isOwn: boolean): void {
-    if (run.parts.length === 0) return;
-    if (this.runs.some((known) => isSameRun(known, run))) return;
+  /** Returns false if the run was known. */
+  add(run: LostPromptRun, isOwn: boolean): boolean {
+    if (this.runs.some((known) => isSameRun(known, run))) return false;
     const parts = run.parts.slice(0, MAXIMUM_PARTS);
-    const sinceMs = this.now() - PROMPT_RUN_RETENTION_MS;
-    this.runs = [...this.runs, { ...run, parts, isOwn }]
-      .filter(({ lostAtMs }) => lostAtMs > sinceMs)
-      .slice(-MAXIMUM_PROMPT_RUNS);
+    this.runs = [...this.runs, { ...run, parts, isOwn }];
+    for (const part of parts) {
+      const knownAtMs = this.sentAtMs(part);
+      this.lastSentAtMs.set(part, Math.max(knownAtMs, run.sentAtMs));
+    }
+    return true;
+  }
+
+  /** Whether a run with the part that was sent then or later was lost. */
+  hasRunSince(part: string, sinceMs: number): boolean {
+    return this.lastSentAtMs.has(part) && this.sentAtMs(part) >= sinceMs;
+  }
+
+  /** Drops all other runs. */
+  retain(runs: readonly KnownPromptRun[]): void {
+    this.runs = runs;
+    const parts = new Set(runs.flatMap((run) => run.parts));
+    for (const part of this.lastSentAtMs.keys()) {
+      if (!parts.has(part)) this.lastSentAtMs.delete(part);
+    }
   }
 
-  /** Number of crashes with the one of these parts that was in most of them. */
+  /** Number of servers that crashed with the one of these parts that was lost most. */
   mostCrashesOf(parts: readonly string[]): number {
-    const counts = [...new Set(parts)].map((part) => this.crashesWith(part));
+    const counts = Array.from(new Set(parts), (part) => {
+      const lost = this.runs.filter((run) => run.parts.includes(part));
+      return new Set(lost.map(({ runner }) => runner)).size;
+    });
     return Math.max(0, ...counts);
   }
 
-  private crashesWith(part: string): number {
-    const runs = this.runs.filter((run) => run.parts.includes(part));
-    return runs.filter(
-      (run, at) => !runs.slice(0, at).some((other) => isSameCrash(run, other)),
-    ).length;
+  private sentAtMs(part: string): number {
+    return this.lastSentAtMs.get(part) ?? Number.NEGATIVE_INFINITY;
   }
 }
 
--- a/src/suspects/suspect-requests.ts
+++ b/src/suspects/suspect-requests.ts
@@ -8,12 +8,17 @@
  */
 import type { Now } from "../internal.js";
 import {
+  CRASHES_IF_ONCE_HARMLESS,
   NO_EVIDENCE,
   crashEvidenceOf,
+  isCommon,
   isSameCrash,
+  isSameTime,
+  notAfter,
   isStrongerEvidence,
   successiveRuns,
   type CrashEvidence,
+  type LostRunHistory,
 } from "./crash-evidence.js";
 import type {
   Acquittal,
@@ -57,12 +62,31 @@
  */
 export const MAXIMUM_RECORD_ITEMS = 64;
 
+/** Only the servers that crashed last are remembered. */
+const MAXIMUM_CRASHED_SERVERS = 1000;
+
 /**
  * Origin of a record. "own": this entry. "start": another entry, read when this
  * one started. "live": another entry, read later.
  */
 export type RecordSource = "own" | "start" | "live";
 
+/** What is known beside the runs and completions of a request itself. */
+export interface RequestKnowledge {
+  /** Whether the run was lost because of another request. */
+  readonly isExplained: (run: CrashedRun) => boolean;
+  /**
+   * When a run of the request last survived, at any entry, Unix ms; negative
+   * infinity if none has.
+   */
+  readonly harmlessAt: (digest: string) => number;
+}
+
+const NO_KNOWLEDGE: RequestKnowledge = {
+  isExplained: () => false,
+  harmlessAt: () => Number.NEGATIVE_INFINITY,
+};
+
 interface KnownRun extends CrashedRun {
   /** Seen by this entry, which publishes it. */
   readonly isOwn: boolean;
@@ -85,13 +109,21 @@
   private readonly suspects = new Map<string, Suspect>();
   /** Digests of requests that completed here, oldest first. */
   private readonly completed = new Set<string>();
+  /** By id of the server, the one that crashed longest ago first, Unix ms. */
+  private readonly lastCrashAtMs = new Map<string, number>();
   private isIsolated = false;
 
-  private constructor(private readonly now: Now) {}
+  private constructor(
+    private readonly now: Now,
+    private readonly knowledge: RequestKnowledge,
+  ) {}
 
   /** `now`: Unix ms. */
-  static create(now: Now): SuspectRequests {
-    return new SuspectRequests(now);
+  static create(
+    now: Now,
+    knowledge: RequestKnowledge = NO_KNOWLEDGE,
+  ): SuspectRequests {
+    return new SuspectRequests(now, knowledge);
   }
 
   get size(): number {
@@ -105,9 +137,11 @@
   isWithheld(digest: string): boolean {
     const crashes = this.crashesOf(digest);
     if (crashes < CRASHES_UNTIL_WITHHELD) return false;
-    const isProven =
-      !this.isIsolated || crashes >= CRASHES_UNTIL_WITHHELD_ISOLATED;
-    return isProven || !(this.completed.has(digest) || this.isUnlikely(digest));
+    if (Number.isFinite(this.knowledge.harmlessAt(digest)))
+      return crashes >= CRASHES_IF_ONCE_HARMLESS;
+    if (!this.isIsolated || crashes >= CRASHES_UNTIL_WITHHELD_ISOLATED)
+      return true;
+    return !(this.completed.has(digest) || this.isUnlikely(digest));
   }
 
   /**
@@ -122,7 +156,7 @@
   crashesOf(digest: string): number {
     const suspect = this.suspects.get(digest);
     if (suspect === undefined) return 0;
-    const crashes = successiveRuns(suspect).length;
+    const crashes = successiveRuns(this.convincing(digest, suspect)).length;
     const lostAtMs = suspect.runs.map((run) => run.lostAtMs);
     const lastMs = Math.max(suspect.acquittedAtMs, ...lostAtMs);
     if (this.now() - lastMs < retentionMsOf(suspect, crashes)) return crashes;
@@ -156,7 +190,7 @@
       source === "live" ? MAXIMUM_REPORT_AGE_MS : WITHHOLD_DURATION_MS;
     const sinceMs = this.now() - maximumAgeMs;
     for (const { digest, runs } of suspicions) {
-      for (const run of runs.map((one) => this.clampToNow(one))) {
+      for (const run of runs.map((one) => notAfter(one, this.now()))) {
         if (run.lostAtMs >= sinceMs) this.addRun(digest, { ...run, isOwn });
       }
     }
@@ -194,7 +228,46 @@
   private evidence(digest: string): CrashEvidence {
     if (this.crashesOf(digest) < CRASHES_UNTIL_WITHHELD) return NO_EVIDENCE;
     const known = this.suspects.get(digest) ?? UNKNOWN_SUSPECT;
-    return crashEvidenceOf(known, CRASHES_UNTIL_WITHHELD);
+    return crashEvidenceOf(
+      this.convincing(digest, known),
+      CRASHES_UNTIL_WITHHELD,
+    );
+  }
+
+  private convincing(
+    digest: string,
+    { runs, acquittedAtMs }: Suspect,
+  ): LostRunHistory {
+    const isConvincing = (run: CrashedRun): boolean => {
+      if (this.knowledge.isExplained(run)) return false;
+      const around = runs.filter((one) =>
+        isSameTime(one.lostAtMs, run.lostAtMs),
+      );
+      const own = new Set(around.map(({ runner }) => runner)).size;
+      return isCommon(own, this.crashesAround(run.lostAtMs));
+    };
+    const harmlessAtMs = this.knowledge.harmlessAt(digest);
+    return {
+      runs: runs.filter(isConvincing),
+      acquittedAtMs: Math.max(acquittedAtMs, harmlessAtMs),
+    };
+  }
+
+  /** Number of servers known to have crashed at about this time, Unix ms. */
+  private crashesAround(atMs: number): number {
+    let crashes = 0;
+    for (const lostAtMs of this.lastCrashAtMs.values()) {
+      if (isSameTime(lostAtMs, atMs)) crashes += 1;
+    }
+    return crashes;
+  }
+
+  private addCrash({ runner, lostAtMs }: CrashedRun): void {
+    this.lastCrashAtMs.delete(runner);
+    this.lastCrashAtMs.set(runner, lostAtMs);
+    if (this.lastCrashAtMs.size <= MAXIMUM_CRASHED_SERVERS) return;
+    const [oldest] = this.lastCrashAtMs.keys();
+    this.lastCrashAtMs.delete(oldest);
   }
 
   private addCompletion(digest: string): void {
@@ -205,19 +278,11 @@
     this.completed.delete(oldest);
   }
 
-  /**
-   * A writer whose clock is ahead must not extend the time that a request is
-   * withheld.
-   */
-  private clampToNow(run: CrashedRun): CrashedRun {
-    const lostAtMs = Math.min(run.lostAtMs, this.now());
-    return { ...run, lostAtMs, sentAtMs: Math.min(run.sentAtMs, lostAtMs) };
-  }
-
   private addRun(digest: string, run: KnownRun): void {
     const known = this.suspects.get(digest) ?? UNKNOWN_SUSPECT;
     if (known.runs.some((one) => isSameCrash(one, run))) return;
     if (this.now() - run.lostAtMs >= WITHHOLD_DURATION_MS) return;
+    this.addCrash(run);
     const runs = [...known.runs, run].slice(-MAXIMUM_RECORD_ITEMS);
     this.store(digest, { ...known, runs });
   }
--- a/src/suspects/suspect-sync.ts
+++ b/src/suspects/suspect-sync.ts
@@ -9,11 +9,13 @@
 import { decodeJson } from "../platform/json-value.js";
 import type { KeyedRecord, KeyedWriter } from "../platform/keyed-topic.js";
 import type { RecordFindings } from "../platform/record-findings.js";
+import { MAXIMUM_PARTS } from "./lost-prompt-runs.js";
+import { MAXIMUM_RECORD_RUNS, type SuspectParts } from "./suspect-parts.js";
 import {
   MAXIMUM_RECORD_ITEMS,
   type SuspectRequests,
 } from "./suspect-requests.js";
-import type { SuspectRecord } from "./types.js";
+import type { EntryRecord } from "./types.js";
 
 /** Stream name under which unusable records are reported. */
 export const SUSPECTS_STREAM = "suspects";
@@ -46,9 +48,23 @@
   acquittals: z
     .array(z.object({ digest: digestSchema, atMs: unixMsSchema }))
     .max(MAXIMUM_RECORD_ITEMS),
+  // Earlier releases write neither of the following.
+  lostRuns: z
+    .array(
+      runSchema.extend({
+        request: digestSchema,
+        parts: z.array(digestSchema).max(MAXIMUM_PARTS),
+      }),
+    )
+    .max(MAXIMUM_RECORD_RUNS)
+    .default([]),
+  harmlessParts: z
+    .array(z.object({ part: digestSchema, atMs: unixMsSchema }))
+    .max(MAXIMUM_RECORD_ITEMS)
+    .default([]),
 });
 
-export function encodeSuspects(record: SuspectRecord): Buffer {
+export function encodeSuspects(record: EntryRecord): Buffer {
   return Buffer.from(JSON.stringify(record));
 }
 
@@ -56,6 +72,7 @@
   /** Name of this entry and key of its record. */
   readonly name: string;
   readonly suspects: SuspectRequests;
+  readonly parts: SuspectParts;
   readonly notes: KeyedWriter;
   readonly findings: RecordFindings;
   readonly after: ScheduleAfter;
@@ -76,14 +93,16 @@
 
   /** Doesn't throw: unreadable records are reported as findings. */
   apply(records: readonly KeyedRecord[]): void {
-    const { name, suspects, findings } = this.options;
+    const { name, suspects, parts, findings } = this.options;
     const otherSource = this.hasReadBefore ? "live" : "start";
     this.hasReadBefore = true;
     for (const { key, value } of records) {
       if (value === undefined) continue;
       try {
         const source = key === name ? "own" : otherSource;
-        suspects.merge(decodeJson(recordSchema, value), source);
+        const record = decodeJson(recordSchema, value);
+        if (parts.merge(record, source === "own")) this.schedulePublish();
+        suspects.merge(record, source);
       } catch (error) {
         const reason = toFailure(error, 1903).message;
         findings.report({
@@ -110,19 +129,25 @@
 
   /** The store was rolled back to an older copy. */
   onStoreRolledBack(): void {
-    const { suspicions } = this.options.suspects.ownRecord();
-    if (suspicions.length > 0) this.schedulePublish();
+    const { suspicions, lostRuns, harmlessParts } = this.ownRecord();
+    const items = [...suspicions, ...lostRuns, ...harmlessParts];
+    if (items.length > 0) this.schedulePublish();
+  }
+
+  private ownRecord(): EntryRecord {
+    const { suspects, parts } = this.options;
+    return { ...suspects.ownRecord(), ...parts.ownRecord() };
   }
 
   private async publish(): Promise<void> {
-    const { name, suspects, notes, emit, after } = this.options;
-    const record = suspects.ownRecord();
+    const { name, notes, emit, after } = this.options;
+    const record = this.ownRecord();
     try {
       await notes.put(name, encodeSuspects(record));
       this.setPublishFailing(false);
       after(MINIMUM_PUBLISH_INTERVAL_MS, () => {
         this.isScheduled = false;
-        const isNewer = !isSameRecord(record, suspects.ownRecord());
+        const isNewer = !isSameRecord(record, this.ownRecord());
         if (isNewer) this.schedulePublish();
       });
     } catch (error) {
@@ -141,6 +166,6 @@
   }
 }
 
-function isSameRecord(one: SuspectRecord, other: SuspectRecord): boolean {
+function isSameRecord(one: EntryRecord, other: EntryRecord): boolean {
   return encodeSuspects(one).equals(encodeSuspects(other));
 }
--- a/src/suspects/suspect-tracker.ts
+++ b/src/suspects/suspect-tracker.ts
@@ -7,7 +7,7 @@
 import type { KeyedRecord, KeyedWriter } from "../platform/keyed-topic.js";
 import type { RecordFindings } from "../platform/record-findings.js";
 import { CrashDetector, type CrashDetectorOptions } from "./crash-detector.js";
-import { LostPromptRuns } from "./lost-prompt-runs.js";
+import { SuspectParts } from "./suspect-parts.js";
 import { SuspectSync } from "./suspect-sync.js";
 import { SuspectRequests } from "./suspect-requests.js";
 
@@ -26,25 +26,33 @@
 
 export class SuspectTracker {
   readonly requests: SuspectRequests;
-  readonly promptRuns: LostPromptRuns;
+  readonly parts: SuspectParts;
   readonly crashes: CrashDetector;
   readonly now: Now;
   private readonly sync: SuspectSync;
+  private reportedParts: readonly string[] = [];
 
   private constructor(private readonly options: SuspectTrackerOptions) {
     const { now, emit, portState } = options;
     this.now = now;
-    this.requests = SuspectRequests.create(now);
-    this.promptRuns = LostPromptRuns.create(now);
-    this.sync = SuspectSync.create({ ...options, suspects: this.requests });
+    this.parts = SuspectParts.create(now);
+    this.requests = SuspectRequests.create(now, {
+      isExplained: (run) => this.parts.isExplained(run),
+      harmlessAt: (digest) => this.parts.harmlessAt(digest),
+    });
+    this.sync = SuspectSync.create({
+      ...options,
+      suspects: this.requests,
+      parts: this.parts,
+    });
     this.crashes = CrashDetector.create({
       now,
       emit,
       suspects: this.requests,
-      promptRuns: this.promptRuns,
+      parts: this.parts,
       portState,
       onEvidence: () => {
-        this.updateGauge();
+        this.reportState();
         this.sync.schedulePublish();
       },
     });
@@ -63,14 +71,32 @@
   /** Applies records of this entry and of the others. */
   apply(records: readonly KeyedRecord[]): void {
     this.sync.apply(records);
-    this.updateGauge();
+    this.reportState();
+  }
+
+  /** A run with these parts of a prompt has survived. */
+  onSurvived(parts: readonly string[]): void {
+    if (!this.parts.onSurvived(parts)) return;
+    this.reportState();
+    this.sync.schedulePublish();
   }
 
   onStoreRolledBack(): void {
     this.sync.onStoreRolledBack();
   }
 
-  private updateGauge(): void {
-    this.options.measurements.set("suspectRequests", this.requests.size);
+  private reportState(): void {
+    const { emit, measurements } = this.options;
+    const { withheldParts } = this.parts;
+    measurements.set("suspectRequests", this.requests.size);
+    measurements.set("withheldParts", withheldParts.length);
+    const known = this.reportedParts;
+    for (const part of withheldParts) {
+      if (!known.includes(part)) emit(237, { part });
+    }
+    for (const part of known) {
+      if (!withheldParts.includes(part)) emit(238, { part });
+    }
+    this.reportedParts = withheldParts;
   }
 }
--- a/src/suspects/types.ts
+++ b/src/suspects/types.ts
@@ -38,8 +38,25 @@
   readonly parts: readonly string[];
 }
 
+/** A part that was seen to be harmless: a run with it has survived. */
+export interface HarmlessPart {
+  /** Digest of the part. */
+  readonly part: string;
+  /** Unix ms. */
+  readonly atMs: number;
+}
+
+/** Observations of one entry about parts of prompts. */
+export interface PartRecord {
+  readonly lostRuns: readonly LostPromptRun[];
+  readonly harmlessParts: readonly HarmlessPart[];
+}
+
 /** Observations of one entry about whole requests. */
 export interface SuspectRecord {
   readonly suspicions: readonly Suspicion[];
   readonly acquittals: readonly Acquittal[];
 }
+
+/** What an entry publishes. */
+export interface EntryRecord extends SuspectRecord, PartRecord {}
--- a/tests/suspects/crash-detector.test.ts
+++ b/tests/suspects/crash-detector.test.ts
@@ -4,7 +4,7 @@
   DETECTION_WINDOW_MS,
   type PortState,
 } from "../../src/suspects/crash-detector.js";
-import { LostPromptRuns } from "../../src/suspects/lost-prompt-runs.js";
+import { SuspectParts } from "../../src/suspects/suspect-parts.js";
 import { SuspectRequests } from "../../src/suspects/suspect-requests.js";
 import { describe, it } from "../support/describe.js";
 
@@ -17,14 +17,14 @@
   evidenceCalls = 0;
   readonly samePart: unknown[] = [];
   readonly suspects = SuspectRequests.create(() => this.nowMs);
-  readonly promptRuns = LostPromptRuns.create(() => this.nowMs);
+  readonly parts = SuspectParts.create(() => this.nowMs);
   readonly detector = CrashDetector.create({
     now: () => this.nowMs,
     emit: (number, fields) => {
       if (number === 231) this.samePart.push(fields?.samePart);
     },
     suspects: this.suspects,
-    promptRuns: this.promptRuns,
+    parts: this.parts,
     portState: () => {
       this.probes += 1;
       return Promise.resolve(this.port);
--- a/tests/suspects/suspect-sync.test.ts
+++ b/tests/suspects/suspect-sync.test.ts
@@ -6,6 +6,7 @@
   ignoreMeasurements,
 } from "../../src/internal.js";
 import { RecordFindings } from "../../src/platform/record-findings.js";
+import { SuspectParts } from "../../src/suspects/suspect-parts.js";
 import { SuspectSync } from "../../src/suspects/suspect-sync.js";
 import { SuspectRequests } from "../../src/suspects/suspect-requests.js";
 import { describe, it } from "../support/describe.js";
@@ -15,9 +16,11 @@
   isStoreDown = false;
   readonly written: { readonly key: string; readonly value: Buffer }[] = [];
   readonly suspects = SuspectRequests.create(() => this.time.nowMs);
+  readonly parts = SuspectParts.create(() => this.time.nowMs);
   readonly sync = SuspectSync.create({
     name: "entry-1",
     suspects: this.suspects,
+    parts: this.parts,
     notes: {
       put: (key, value) => {
         if (this.isStoreDown) return Promise.reject(failure(1901));
