Fuzz parts of prompts with both oracles, and test shifted demand

The target suspects gets entries that share records of lost and surviving parts, restart and lose runs to other crashes. What decides whether a request can be the cause of simultaneous crashes is passed to its tracker, with unchanged behaviour, so that the older oracle of single requests keeps its strictness.

Demand that moves to one entry: from 3 s on 5, 12 and 34 simulated entries keep more than three quarters of the served share, averaged over the period. No change of the limit.

--- a/fuzz/suspects/suspects.ts
+++ b/fuzz/suspects/suspects.ts
@@ -14,6 +14,7 @@
 import type { CrashedRun, SuspectRecord } from "../../src/suspects/types.js";
 import { runCheckedHistories } from "../run-checked-histories.js";
 import type { FuzzTarget } from "../target.js";
+import { checkParts, partHistory } from "./parts.js";
 
 const ENTRIES = 3;
 const DIGESTS = ["a", "b"] as const;
@@ -252,13 +253,20 @@
 
 export const suspectsTarget: FuzzTarget = {
   name: "suspects",
-  mutations: {},
-  run: (settings) =>
-    Promise.resolve(
+  mutations: { "no-survivors": 300, "no-sharing": 300 },
+  run: (settings) => {
+    const parts = runCheckedHistories(settings, {
+      history: partHistory,
+      check: (input) => checkParts(input, settings.mutation),
+      title: () => "parts",
+    });
+    if (parts.violations > 0) return Promise.resolve(parts);
+    return Promise.resolve(
       runCheckedHistories(settings, {
         history,
         check: checkSuspects,
         title: () => "suspects",
       }),
-    ),
+    );
+  },
 };
--- a/src/suspects/suspect-requests.ts
+++ b/src/suspects/suspect-requests.ts
@@ -11,7 +11,6 @@
   CRASHES_IF_ONCE_HARMLESS,
   NO_EVIDENCE,
   crashEvidenceOf,
-  isCommon,
   isSameCrash,
   isSameTime,
   notAfter,
@@ -80,11 +79,19 @@
    * infinity if none has.
    */
   readonly harmlessAt: (digest: string) => number;
+  readonly canBeCause: CanBeCause;
 }
 
+/**
+ * Whether a request that ran on `own` of `all` servers that crashed at about the
+ * same time can be their cause.
+ */
+export type CanBeCause = (own: number, all: number) => boolean;
+
 const NO_KNOWLEDGE: RequestKnowledge = {
   isExplained: () => false,
   harmlessAt: () => Number.NEGATIVE_INFINITY,
+  canBeCause: () => true,
 };
 
 interface KnownRun extends CrashedRun {
@@ -238,13 +245,14 @@
     digest: string,
     { runs, acquittedAtMs }: Suspect,
   ): LostRunHistory {
+    const { isExplained, canBeCause } = this.knowledge;
     const isConvincing = (run: CrashedRun): boolean => {
-      if (this.knowledge.isExplained(run)) return false;
+      if (isExplained(run)) return false;
       const around = runs.filter((one) =>
         isSameTime(one.lostAtMs, run.lostAtMs),
       );
       const own = new Set(around.map(({ runner }) => runner)).size;
-      return isCommon(own, this.crashesAround(run.lostAtMs));
+      return canBeCause(own, this.crashesAround(run.lostAtMs));
     };
     const harmlessAtMs = this.knowledge.harmlessAt(digest);
     return {
--- a/tests/direct/group-simulation.ts
+++ b/tests/direct/group-simulation.ts
@@ -41,6 +41,15 @@
    * place of the adaptive limit.
    */
   readonly fixedLimit?: number | undefined;
+  /** Period in which most calls come to the first entry; none if left out. */
+  readonly shift?: DemandShift;
+}
+
+export interface DemandShift {
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Share of the calls that the first entry gets. */
+  readonly share: number;
 }
 
 /**
@@ -54,6 +63,13 @@
   readonly late: number;
   /** Attempts refused by the group with the outage. */
   readonly refusals: number;
+  /** Calls in each second of the run, and how many of them found a runner. */
+  readonly seconds: readonly SecondOutcome[];
+}
+
+export interface SecondOutcome {
+  readonly calls: number;
+  readonly placed: number;
 }
 
 const GROUPS = 3;
@@ -69,6 +85,7 @@
  * Time in which the concurrency limits settle; calls count from then on, ms.
  */
 const WARM_UP_MS = 8000;
+const MS_PER_SECOND = 1000;
 const MAXIMUM_ATTEMPTS = 2;
 const HELD_STEP_MS = 300;
 /** Mean interval between two held steps of a group, ms. */
@@ -105,6 +122,10 @@
   private inTime = 0;
   private late = 0;
   private refusals = 0;
+  private readonly seconds = Array.from(
+    { length: DURATION_MS / MS_PER_SECOND },
+    () => ({ calls: 0, placed: 0 }),
+  );
   /** Deviation of each group's current step from its mean, relative. */
   private readonly deviations = Array.from({ length: GROUPS }, () => 0);
 
@@ -123,8 +144,8 @@
     for (let group = 0; group < GROUPS; group += 1) this.scheduleStep(group);
     this.scheduleCall();
     this.time.advance(DURATION_MS);
-    const { calls, inTime, late, refusals } = this;
-    return { calls, inTime, late, refusals };
+    const { calls, inTime, late, refusals, seconds } = this;
+    return { calls, inTime, late, refusals, seconds };
   }
 
   private startEntry(): Entry {
@@ -178,8 +199,9 @@
   }
 
   private placeCall(): void {
-    const { entries } = this;
-    const entry = entries[Math.floor(this.random() * entries.length)];
+    const entry = this.entryForCall();
+    const second = this.seconds[Math.floor(this.time.nowMs / MS_PER_SECOND)];
+    second.calls += 1;
     const isCounted = this.time.nowMs >= WARM_UP_MS;
     if (isCounted) this.calls += 1;
     const tried = new Set<Runner>();
@@ -187,6 +209,7 @@
     while (runner !== undefined && tried.size < MAXIMUM_ATTEMPTS) {
       entry.pool.start(runner);
       if (!this.isRefusing(groupAt(runner.server.address))) {
+        second.placed += 1;
         this.startStream(entry, runner, isCounted);
         return;
       }
@@ -198,6 +221,16 @@
     }
   }
 
+  private entryForCall(): Entry {
+    const { entries, random } = this;
+    const { shift } = this.options;
+    const { nowMs } = this.time;
+    const isShifted =
+      shift !== undefined && nowMs >= shift.fromMs && nowMs < shift.toMs;
+    if (isShifted && random() < shift.share) return entries[0];
+    return entries[Math.floor(random() * entries.length)];
+  }
+
   private startStream(entry: Entry, runner: Runner, isCounted: boolean): void {
     const eventAtMs = this.time.nowMs;
     const stream = {
--- a/tests/direct/groups-load.test.ts
+++ b/tests/direct/groups-load.test.ts
@@ -5,6 +5,7 @@
   GroupSimulation,
   type GroupOutcome,
   type GroupSimulationOptions,
+  type SecondOutcome,
 } from "./group-simulation.js";
 
 const SEEDS = [1, 2, 3];
@@ -18,6 +19,21 @@
 /** Concurrent streams of a group that are tried as constant limits. */
 const FIXED_GROUP_LIMITS = [50, 60, 70, 80];
 
+/** Most callers meet one entry; the others keep a tenth of the calls. */
+const SHIFT = { fromMs: 15_000, toMs: 25_000, share: 0.9 };
+/** Part of the served share that must be kept from 3 s after such a shift. */
+const MINIMUM_KEPT = 0.75;
+
+function servedShare(
+  seconds: readonly SecondOutcome[],
+  from: number,
+  to: number,
+): number {
+  const counted = seconds.slice(from, to);
+  const placed = sum(counted.map((second) => second.placed));
+  return placed / sum(counted.map(({ calls }) => calls));
+}
+
 /** What callers get out of a load above what the groups can serve in time. */
 function valueUnderOverload(
   entries: number,
@@ -130,4 +146,26 @@
     const best = bestValueUnderOverload(MANY_ENTRIES, hasHeldSteps);
     assert.ok(adaptive >= best * 0.9, `${adaptive} ${best}`);
   });
+
+  for (const entries of [5, 12, 34]) {
+    it(`serves as many when nearly all come to one of ${entries} entries`, () => {
+      // Guards against an entry that refuses callers while the capacity that
+      // the other entries no longer use is free.
+      const outcomes = runAll(
+        {
+          requestsPerSecond: 110,
+          slowness: 1,
+          outage: NO_OUTAGE,
+          knowsGroups: true,
+          shift: SHIFT,
+        },
+        entries,
+      );
+      for (const { seconds } of outcomes) {
+        const before = servedShare(seconds, 10, 15);
+        const shifted = servedShare(seconds, 18, 25);
+        assert.ok(shifted >= before * MINIMUM_KEPT, `${shifted} ${before}`);
+      }
+    });
+  }
 });
--- a/tests/fuzz/suspects.test.ts
+++ b/tests/fuzz/suspects.test.ts
@@ -11,6 +11,13 @@
     assert.is(result.histories, RUNS);
   });
 
+  for (const [mutation, runs] of Object.entries(suspectsTarget.mutations)) {
+    it(`detects mutation ${mutation} within ${runs} histories`, async () => {
+      const result = await suspectsTarget.run({ seed: 1, runs, mutation });
+      assert.is(result.violations, 1);
+    });
+  }
+
   describe("regressions", () => {
     it("keeps a completion that is read before the crash", () => {
       // A starting entry reads the record of a request's completion before that
