Keep the order of runs whose writer's clock is ahead

A record read while its writer's clock was ahead had each of its runs cut to the reader's time, so runs of one crash could follow one another, and a crash could count again when its record was read later. All runs of a record are moved back together now, and a run of the same request, server and duration is the same run.

--- a/src/suspects/crash-evidence.ts
+++ b/src/suspects/crash-evidence.ts
@@ -113,11 +113,14 @@
 }
 
 /**
- * The run as if it had been lost by now at the latest: a writer whose clock is
- * ahead must not extend the time for which it counts.
+ * Time by which the clock of these runs' writer is ahead at least, ms. Moved back
+ * by it, they keep their order and don't extend the time for which they count.
  */
-export function notAfter<Run extends CrashedRun>(run: Run, nowMs: number): Run {
-  const aheadMs = Math.max(0, run.lostAtMs - nowMs);
+export function aheadMsOf(runs: readonly CrashedRun[], nowMs: number): number {
+  return Math.max(0, ...runs.map(({ lostAtMs }) => lostAtMs - nowMs));
+}
+
+export function movedBack<Run extends CrashedRun>(run: Run, byMs: number): Run {
   const { sentAtMs, lostAtMs } = run;
-  return { ...run, sentAtMs: sentAtMs - aheadMs, lostAtMs: lostAtMs - aheadMs };
+  return { ...run, sentAtMs: sentAtMs - byMs, lostAtMs: lostAtMs - byMs };
 }
--- a/src/suspects/lost-prompt-runs.ts
+++ b/src/suspects/lost-prompt-runs.ts
@@ -3,6 +3,7 @@
  * prompts, so that a part that recurs from crash to crash can be found though no
  * two requests are alike.
  */
+import { Crash } from "./crash.js";
 import { isSameCrash } from "./crash-evidence.js";
 import type { LostPromptRun } from "./types.js";
 
@@ -12,6 +13,9 @@
  */
 export const MAXIMUM_PARTS = 32;
 
+/** Rounding errors of durations are smaller than this, ms. */
+const SAME_DURATION_MS = 0.01;
+
 export interface KnownPromptRun extends LostPromptRun {
   /** Seen by this entry, which publishes it. */
   readonly isOwn: boolean;
@@ -61,7 +65,7 @@
   mostCrashesOf(parts: readonly string[]): number {
     const counts = Array.from(new Set(parts), (part) => {
       const lost = this.runs.filter((run) => run.parts.includes(part));
-      return new Set(lost.map(({ runner }) => runner)).size;
+      return Crash.group(lost).length;
     });
     return Math.max(0, ...counts);
   }
@@ -71,6 +75,17 @@
   }
 }
 
+/**
+ * A run that was read while its writer's clock was ahead was moved in time, so
+ * one with the same duration is the same as well.
+ */
 function isSameRun(one: LostPromptRun, other: LostPromptRun): boolean {
-  return one.request === other.request && isSameCrash(one, other);
+  if (one.request !== other.request || one.runner !== other.runner)
+    return false;
+  const differenceMs = durationMsOf(one) - durationMsOf(other);
+  return isSameCrash(one, other) || Math.abs(differenceMs) < SAME_DURATION_MS;
+}
+
+function durationMsOf({ sentAtMs, lostAtMs }: LostPromptRun): number {
+  return lostAtMs - sentAtMs;
 }
--- a/src/suspects/suspect-parts.ts
+++ b/src/suspects/suspect-parts.ts
@@ -4,7 +4,7 @@
  */
 import type { Now } from "../internal.js";
 import { CrashAnalysis } from "./crash-analysis.js";
-import { notAfter } from "./crash-evidence.js";
+import { aheadMsOf, movedBack } from "./crash-evidence.js";
 import { LostPromptRuns, type KnownPromptRun } from "./lost-prompt-runs.js";
 import {
   MAXIMUM_RECORD_ITEMS,
@@ -116,9 +116,8 @@
       this.setHarmless(part, seenAtMs);
     }
     const publishedCount = this.publishedAtMs.size;
-    for (const run of lostRuns) {
-      this.addRun(notAfter(run, nowMs), isOwn);
-    }
+    const aheadMs = aheadMsOf(lostRuns, nowMs);
+    for (const run of lostRuns) this.addRun(movedBack(run, aheadMs), isOwn);
     return this.publishedAtMs.size > publishedCount;
   }
 
--- a/src/suspects/suspect-requests.ts
+++ b/src/suspects/suspect-requests.ts
@@ -10,11 +10,12 @@
 import {
   CRASHES_IF_ONCE_HARMLESS,
   NO_EVIDENCE,
+  aheadMsOf,
   crashEvidenceOf,
   isSameCrash,
   isSameTime,
-  notAfter,
   isStrongerEvidence,
+  movedBack,
   successiveRuns,
   type CrashEvidence,
   type LostRunHistory,
@@ -196,8 +197,10 @@
     const maximumAgeMs =
       source === "live" ? MAXIMUM_REPORT_AGE_MS : WITHHOLD_DURATION_MS;
     const sinceMs = this.now() - maximumAgeMs;
+    const allRuns = suspicions.flatMap(({ runs }) => runs);
+    const aheadMs = aheadMsOf(allRuns, this.now());
     for (const { digest, runs } of suspicions) {
-      for (const run of runs.map((one) => notAfter(one, this.now()))) {
+      for (const run of runs.map((one) => movedBack(one, aheadMs))) {
         if (run.lostAtMs >= sinceMs) this.addRun(digest, { ...run, isOwn });
       }
     }
--- a/tests/suspects/suspect-parts.test.ts
+++ b/tests/suspects/suspect-parts.test.ts
@@ -125,6 +125,20 @@
     assert.is(kept.filter((run) => run.parts.includes("bad")).length, 2);
   });
 
+  it("counts a crash once though its writer's clock is ahead", () => {
+    // Guards against a crash that counts again when its record is read later.
+    const { parts, ...fixture } = withHarmless("a");
+    fixture.lose(["a", "bad"]);
+    fixture.lose(["a", "bad"], 0);
+    const record = parts.ownRecord();
+    const reader = new PartsFixture();
+    reader.nowMs = fixture.now() - 2 * SECOND_MS;
+    reader.parts.merge(record, false);
+    reader.nowMs += 10 * SECOND_MS;
+    reader.parts.merge(record, false);
+    assert.not.ok(reader.parts.isWithheld(["a", "bad"]));
+  });
+
   it("tells once that a suspected part is harmless", () => {
     // Guards against a write to the store for each completed request.
     const fixture = new PartsFixture();
