--- a/tests/suspects/suspect-sync.test.ts
+++ b/tests/suspects/suspect-sync.test.ts
@@ -95,6 +95,39 @@
     assert.is(entry.written.length, 2);
   });
 
+  it("is read if an earlier release has written it", () => {
+    // Guards against entries of two releases that ignore each other.
+    const entry = new EntryFixture();
+    const runs = [{ runner: "r1", sentAtMs: 1, lostAtMs: entry.time.nowMs }];
+    const record = { suspicions: [{ digest: "a", runs }], acquittals: [] };
+    const value = Buffer.from(JSON.stringify(record));
+    entry.sync.apply([{ key: "entry-2", value }]);
+    assert.ok(entry.suspects.isSuspect("a"));
+  });
+
+  it("tells which parts of another entry's lost runs are harmless", async () => {
+    // Guards against entries that blame a part because they have just started.
+    const [entry, other] = [new EntryFixture(), new EntryFixture()];
+    entry.parts.onSurvived(["popular"]);
+    const { nowMs: lostAtMs } = other.time;
+    const run = {
+      runner: "r1",
+      request: "q",
+      sentAtMs: lostAtMs - 10,
+      lostAtMs,
+    };
+    other.parts.addOwnRun({ ...run, parts: ["popular", "new"] });
+    other.sync.schedulePublish();
+    await other.advance(1000);
+    entry.sync.apply(other.written);
+    await entry.advance(1000);
+    assert.equal(
+      entry.parts.ownRecord().harmlessParts.map(({ part }) => part),
+      ["popular"],
+    );
+    assert.is(entry.written.length, 1);
+  });
+
   it("is skipped if it can't be read", () => {
     const entry = new EntryFixture();
     const bad = ["", "[]", '{"suspicions":[{"digest":"\\n"}]}', "\u0000"];
