--- a/src/suspects/crash-evidence.ts
+++ b/src/suspects/crash-evidence.ts
@@ -104,7 +104,7 @@
  * same time can be their cause. When a rack fails, popular requests run on some
  * of its servers; and a server may crash by chance beside those of the suspect.
  */
-export function isCommon(own: number, all: number): boolean {
+export function canBeCause(own: number, all: number): boolean {
   const others = all - own;
   return (
     others <=
--- a/src/suspects/simultaneous-crashes.ts
+++ b/src/suspects/simultaneous-crashes.ts
@@ -1,6 +1,6 @@
 /** Relates crashes to those of other servers at about the same time. */
 import type { Crash } from "./crash.js";
-import { MAXIMUM_SAME_TIME_MS, isCommon } from "./crash-evidence.js";
+import { MAXIMUM_SAME_TIME_MS, canBeCause } from "./crash-evidence.js";
 
 /**
  * Those of the crashes that took most of the servers that crashed at about the
@@ -12,7 +12,9 @@
 ): readonly Crash[] {
   const countAll = simultaneousCounter(all);
   const countOwn = simultaneousCounter(crashes);
-  return crashes.filter((crash) => isCommon(countOwn(crash), countAll(crash)));
+  return crashes.filter((crash) =>
+    canBeCause(countOwn(crash), countAll(crash)),
+  );
 }
 
 /** Returns a function to be called with crashes in the order of their time. */
--- a/src/suspects/suspect-parts.ts
+++ b/src/suspects/suspect-parts.ts
@@ -6,6 +6,7 @@
 import { CrashAnalysis } from "./crash-analysis.js";
 import { aheadMsOf, movedBack } from "./crash-evidence.js";
 import { LostPromptRuns, type KnownPromptRun } from "./lost-prompt-runs.js";
+import { setNewest } from "./newest-entries.js";
 import {
   MAXIMUM_RECORD_ITEMS,
   WITHHOLD_DURATION_MS,
@@ -140,11 +141,7 @@
   }
 
   private setHarmless(part: string, atMs: number): void {
-    this.harmlessAtMs.delete(part);
-    this.harmlessAtMs.set(part, atMs);
-    if (this.harmlessAtMs.size <= MAXIMUM_HARMLESS_PARTS) return;
-    const [oldest] = this.harmlessAtMs.keys();
-    this.harmlessAtMs.delete(oldest);
+    setNewest(this.harmlessAtMs, part, atMs, MAXIMUM_HARMLESS_PARTS);
   }
 
   /**
@@ -164,8 +161,7 @@
   }
 
   private publish(part: string, atMs: number): void {
-    this.publishedAtMs.delete(part);
-    this.publishedAtMs.set(part, atMs);
+    setNewest(this.publishedAtMs, part, atMs);
   }
 
   /** The newest, but before them those because of which requests are withheld. */
--- a/src/suspects/suspect-requests.ts
+++ b/src/suspects/suspect-requests.ts
@@ -20,6 +20,7 @@
   type CrashEvidence,
   type LostRunHistory,
 } from "./crash-evidence.js";
+import { setNewest } from "./newest-entries.js";
 import type {
   Acquittal,
   CrashedRun,
@@ -274,11 +275,7 @@
   }
 
   private addCrash({ runner, lostAtMs }: CrashedRun): void {
-    this.lastCrashAtMs.delete(runner);
-    this.lastCrashAtMs.set(runner, lostAtMs);
-    if (this.lastCrashAtMs.size <= MAXIMUM_CRASHED_SERVERS) return;
-    const [oldest] = this.lastCrashAtMs.keys();
-    this.lastCrashAtMs.delete(oldest);
+    setNewest(this.lastCrashAtMs, runner, lostAtMs, MAXIMUM_CRASHED_SERVERS);
   }
 
   private addCompletion(digest: string): void {
--- a/src/suspects/suspect-tracker.ts
+++ b/src/suspects/suspect-tracker.ts
@@ -7,7 +7,7 @@
 import type { KeyedRecord, KeyedWriter } from "../platform/keyed-topic.js";
 import type { RecordFindings } from "../platform/record-findings.js";
 import { CrashDetector, type CrashDetectorOptions } from "./crash-detector.js";
-import { isCommon } from "./crash-evidence.js";
+import { canBeCause } from "./crash-evidence.js";
 import { SuspectParts } from "./suspect-parts.js";
 import { SuspectSync } from "./suspect-sync.js";
 import { SuspectRequests } from "./suspect-requests.js";
@@ -39,7 +39,7 @@
     this.parts = SuspectParts.create(now);
     this.requests = SuspectRequests.create(now, {
       isExplained: (run) => this.parts.isExplained(run),
-      canBeCause: isCommon,
+      canBeCause,
       harmlessAt: (digest) => this.parts.harmlessAt(digest),
     });
     this.sync = SuspectSync.create({
