Log and measure what runners say of their own state in answers

Nothing told a rest that is kept from one that isn't, nor either from the circuit breaker: event 215 says only not-run and 503. Answers are now read for the rest that a runner asks for and for its leaving, whatever else is wrong with them, and so are answers to probes. Events 262 to 265 and the gauge apricotdeck_runner_held_back name runner and cause. A Retry-After that can't be read gets a log line. Nothing is decided by this yet.

The metrics table's gauges can drop a series, because runners come and go.

--- a/src/daemon/metrics-registry.ts
+++ b/src/daemon/metrics-registry.ts
@@ -31,7 +31,9 @@
     },
     set: (key, value, labelValues = {}) => {
       const metric = findMetric(key);
-      if (metric instanceof Gauge) metric.set(labelValues, value);
+      if (!(metric instanceof Gauge)) return;
+      if (value === undefined) metric.remove(labelValues);
+      else metric.set(labelValues, value);
     },
     observe: (key, value, labelValues = {}) => {
       const metric = findMetric(key);
--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -7,7 +7,9 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { createDeferred } from "../internal.js";
+import type { RunnerStatement } from "../membership/runner-statement.js";
 import { endMarkOf } from "../shared/answer-end.js";
+import { HTTP_MISDIRECTED_REQUEST } from "./attempt-ends.js";
 import type { HeldBytes } from "./response-budget.js";
 import { MAXIMUM_REFUSAL_MS, refusalFault } from "./response-bounds.js";
 import { StreamBuffer } from "./stream-buffer.js";
@@ -67,6 +69,11 @@
   readonly onBrokenOff?: (reason: string, receivedBytes: number) => void;
   /** Called with the head of an answer to this attempt. */
   readonly onAnswer: (status: number, fields: ResponseFields) => void;
+  /**
+   * Called with what the runner says of itself in the head of any response,
+   * also of one that can't be used otherwise.
+   */
+  readonly onStatement?: (statement: RunnerStatement) => void;
 }
 
 const FIRST_NON_SUCCESS_STATUS = 300;
@@ -167,6 +174,10 @@
   ): void {
     const { attemptId, codec, sink } = this.options;
     const fields = codec.readAnswer(status, headers);
+    // Another runner answers at this address.
+    if (status !== HTTP_MISDIRECTED_REQUEST) {
+      this.options.onStatement?.(fields.statement);
+    }
     const fault = this.protocolViolation(status, fields, headers, attemptId);
     if (fault !== undefined) {
       this.abortBroken(controller, fault);
--- a/src/direct/entry-options.ts
+++ b/src/direct/entry-options.ts
@@ -9,6 +9,7 @@
 import type { StoreEra } from "../platform/store-era.js";
 import type { SiteConfiguration } from "../routing/types.js";
 import type { DirectEntrySettings } from "./settings.js";
+import type { ReadSlowness } from "./slow-runner-probe.js";
 import type { HeaderCodec } from "./types.js";
 
 export interface DirectEntryOptions {
@@ -48,7 +49,7 @@
   readonly limits: KeyedTopic;
   readonly limitNotes: KeyedWriter;
   /** Ratio of the runner's response time to its usual one. Throws 1607. */
-  readonly slownessOf: (address: string) => Promise<number>;
+  readonly slownessOf: ReadSlowness;
   /** Path of the readiness check of the platform's load balancer. */
   readonly readinessPath: string;
 }
--- a/src/direct/entry-parts.ts
+++ b/src/direct/entry-parts.ts
@@ -14,6 +14,7 @@
 import type { GroupLoad } from "../loadview/types.js";
 import { BackendServerDirectory } from "../membership/directory.js";
 import { RegisterReader } from "../membership/register-reader.js";
+import { RunnerStatements } from "../membership/runner-statements.js";
 import { RunnerGroups } from "../membership/runner-groups.js";
 import { SlowRunners } from "../membership/slow-runners.js";
 import type { ScheduleAfter } from "../membership/types.js";
@@ -51,6 +52,7 @@
   readonly evacuations: Evacuations;
   readonly limits: RunnerLimits;
   readonly coldRunners: ColdRunners;
+  readonly statements: RunnerStatements;
   readonly sharing: SharingEntries;
   readonly limitSync: LimitSync;
   readonly scheduler: RequestScheduler;
@@ -74,6 +76,7 @@
     const { name } = entry.settings;
     this.sharing = SharingEntries.create({ name, now });
     this.limitSync = this.createLimitSync();
+    this.statements = this.createStatements();
     this.scheduler = this.createScheduler();
     this.slowRunnerProbe = this.createProbe();
     this.registerReader = RegisterReader.create({
@@ -161,6 +164,17 @@
     });
   }
 
+  private createStatements(): RunnerStatements {
+    const { emit, measurements, after } = this.options;
+    return RunnerStatements.create({
+      now,
+      after,
+      emit,
+      measurements,
+      isRegistered: (runner) => this.directory.has(runner),
+    });
+  }
+
   private createLimits(): RunnerLimits {
     const { emit, measurements } = this.options;
     return RunnerLimits.create({
@@ -233,6 +247,9 @@
       emit,
       lateServices: () => this.scheduler.lateServices(),
       slownessOf: entry.slownessOf,
+      onStatement: (runner, statement) => {
+        this.statements.onAnswer(runner, statement, "probe");
+      },
       onPaceNote: (note) => {
         this.slowRunners.apply(note);
       },
@@ -241,7 +258,7 @@
 
   private createDirectory(): BackendServerDirectory {
     const { emit, measurements, after } = this.options;
-    const { scheduler, slowRunners, suspects, coldRunners } = this;
+    const { scheduler, slowRunners, suspects, coldRunners, statements } = this;
     return BackendServerDirectory.create({
       now,
       after,
@@ -262,6 +279,7 @@
       },
       onServerReplaced: (earlier, later) => {
         scheduler.endIncarnation(earlier, later);
+        statements.onReplaced(earlier, later);
         slowRunners.forget(earlier);
         suspects.crashes.onCrashed(earlier.id);
       },
@@ -292,6 +310,7 @@
       suspects: this.suspects,
       limits: this.limits,
       coldRunners: this.coldRunners,
+      statements: this.statements,
       budget: ResponseBudget.create(
         memoryBytesOf(entry.settings),
         (heldBytes) => {
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -289,6 +289,10 @@
         options.emit(261, { request: call.id, runner: id, reason, bytes });
       },
       onAnswer: this.limitObserver(runner),
+      onStatement: (statement) => {
+        if (runner.isEnded) return;
+        options.statements.onAnswer(runner.server, statement, "request");
+      },
     });
     this.attempt = attempt;
     this.crashTracker.onAttemptSent();
--- a/src/direct/slow-runner-probe.ts
+++ b/src/direct/slow-runner-probe.ts
@@ -7,23 +7,34 @@
  */
 import { toFailure, type Emit, type Now } from "../internal.js";
 import type { PaceNote } from "../membership/slow-runners.js";
+import type { RunnerStatement } from "../membership/runner-statement.js";
 import type { BackendServer } from "../membership/types.js";
 
-/** A runner and the start time of its known incarnation. */
-export type LateRunner = Pick<BackendServer, "address" | "startedAtMs">;
-
 /** A service whose streams are late. */
 export interface LateService {
   readonly name: string;
-  readonly runners: readonly LateRunner[];
+  readonly runners: readonly BackendServer[];
 }
 
+/**
+ * Ratio of the runner's response time to its usual one. `onStatement`: called
+ * with what the runner says of itself in its answer. Throws 1607 or 1903.
+ */
+export type ReadSlowness = (
+  address: string,
+  onStatement: (statement: RunnerStatement) => void,
+) => Promise<number>;
+
 export interface SlowRunnerProbeOptions {
   readonly now: Now;
   readonly emit: Emit;
   readonly lateServices: () => readonly LateService[];
-  /** Ratio of the runner's response time to its usual one. Throws 1607. */
-  readonly slownessOf: (address: string) => Promise<number>;
+  readonly slownessOf: ReadSlowness;
+  /** A runner has answered a probe. */
+  readonly onStatement: (
+    runner: BackendServer,
+    statement: RunnerStatement,
+  ) => void;
   readonly onPaceNote: (note: PaceNote) => void;
 }
 
@@ -71,13 +82,13 @@
     }
   }
 
-  private async probeRunner({
-    address,
-    startedAtMs,
-  }: LateRunner): Promise<void> {
-    const { emit, onPaceNote, slownessOf } = this.options;
+  private async probeRunner(runner: BackendServer): Promise<void> {
+    const { address, startedAtMs } = runner;
+    const { emit, onPaceNote, onStatement, slownessOf } = this.options;
     try {
-      const slowness = await slownessOf(address);
+      const slowness = await slownessOf(address, (statement) => {
+        onStatement(runner, statement);
+      });
       // The note names the known incarnation. If a newer one has responded, its
       // start time isn't known here yet, and the note applies until the next
       // probe replaces it or it expires.
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -3,6 +3,7 @@
  * HTTP.
  */
 import type { IncomingHttpHeaders } from "node:http";
+import type { RunnerStatement } from "../membership/runner-statement.js";
 import type { Route } from "../routing/types.js";
 import type { EndMark } from "../shared/answer-end.js";
 
@@ -48,6 +49,7 @@
   readonly requestsPerSecond: number | undefined;
   /** Time for which the runner says that it stays cold, ms; 0 when warm. */
   readonly coldMs: number | undefined;
+  readonly statement: RunnerStatement;
 }
 
 /** Fields that an entry sets on a request to a runner. */
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -99,6 +99,11 @@
     return this.active.size;
   }
 
+  /** Whether a runner with this id may get requests by the register. */
+  has(id: string): boolean {
+    return this.active.has(id);
+  }
+
   /** Number of remembered incarnations that get no requests. */
   get inactiveCount(): number {
     return this.inactive.size;
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -671,6 +671,37 @@
       bytes: "bytes of the body received until then",
     },
   ),
+
+  // 262: what runners say of their own state
+  262: entry(
+    "runner-rests",
+    "warn",
+    "A runner asks this entry for rest; it gets nothing until then.",
+    {
+      runner: "id of the runner",
+      cause: "what it answered: request or probe",
+      restMs: "time that it asks for, ms",
+    },
+  ),
+  263: entry(
+    "runner-says-it-leaves",
+    "info",
+    "A runner says in an answer that it leaves; it gets nothing any more.",
+    {
+      runner: "id of the runner",
+      cause: "what it answered: request or probe",
+    },
+  ),
+  264: entry(
+    "rest-unreadable",
+    "warn",
+    "A runner asks for rest with a value that can't be read, and gets none.",
+    { runner: "id of the runner", value: "start of the value" },
+  ),
+  265: entry("rest-ended", "info", "A runner's rest has ended.", {
+    runner: "id of the runner",
+    cause: "elapsed, or incarnation-ended",
+  }),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -97,6 +97,14 @@
     labels: [],
     meaning: "Runners that this entry treats as cold.",
   },
+  runnerHeldBack: {
+    name: "apricotdeck_runner_held_back",
+    kind: "gauge",
+    unit: "1; no series otherwise",
+    labels: ["runner", "cause"],
+    meaning:
+      "The runner gets no requests from this entry: rest, because it asked for rest; leaving, because it said that it leaves.",
+  },
   dataCentreEvacuated: {
     name: "apricotdeck_data_centre_evacuated",
     kind: "gauge",
@@ -341,7 +349,12 @@
     labels?: MetricLabels,
     amount?: number,
   ) => void;
-  readonly set: (key: MetricKey, value: number, labels?: MetricLabels) => void;
+  /** With undefined, the gauge has no series of these labels any more. */
+  readonly set: (
+    key: MetricKey,
+    value: number | undefined,
+    labels?: MetricLabels,
+  ) => void;
   readonly observe: (
     key: MetricKey,
     value: number,
--- a/tests/direct/slow-runner-probe.test.ts
+++ b/tests/direct/slow-runner-probe.test.ts
@@ -1,13 +1,21 @@
 import * as assert from "uvu/assert";
 import { failure, ignoreEvents } from "../../src/internal.js";
 import { SlowRunnerProbe } from "../../src/direct/slow-runner-probe.js";
+import type { BackendServer } from "../../src/membership/types.js";
 import type { PaceNote } from "../../src/membership/slow-runners.js";
 import { describe, it } from "../support/describe.js";
 
 const STARTED_AT_MS = 1_790_000_000_000;
 const RUNNERS = ["10.0.0.1:1", "10.0.0.2:1"];
-const LATE = RUNNERS.map((address) => ({
+const LATE: readonly BackendServer[] = RUNNERS.map((address, index) => ({
+  id: `r${index}`,
+  service: "model",
   address,
+  dataCentre: "here",
+  slots: 4,
+  isLeaving: false,
+  coldLeftMs: 0,
+  heartbeat: 1,
   startedAtMs: STARTED_AT_MS,
 }));
 
@@ -27,6 +35,7 @@
         ? Promise.resolve(5)
         : Promise.reject(failure(1607));
     },
+    onStatement: () => undefined,
     onPaceNote: (note) => {
       this.notes.push(note);
     },
--- a/tests/loadview/load-site.ts
+++ b/tests/loadview/load-site.ts
@@ -108,7 +108,7 @@
         ...ignoreMeasurements,
         set: (key, value, labels) => {
           if (key === "loadViewEntries")
-            this.heardEntries.set(labels?.group ?? "", value);
+            this.heardEntries.set(labels?.group ?? "", value ?? 0);
         },
       },
       findings: DatagramFindings.create({
