--- a/standins/signing-runner.ts
+++ b/standins/signing-runner.ts
@@ -139,6 +139,29 @@
   };
 }
 
+/** Rejects as full and asks for rest with this value of Retry-After. */
+export function askForRest(value: string): Behaviour {
+  return ({ response }) => {
+    response
+      .writeHead(503, {
+        [headerNames.notRun]: "1",
+        [headerNames.retryAfter]: value,
+      })
+      .end();
+  };
+}
+
+/** Says in the answers of `behave` that it leaves, while `isLeaving`. */
+export function sayingItLeaves(
+  isLeaving: () => boolean,
+  behave: Behaviour,
+): Behaviour {
+  return (exchange) => {
+    if (isLeaving()) exchange.response.setHeader(headerNames.leaving, "1");
+    return behave(exchange);
+  };
+}
+
 /** What happens to the connection after a raw response was written. */
 export type ConnectionEnd = "end" | "reset" | "open";
 
