Send nothing to runners that have said in an answer that they leave

Callers of a runner that leaves were sent there until the register said so too, which it does late, never for some runners, and not at all while the store is away.

Cause: the same class as with rest, a runner's word of its own state that nothing read. Change: a runner that has said so in any answer, also in a refusal, a failure or a response that can't be used, is out of use like those of an evacuated data centre: no choice, no slot, no probe, and no request that waits for a connection. A record that still or again shows it as ready changes nothing; a later incarnation does.

Test before: 33 requests after the notice; now none.

--- a/src/direct/entry-parts.ts
+++ b/src/direct/entry-parts.ts
@@ -229,7 +229,7 @@
         coldShares: this.createColdShares(),
       }),
       isUsable: ({ dataCentre }) => !this.evacuations.isEvacuated(dataCentre),
-      restUntilMs: (server) => this.statements.restUntilMs(server),
+      statements: this.statements,
     });
   }
 
--- a/src/direct/request-scheduler.ts
+++ b/src/direct/request-scheduler.ts
@@ -29,8 +29,8 @@
 import type {
   IsSlow,
   IsUsable,
+  ReadStatements,
   RequestLimits,
-  RestUntil,
   Runner,
   RunnerVerdict,
 } from "./runner.js";
@@ -52,8 +52,8 @@
   readonly limits: RequestLimits;
   /** By default every runner may get requests. */
   readonly isUsable?: IsUsable;
-  /** By default no runner rests. */
-  readonly restUntilMs?: RestUntil;
+  /** By default no runner rests or leaves. */
+  readonly statements?: ReadStatements;
   readonly groupOf: GroupOf;
   /** Without it, the entry decides by itself. */
   readonly groupLoad?: ReadGroupLoad;
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -10,8 +10,8 @@
 import type {
   IsSlow,
   IsUsable,
+  ReadStatements,
   RequestLimits,
-  RestUntil,
   Runner,
   RunnerVerdict,
   SlotUsage,
@@ -28,8 +28,8 @@
   readonly limits: RequestLimits;
   /** Whether the runner may get requests; by default each may. */
   readonly isUsable?: IsUsable;
-  /** By default no runner rests. */
-  readonly restUntilMs?: RestUntil;
+  /** By default no runner rests or leaves. */
+  readonly statements?: ReadStatements;
 }
 
 /**
@@ -79,9 +79,12 @@
     return size;
   }
 
-  /** Whether there are runners, of which none may get requests. */
+  /** Whether all runners that don't leave are in evacuated data centres. */
   get isEvacuated(): boolean {
-    return this.runners.size > 0 && this.size === 0;
+    const staying = [...this.runners.values()].filter(
+      (runner) => !this.isLeaving(runner),
+    );
+    return staying.length > 0 && this.size === 0;
   }
 
   /**
@@ -111,8 +114,14 @@
     return this.isUsable(runner) && this.restUntilMs(runner) === undefined;
   }
 
-  isUsable({ server }: Runner): boolean {
-    return this.inputs.isUsable?.(server) ?? true;
+  /** Whether the runner is in use: neither evacuated nor leaving. */
+  private isUsable(runner: Runner): boolean {
+    if (this.isLeaving(runner)) return false;
+    return this.inputs.isUsable?.(runner.server) ?? true;
+  }
+
+  private isLeaving({ server }: Runner): boolean {
+    return this.inputs.statements?.isLeaving(server) ?? false;
   }
 
   /**
@@ -274,7 +283,7 @@
       case "failed":
       case "lost":
       case "unreachable":
-        // A request that was withheld from an evacuated runner isn't its fault.
+        // A runner that is out of use may end at any time.
         if (!this.isUsable(runner)) {
           health.onInconclusive();
           return;
@@ -301,7 +310,7 @@
   }
 
   private restUntilMs({ server }: Runner): number | undefined {
-    return this.inputs.restUntilMs?.(server);
+    return this.inputs.statements?.restUntilMs(server);
   }
 
   private reportLoss(runner: string, verdict: RunnerVerdict): void {
--- a/src/direct/runner.ts
+++ b/src/direct/runner.ts
@@ -1,5 +1,6 @@
 /** Types of one runner as seen by one entry. */
 import type { IncarnationStart } from "../membership/incarnation.js";
+import type { RunnerStatements } from "../membership/runner-statements.js";
 import type { BackendServer } from "../membership/types.js";
 import type { RunnerHealth } from "../placement/health.js";
 import type { RunnerConnections } from "./runner-connections.js";
@@ -47,11 +48,11 @@
 /** False for runners in data centres that the operator has evacuated. */
 export type IsUsable = (server: BackendServer) => boolean;
 
-/**
- * Returns when the rest that the runner has asked for ends, monotonic ms;
- * undefined if it doesn't rest.
- */
-export type RestUntil = (server: BackendServer) => number | undefined;
+/** What runners have said of their own state. */
+export type ReadStatements = Pick<
+  RunnerStatements,
+  "isLeaving" | "restUntilMs"
+>;
 
 /** Limits that runners name for the requests that they receive. */
 export interface RequestLimits {
