--- a/tests/direct/next-step.test.ts
+++ b/tests/direct/next-step.test.ts
@@ -62,6 +62,32 @@
   return step.kind === "fail" ? errorTable[step.error].outcome : step.kind;
 }
 
+describe("request that was kept from a runner that rests or leaves", () => {
+  const withheld: AttemptEnd = {
+    kind: "unsent",
+    reason: "withheld",
+    cause: "withheld",
+  };
+
+  it("goes to another runner without a retry from the budget", () => {
+    // Guards against retries that are used up by requests that weren't sent.
+    const history = historyOf({
+      sentAttempts: 0,
+      mayHaveRun: false,
+      tryTakeRetry: () => false,
+    });
+    assert.is(outcomeOf(withheld, history), "repeat");
+  });
+
+  it("isn't sent again without attempts or time left", () => {
+    const fields = { mayHaveRun: false } as const;
+    const used = historyOf({ ...fields, sentAttempts: 2 });
+    assert.is(outcomeOf(withheld, used), "not-run");
+    const late = historyOf({ ...fields, remainingMs: 1 });
+    assert.is(outcomeOf(withheld, late), "not-run");
+  });
+});
+
 describe("move of a running stream", () => {
   it("requires a resumable stream and a remaining attempt", () => {
     assert.ok(tryMoveStream(historyOf({ route: resumable, sentAttempts: 0 })));
--- a/tests/direct/request-scheduler.test.ts
+++ b/tests/direct/request-scheduler.test.ts
@@ -240,6 +240,21 @@
     await scheduler.close();
   });
 
+  it("keeps using a group of which some runners rest", async () => {
+    // Guards against refusals by resting runners that open the group's breaker.
+    const scheduler = schedulerWith(4);
+    for (let index = 0; index < 4; index += 1) {
+      const result = await admit(scheduler, callOf(`c${index}`));
+      if (result.kind === "refused")
+        throw new TypeError("the request wasn't admitted");
+      scheduler.release(result.admitted, "resting");
+      scheduler.finish(result.admitted, undefined);
+      assert.not(result.admitted.runner.health.isEjected);
+    }
+    assert.not(scheduler.isUnavailable("model"));
+    await scheduler.close();
+  });
+
   it("uses slow runners if there are no others", async () => {
     const scheduler = schedulerWith(2, () => true);
     const result = await admit(scheduler, callOf("c"));
