Keep the rest that an agent's backend server asks for

The product's own path had the same fault: an agent sent each new run on to a backend server that had answered 503 with a Retry-After, and told callers a fixed 500 ms. Now its last gate refuses attempts with 1409 and the time left, so entries place them elsewhere; the rest ends with its time or when nothing listens at the address any more. A value that can't be read gets a log line.

--- a/demo/soak.ts
+++ b/demo/soak.ts
@@ -33,6 +33,15 @@
 const OUTAGE_MS = 2500;
 const PAUSE_MS = 3000;
 
+/** Rest that a backend server asks for, s. */
+const REST_SECONDS = 2;
+/** Requests that may reach a backend server during its rest. */
+const ALLOWED_DURING_REST = 2;
+
+/** When an agent was last restarted or woken up, by its daemon. */
+const disturbedAgents = new Map<unknown, number>();
+const restlessRunners: string[] = [];
+
 interface RandomFault {
   readonly name: string;
   readonly inject: (site: Site, random: Random) => Promise<void>;
@@ -53,8 +62,10 @@
   {
     name: "agent killed and replaced",
     inject: async (site, random) => {
-      const members = [...site.runners, ...site.services];
-      await pick(random, members).daemon.restart();
+      const { daemon } = pick(random, [...site.runners, ...site.services]);
+      disturbedAgents.set(daemon, Number.POSITIVE_INFINITY);
+      await daemon.restart();
+      disturbedAgents.set(daemon, performance.now());
       site.showVms();
     },
   },
@@ -63,9 +74,11 @@
     inject: async (site, random) => {
       const { daemon } = pick(random, [...site.runners, ...site.services]);
       const { process } = daemon;
+      disturbedAgents.set(daemon, Number.POSITIVE_INFINITY);
       process.kill("SIGSTOP");
       await sleep(PAUSE_MS);
       process.kill("SIGCONT");
+      disturbedAgents.set(daemon, performance.now());
     },
   },
   {
@@ -103,6 +116,24 @@
       engine.faults.slowStepMs = 0;
     },
   },
+  {
+    name: "backend server asks for rest",
+    inject: async (site, random) => {
+      const { daemon, engine } = pick(random, site.runners);
+      if (engine.rest.seconds > 0) return;
+      const startedAtMs = performance.now();
+      engine.rest.begin(REST_SECONDS);
+      await sleep(OUTAGE_MS);
+      engine.rest.seconds = 0;
+      // An agent that was away meanwhile didn't hear of the rest.
+      const disturbedAtMs = disturbedAgents.get(daemon) ?? 0;
+      if (disturbedAtMs >= startedAtMs) return;
+      const { disturbances } = engine.rest;
+      if (disturbances > ALLOWED_DURING_REST) {
+        restlessRunners.push(`${disturbances} requests`);
+      }
+    },
+  },
   {
     name: "engine cuts two streams",
     inject: (site, random) => {
@@ -172,6 +203,14 @@
   return { name, hasPassed: lines.length === 0, detail };
 }
 
+function checkRests(): CheckResult {
+  return {
+    name: "no backend server got requests while it rested",
+    hasPassed: restlessRunners.length === 0,
+    detail: restlessRunners.join(", "),
+  };
+}
+
 function printReport(
   results: readonly CallResult[],
   counts: Readonly<Record<string, number>>,
@@ -219,6 +258,7 @@
   const checks = [
     ...checkCalls(results, startsByMarker(site)),
     conservation.check,
+    checkRests(),
     await checkInvariants(site),
   ];
   printReport(results, conservation.counts, checks);
--- a/src/daemon/agent/agent-sessions.ts
+++ b/src/daemon/agent/agent-sessions.ts
@@ -35,6 +35,7 @@
   writeAgentFrame,
   writeCloseReply,
 } from "../session-frames.js";
+import type { RunnerRest } from "./runner-rest.js";
 import type { RunnerClient } from "./runner-client.js";
 import { RunTasks } from "./run-tasks.js";
 
@@ -43,6 +44,7 @@
 export interface AgentSessionsOptions {
   readonly context: ProcessContext;
   readonly runner: RunnerClient;
+  readonly rest: RunnerRest;
   readonly group: string;
   readonly attemptLimit: number;
   /** Whether the engine can resend a run's answer when asked by run id. */
@@ -75,10 +77,13 @@
       group,
       incarnation: context.incarnation,
       engineResumes,
-      mayStart: ({ priority }) =>
-        this.gate.running < priorityLimit(attemptLimit, priority)
+      mayStart: ({ priority }) => {
+        const { leftMs } = options.rest;
+        if (leftMs > 0) return { error: 1409, retryAfterMs: leftMs };
+        return this.gate.running < priorityLimit(attemptLimit, priority)
           ? undefined
-          : { error: 1404, retryAfterMs: FULL_RETRY_AFTER_MS },
+          : { error: 1404, retryAfterMs: FULL_RETRY_AFTER_MS };
+      },
       perform: (effect) => {
         this.perform(effect);
       },
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -18,6 +18,7 @@
 import { AgentService, AgentSessions } from "./agent-sessions.js";
 import { createClaimService } from "./claim-service.js";
 import { reportLoads } from "./load-reports.js";
+import { RunnerRest } from "./runner-rest.js";
 import { RunnerClient } from "./runner-client.js";
 
 /** Time for the last frames to be sent before the connections close. */
@@ -55,10 +56,16 @@
     });
     const { log } = this.core;
     const configuration = () => this.core.configuration.inForce?.configuration;
-    this.runner = RunnerClient.create(runner.address, runner.kind);
+    const rest = RunnerRest.create({
+      now: () => performance.now(),
+      emit: context.emit,
+      runner: settings.name,
+    });
+    this.runner = RunnerClient.create(runner.address, runner.kind, rest);
     this.sessions = AgentSessions.create({
       context,
       runner: this.runner,
+      rest,
       group,
       attemptLimit: limits.attempts,
       engineResumes: runner.kind === "model",
--- a/src/daemon/agent/runner-client.ts
+++ b/src/daemon/agent/runner-client.ts
@@ -9,6 +9,7 @@
 import { isClosedByEvent } from "../../session/closing-event.js";
 import { isEndMarked } from "../../shared/answer-end.js";
 import { createConnector } from "../../shared/connector.js";
+import type { RunnerRest } from "./runner-rest.js";
 
 export interface AnswerSink {
   /**
@@ -51,11 +52,13 @@
     private readonly origin: string,
     private readonly pool: HttpPool,
     private readonly isModel: boolean,
+    private readonly rest: RunnerRest | undefined,
   ) {}
 
   static create(
     address: string,
     kind: "model" | "service" = "model",
+    rest?: RunnerRest,
   ): RunnerClient {
     const pool = new HttpPool({
       connections: MAXIMUM_CONNECTIONS,
@@ -65,7 +68,7 @@
       headersTimeout: IDLE_TIMEOUT_MS,
     });
     const origin = address.replace(/\/$/, "");
-    return new RunnerClient(origin, pool, kind === "model");
+    return new RunnerClient(origin, pool, kind === "model", rest);
   }
 
   /**
@@ -116,8 +119,14 @@
   async getJson(path: string, signal: AbortSignal): Promise<unknown> {
     const origin = this.origin;
     const method = "GET";
-    const response = await this.pool.request({ origin, path, method, signal });
-    return response.body.json();
+    try {
+      const options = { origin, path, method, signal } as const;
+      const response = await this.pool.request(options);
+      return await response.body.json();
+    } catch (error) {
+      if (failedToConnect(error)) this.rest?.onUnreachable();
+      throw error;
+    }
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -130,8 +139,12 @@
   ): Promise<Dispatcher.ResponseData> {
     const { origin } = this;
     try {
-      return await this.pool.request({ origin, signal, ...request });
+      const options = { origin, signal, ...request };
+      const response = await this.pool.request(options);
+      this.rest?.onAnswer(response.statusCode, retryAfterOf(response));
+      return response;
     } catch (error) {
+      if (failedToConnect(error)) this.rest?.onUnreachable();
       throw toFailure(error, failedToConnect(error) ? 1214 : 1216);
     }
   }
@@ -144,6 +157,14 @@
   return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT";
 }
 
+/** Repeated values are joined, so that they can't pass for one. */
+function retryAfterOf({
+  headers,
+}: Dispatcher.ResponseData): string | undefined {
+  const value = headers["retry-after"];
+  return Array.isArray(value) ? value.join(", ") : value;
+}
+
 /** With these status codes, the engine hasn't started the run. */
 function isRefusal({ statusCode }: Dispatcher.ResponseData): boolean {
   return (
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -345,6 +345,13 @@
     "The backend server is leaving and takes no new work.",
     "None needed; the entry places the request elsewhere.",
   ),
+  1409: entry(
+    "backend-server-rests",
+    503,
+    "not-run",
+    "The backend server has asked for rest.",
+    "Retry after the given time: then the rest ends.",
+  ),
   1403: entry(
     "session-silent",
     504,
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -5,6 +5,7 @@
  */
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
+import { EngineRest } from "./engine-rest.js";
 import {
   EngineRuns,
   completionBody,
@@ -49,12 +50,14 @@
 export interface EngineStandIn extends StandInServer {
   readonly faults: EngineFaults;
   readonly runs: EngineRuns;
+  readonly rest: EngineRest;
   readonly step: () => void;
 }
 
 interface Engine {
   readonly runs: EngineRuns;
   readonly faults: EngineFaults;
+  readonly rest: EngineRest;
   readonly loadSamples: { readonly atMs: number; readonly load: object }[];
 }
 
@@ -88,7 +91,8 @@
     refuseRuns: false,
     cutStreams: 0,
   };
-  const engine: Engine = { runs, faults, loadSamples: [] };
+  const rest = EngineRest.create();
+  const engine: Engine = { runs, faults, rest, loadSamples: [] };
   const step = (): void => {
     runs.step();
     engine.loadSamples.push({ atMs: Date.now(), load: runs.load() });
@@ -108,6 +112,7 @@
     ...server,
     faults,
     runs,
+    rest,
     step,
     async [Symbol.asyncDispose]() {
       stopSteps();
@@ -156,6 +161,7 @@
   const body = JSON.parse(
     (await readBody(request)).toString(),
   ) as CompletionBody;
+  if (engine.rest.tryRefuse(response)) return;
   if (engine.faults.refuseRuns) {
     sendJson(response, { error: "busy" }, 503);
     return;
