Tell an open circuit breaker and an ejected runner apart from rest and leaving

The breaker of a group left no trace: its trials looked like requests that ignore a rest. It now reports when it opens, by the runners that have refused, and why it closes (events 266 and 267), and apricotdeck_runner_held_back names runners that it or their ejection holds back. No decision changes.

--- a/src/direct/circuit-breaker.ts
+++ b/src/direct/circuit-breaker.ts
@@ -26,15 +26,27 @@
  */
 const ALTERNATIVE_TRIAL_INTERVAL_MS = 500;
 
+/** Why a breaker has closed. */
+export type CloseCause = "accepted" | "formed" | "restarted";
+
+export interface CircuitBreakerOptions {
+  readonly now: Now;
+  /** `runners`: ids of those whose refusals have opened the breaker. */
+  readonly onOpened?: (runners: readonly string[]) => void;
+  readonly onClosed?: (runners: readonly string[], cause: CloseCause) => void;
+}
+
 export class CircuitBreaker {
   /** Refusals since the last accepted request, by runner id. */
   private readonly refusalsByRunner = new Map<string, number>();
+  /** Runners whose refusals have opened the breaker; empty while closed. */
+  private openedBy: readonly string[] = [];
   private lastTrialAtMs = 0;
 
-  private constructor(private readonly now: Now) {}
+  private constructor(private readonly options: CircuitBreakerOptions) {}
 
-  static create(now: Now): CircuitBreaker {
-    return new CircuitBreaker(now);
+  static create(options: CircuitBreakerOptions): CircuitBreaker {
+    return new CircuitBreaker(options);
   }
 
   /** Whether only trial requests are allowed. */
@@ -49,7 +61,7 @@
    */
   tryStart(hasAlternative = false): boolean {
     if (!this.isOpen) return true;
-    const nowMs = this.now();
+    const nowMs = this.options.now();
     const intervalMs = hasAlternative
       ? ALTERNATIVE_TRIAL_INTERVAL_MS
       : TRIAL_INTERVAL_MS;
@@ -65,13 +77,17 @@
       (this.refusalsByRunner.get(runner) ?? 0) + 1,
     );
     if (this.countRefusals() === REFUSALS_TO_OPEN) {
-      this.lastTrialAtMs = this.now();
+      this.lastTrialAtMs = this.options.now();
     }
+    if (!this.isOpen || this.openedBy.length > 0) return;
+    this.openedBy = [...this.refusalsByRunner.keys()];
+    this.options.onOpened?.(this.openedBy);
   }
 
-  /** A runner has started to respond: closes the breaker. */
-  onAccepted(): void {
+  /** A runner has started to respond, or the group has formed again. */
+  onAccepted(cause: CloseCause = "accepted"): void {
     this.refusalsByRunner.clear();
+    this.reportIfClosed(cause);
   }
 
   /**
@@ -79,6 +95,14 @@
    */
   forgetRunner(runner: string): void {
     this.refusalsByRunner.delete(runner);
+    this.reportIfClosed("restarted");
+  }
+
+  private reportIfClosed(cause: CloseCause): void {
+    if (this.openedBy.length === 0 || this.isOpen) return;
+    const runners = this.openedBy;
+    this.openedBy = [];
+    this.options.onClosed?.(runners, cause);
   }
 
   private countRefusals(): number {
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -3,7 +3,13 @@
  * and whether they fail. A request is placed on the runner of whose slots this
  * entry uses the smallest share.
  */
-import { toFailure, type Emit, type Now, type Random } from "../internal.js";
+import {
+  toFailure,
+  type Emit,
+  type Measurements,
+  type Now,
+  type Random,
+} from "../internal.js";
 import type { BackendServer } from "../membership/types.js";
 import { RunnerHealth } from "../placement/health.js";
 import type { RunnerConnections } from "./runner-connections.js";
@@ -21,6 +27,7 @@
   readonly now: Now;
   readonly random: Random;
   readonly emit: Emit;
+  readonly measurements: Measurements;
   readonly connect: (address: string) => RunnerConnections;
   /** Data centre of this entry. */
   readonly dataCentre: string;
@@ -212,6 +219,7 @@
     const runner = this.runners.get(id);
     if (runner === undefined) return;
     this.runners.delete(id);
+    this.measureEjection(id, false);
     if (runner.running > 0) this.removedRunners.add(runner);
     void this.closeConnections(runner.connections);
   }
@@ -278,6 +286,7 @@
       case "served":
         if (health.onSucceeded()) {
           this.inputs.emit(152, { runner: server.id });
+          this.measureEjection(server.id, false);
         }
         return;
       case "failed":
@@ -292,6 +301,9 @@
         if (health.onFailed(nowMs)) {
           const { id: name, service: pool } = server;
           this.inputs.emit(151, { runner: name, pool });
+          if (this.runners.get(name) === runner) {
+            this.measureEjection(name, true);
+          }
         }
         return;
       case "full":
@@ -309,6 +321,12 @@
     }
   }
 
+  private measureEjection(runner: string, isEjected: boolean): void {
+    const labels = { runner, cause: "ejected" };
+    const value = isEjected ? 1 : undefined;
+    this.inputs.measurements.set("runnerHeldBack", value, labels);
+  }
+
   private restUntilMs({ server }: Runner): number | undefined {
     return this.inputs.statements?.restUntilMs(server);
   }
--- a/src/direct/service-groups.ts
+++ b/src/direct/service-groups.ts
@@ -207,7 +207,7 @@
 
   /** The group's planner reports that the group is complete. */
   onFormed(name: string): void {
-    this.groups.get(name)?.breaker.onAccepted();
+    this.groups.get(name)?.breaker.onAccepted("formed");
   }
 
   /** Records that a stream's event came `pauseMs` after the previous one. */
@@ -332,9 +332,30 @@
         concurrencyLimit,
         groupLoad: this.options.groupLoad ?? (() => undefined),
       }),
-      breaker: CircuitBreaker.create(now),
+      breaker: this.createBreaker(inputs.group),
     };
     this.groups.set(name, group);
     return group;
   }
+
+  private createBreaker(group: string): CircuitBreaker {
+    const { now, emit, measurements } = this.options;
+    const measure = (runners: readonly string[], value?: number): void => {
+      for (const runner of runners) {
+        const labels = { runner, cause: "breaker" };
+        measurements.set("runnerHeldBack", value, labels);
+      }
+    };
+    return CircuitBreaker.create({
+      now,
+      onOpened: (runners) => {
+        emit(266, { group, runners: runners.join(",") });
+        measure(runners, 1);
+      },
+      onClosed: (runners, cause) => {
+        emit(267, { group, runners: runners.join(","), cause });
+        measure(runners);
+      },
+    });
+  }
 }
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -702,6 +702,27 @@
     runner: "id of the runner",
     cause: "elapsed, or incarnation-ended",
   }),
+
+  // 266: circuit breaker of a group
+  266: entry(
+    "breaker-opened",
+    "warn",
+    "A group's runners refuse requests; it gets only trials.",
+    {
+      group: "group, or service without groups",
+      runners: "ids of the runners that have refused, separated by commas",
+    },
+  ),
+  267: entry(
+    "breaker-closed",
+    "info",
+    "A group that refused requests gets them again.",
+    {
+      group: "group, or service without groups",
+      runners: "ids of the runners that had refused, separated by commas",
+      cause: "accepted, formed or restarted",
+    },
+  ),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -103,7 +103,7 @@
     unit: "1; no series otherwise",
     labels: ["runner", "cause"],
     meaning:
-      "The runner gets no requests from this entry: rest, because it asked for rest; leaving, because it said that it leaves.",
+      "The runner gets no requests from this entry: rest, because it asked for rest; leaving, because it said that it leaves; breaker, because its group refuses and gets only trials; ejected, because it fails.",
   },
   dataCentreEvacuated: {
     name: "apricotdeck_data_centre_evacuated",
--- a/tests/direct/circuit-breaker.test.ts
+++ b/tests/direct/circuit-breaker.test.ts
@@ -9,7 +9,7 @@
   setNowMs: (ms: number) => void;
 } {
   let nowMs = 1000;
-  const breaker = CircuitBreaker.create(() => nowMs);
+  const breaker = CircuitBreaker.create({ now: () => nowMs });
   for (let refusal = 0; refusal < 4; refusal += 1) breaker.onRefused(RUNNER);
   const setNowMs = (ms: number): void => {
     nowMs = ms;
@@ -19,7 +19,7 @@
 
 describe("circuit breaker", () => {
   it("stays closed while some runners accept", () => {
-    const breaker = CircuitBreaker.create(() => 0);
+    const breaker = CircuitBreaker.create({ now: () => 0 });
     for (let round = 0; round < 20; round += 1) {
       breaker.onRefused(RUNNER);
       breaker.onRefused(RUNNER);
@@ -61,4 +61,28 @@
     breaker.forgetRunner(RUNNER);
     assert.ok(breaker.isOpen);
   });
+
+  it("reports that it opens, by runners, and why it closes", () => {
+    const reports: string[] = [];
+    const breaker = CircuitBreaker.create({
+      now: () => 0,
+      onOpened: (runners) => {
+        reports.push(`opened by ${runners.join(",")}`);
+      },
+      onClosed: (runners, cause) => {
+        reports.push(`${cause} after ${runners.join(",")}`);
+      },
+    });
+    for (const runner of ["a", "b", "a", "b", "c"]) breaker.onRefused(runner);
+    breaker.onAccepted();
+    breaker.onAccepted();
+    for (let count = 0; count < 4; count += 1) breaker.onRefused("a");
+    breaker.forgetRunner("a");
+    assert.equal(reports, [
+      "opened by a,b",
+      "accepted after a,b",
+      "opened by a",
+      "restarted after a",
+    ]);
+  });
 });
--- a/tests/direct/group-simulation.ts
+++ b/tests/direct/group-simulation.ts
@@ -181,6 +181,7 @@
       now: () => this.time.nowMs,
       random: this.random,
       emit: ignoreEvents,
+      measurements: ignoreMeasurements,
       connect: () => unusedConnections,
       dataCentre: "here",
       isSlow: () => false,
--- a/tests/direct/runner-pool.test.ts
+++ b/tests/direct/runner-pool.test.ts
@@ -1,5 +1,9 @@
 import * as assert from "uvu/assert";
-import { createRandom, ignoreEvents } from "../../src/internal.js";
+import {
+  createRandom,
+  ignoreEvents,
+  ignoreMeasurements,
+} from "../../src/internal.js";
 import type { RunnerConnections } from "../../src/direct/runner-connections.js";
 import { RunnerPool } from "../../src/direct/runner-pool.js";
 import type { Runner } from "../../src/direct/runner.js";
@@ -55,6 +59,7 @@
     now: () => 0,
     random: createRandom(1),
     emit: ignoreEvents,
+    measurements: ignoreMeasurements,
     connect: connections.connect,
     dataCentre: "here",
     isSlow: () => false,
--- a/tests/limits/restart-evidence.test.ts
+++ b/tests/limits/restart-evidence.test.ts
@@ -95,6 +95,7 @@
     now: this.now,
     random: createRandom(1),
     emit: ignoreEvents,
+    measurements: ignoreMeasurements,
     connect: () => unusedConnections,
     dataCentre: "here",
     isSlow: () => false,
