--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -222,7 +222,9 @@
       end.kind === "not-run" && scheduler.isUnavailable(this.call.service);
     const next = isRefusedByAll ? undefined : this.reassign(admitted, end);
     if (next !== undefined) return next;
-    if (isRefusedByAll || wasWithheld(end)) return this.readmit(admitted);
+    // A refusal by the queue would say that the request hasn't run.
+    const mayQueue = wasWithheld(end) && !this.record.mayHaveRun;
+    if (isRefusedByAll || mayQueue) return this.readmit(admitted);
     this.conclusion.concludeWithoutRunner(admitted, end);
     scheduler.finish(admitted, undefined);
     return undefined;
--- a/src/direct/runner-pool.ts
+++ b/src/direct/runner-pool.ts
@@ -95,8 +95,8 @@
   }
 
   /**
-   * Time until the first rest ends if all runners that may get requests rest,
-   * ms; otherwise undefined.
+   * Time until the first rest ends, ms, if all runners that are in use rest;
+   * otherwise undefined.
    */
   get restMs(): number | undefined {
     let untilMs = Number.POSITIVE_INFINITY;
--- a/src/membership/runner-statements.ts
+++ b/src/membership/runner-statements.ts
@@ -176,6 +176,7 @@
     if (state.isLeaving) this.report(state, "leaving", false);
   }
 
+  /** Sets the metric and tells that the usable runners have changed. */
   private report(
     { server }: RunnerState,
     cause: "rest" | "leaving",
