--- a/tests/direct/request-scheduler.test.ts
+++ b/tests/direct/request-scheduler.test.ts
@@ -6,7 +6,7 @@
   ignoreMeasurements,
   type Refusal,
 } from "../../src/internal.js";
-import type { IsSlow } from "../../src/direct/runner.js";
+import type { IsSlow, ReadStatements } from "../../src/direct/runner.js";
 import {
   RequestScheduler,
   type AdmittedRequest,
@@ -25,6 +25,7 @@
   runnerCount: number,
   isSlow: IsSlow = () => false,
   groupOf: GroupOf = () => NO_GROUP,
+  statements?: ReadStatements,
 ): RequestScheduler {
   const scheduler = RequestScheduler.create({
     now: () => performance.now(),
@@ -36,6 +37,7 @@
     isSlow,
     limits: unlimited,
     groupOf,
+    ...(statements === undefined ? {} : { statements }),
   });
   for (let index = 0; index < runnerCount; index += 1) {
     scheduler.setServer({
@@ -97,6 +99,70 @@
   });
 }
 
+/** What the runners with these ids have said. */
+class Statements implements ReadStatements {
+  readonly leaving = new Set<string>();
+  readonly resting = new Set<string>();
+
+  isLeaving({ id }: BackendServer): boolean {
+    return this.leaving.has(id);
+  }
+
+  restUntilMs({ id }: BackendServer): number | undefined {
+    return this.resting.has(id) ? performance.now() + 1500 : undefined;
+  }
+}
+
+async function admitted(
+  scheduler: RequestScheduler,
+  id: string,
+): Promise<AdmittedRequest> {
+  const result = await admit(scheduler, callOf(id));
+  if (result.kind === "refused") throw new TypeError("not admitted");
+  return result.admitted;
+}
+
+describe("runners that rest or leave", () => {
+  for (const word of ["resting", "leaving"] as const) {
+    it(`get no new, retried, moved or waiting request while ${word}`, async () => {
+      // Guards against a choice of a runner that passes by what it said.
+      const statements = new Statements();
+      const scheduler = schedulerWith(2, undefined, undefined, statements);
+      const first = await admitted(scheduler, "first");
+      const { id } = first.runner.server;
+      assert.ok(scheduler.mayBeSent(first));
+      statements[word].add(id);
+      assert.not(scheduler.mayBeSent(first));
+      const second = await admitted(scheduler, "second");
+      assert.is.not(second.runner.server.id, id);
+      const tried = new Set([second.runner]);
+      assert.is(scheduler.reassign(second, tried), undefined);
+      assert.not(scheduler.hasFasterRunner(second, tried));
+      assert.equal(scheduler.lateServices(), []);
+      await scheduler.close();
+    });
+  }
+
+  it("leave waiting callers refused at once, with the time of the first end", async () => {
+    // Guards against callers that wait for a service of which all runners rest.
+    const statements = new Statements();
+    const scheduler = schedulerWith(1, undefined, undefined, statements);
+    for (let index = 0; index < SLOTS; index += 1) {
+      await admitted(scheduler, `c${index}`);
+    }
+    const route = createRoute({ kind: "stream", objectiveMs: 60_000 });
+    const waiting = admit(scheduler, callOf("late", { route }));
+    assert.is(scheduler.waitingCount, 1);
+    statements.resting.add("r0");
+    scheduler.onUsableRunnersChanged();
+    const result = await waiting;
+    if (result.kind === "admitted") throw new TypeError("admitted");
+    assert.is(result.refusal.error.number, 1222);
+    assert.ok(result.refusal.retryAfterMs > 1400);
+    await scheduler.close();
+  });
+});
+
 describe("the loads that a scheduler reports", () => {
   it("count what runs and what waits in each group by priority", async () => {
     // Guards against shares that are divided by what isn't there.
--- a/tests/direct/slow-runner-probe.test.ts
+++ b/tests/direct/slow-runner-probe.test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import { failure, ignoreEvents } from "../../src/internal.js";
 import { SlowRunnerProbe } from "../../src/direct/slow-runner-probe.js";
+import { NO_STATEMENT } from "../../src/membership/runner-statement.js";
 import type { BackendServer } from "../../src/membership/types.js";
 import type { PaceNote } from "../../src/membership/slow-runners.js";
 import { describe, it } from "../support/describe.js";
@@ -24,18 +25,22 @@
   isLate = true;
   readonly probedAddresses: string[] = [];
   readonly notes: PaceNote[] = [];
+  readonly leaving: string[] = [];
 
   readonly probe = SlowRunnerProbe.create({
     now: () => this.nowMs,
     emit: ignoreEvents,
     lateServices: () => (this.isLate ? [{ name: "model", runners: LATE }] : []),
-    slownessOf: (address) => {
+    slownessOf: (address, onStatement) => {
       this.probedAddresses.push(address);
+      onStatement({ ...NO_STATEMENT, isLeaving: address === RUNNERS[1] });
       return address === RUNNERS[0]
         ? Promise.resolve(5)
         : Promise.reject(failure(1607));
     },
-    onStatement: () => undefined,
+    onStatement: ({ id }, { isLeaving }) => {
+      if (isLeaving) this.leaving.push(id);
+    },
     onPaceNote: (note) => {
       this.notes.push(note);
     },
@@ -60,6 +65,7 @@
     await fixture.waitUntil(() => fixture.notes.length > 0);
     fixture.probe.onStoreRestored();
     assert.equal(fixture.probedAddresses, RUNNERS);
+    assert.equal(fixture.leaving, ["r1"]);
     assert.equal(fixture.notes, [
       { address: RUNNERS[0], slowness: 5, startedAtMs: STARTED_AT_MS },
     ]);
