--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -30,7 +30,10 @@
   readonly status: number;
 }
 
-await runCase("review/1", async ({ record, hasTrouble }) => {
+/** TROUBLE=0 leaves out the disruption. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
+await runCase("review/1", hasTrouble, async (record) => {
   await using platform = await Platform.create(record);
   const routes = [alertRoute({ timeout_ms: DEADLINE_MS })];
   platform.configure(1, { routes });
--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -40,7 +40,10 @@
   socket.end();
 };
 
-await runCase("review/2", async ({ record, hasTrouble }) => {
+/** TROUBLE=0 leaves out the disruption. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
+await runCase("review/2", hasTrouble, async (record) => {
   await using platform = await Platform.create(record);
   platform.configure(1);
   for (let index = 0; index < RUNNERS; index += 1) {
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -42,7 +42,10 @@
   preemptedUntilMs: number;
 }
 
-await runCase("review/5", async ({ record, hasTrouble }) => {
+/** TROUBLE=0 leaves out the disruption. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
+await runCase("review/5", hasTrouble, async (record) => {
   await using platform = await Platform.create(record);
   platform.configure(1, { routes: [streamRoute({ resumable: false })] });
   /** Running streams, the newest last. */
--- a/review/support/main.ts
+++ b/review/support/main.ts
@@ -8,22 +8,17 @@
 export type Verdict =
   typeof RULE_HELD | typeof RULE_BROKEN | typeof COULD_NOT_RUN;
 
-export interface CaseInputs {
-  readonly record: CaseRecord;
-  /** False with TROUBLE=0: everything but the disruption. */
-  readonly hasTrouble: boolean;
-}
-
 export async function runCase(
   folder: string,
-  run: (inputs: CaseInputs) => Promise<Verdict>,
+  /** False: everything but the disruption. */
+  hasTrouble: boolean,
+  run: (record: CaseRecord) => Promise<Verdict>,
 ): Promise<never> {
   const record = CaseRecord.create(`${folder}/record.txt`);
-  const hasTrouble = process.env.TROUBLE !== "0";
   let verdict: Verdict = COULD_NOT_RUN;
   try {
     record.add(hasTrouble ? "with the disruption" : "without the disruption");
-    verdict = await run({ record, hasTrouble });
+    verdict = await run(record);
   } catch (error) {
     const text = error instanceof Error ? (error.stack ?? "") : String(error);
     record.add(`the case couldn't run: ${text}`);
