Accept nothing on a connection after a refusal

Cause: the handler of clientError ended only the sending side of the connection. Node's timer for a request's head runs before the sockets are read, so after a freeze the head is overdue while it lies in the receive buffer; the parser then read it and it was passed on. The same without a freeze for whoever sends the rest after the 408.

Related, found by the tests: a body that takes too long on the path with sessions; a request behind one without Host, which Node.js answers itself; a request behind an answer that closes its connection (it ran and could not be answered); a refusal written into the answer of an earlier request on the connection.

Change: both paths keep, for each connection, its open exchanges and whether it was refused. A refused connection accepts nothing, drops the request that was being read, sends earlier answers first and is closed after a second.

--- /dev/null
+++ b/src/daemon/entry/caller-connections.ts
@@ -0,0 +1,126 @@
+/**
+ * Connections of callers. Input that Node's HTTP parser rejects, or that takes
+ * too long, is refused together with its connection: the refusal says that the
+ * request hasn't been run, so nothing that arrives later on that connection may
+ * run.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { unreadableAnswer, type ClientError } from "./unreadable-request.js";
+
+/**
+ * Time for which input on a refused connection is discarded, ms. Closing a
+ * connection with unread input resets it, and the caller might lose the refusal.
+ */
+export const REFUSED_LINGER_MS = 1000;
+
+/** A request on a connection, and the response to it. */
+export interface CallerExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Whether the request was refused while its body was being read. */
+  isRefused: boolean;
+  /**
+   * The request is answered before its end was read: no later one on its
+   * connection is accepted.
+   */
+  readonly refuseLater: () => void;
+}
+
+export class CallerConnections {
+  private readonly openExchanges = new WeakMap<Socket, Set<CallerExchange>>();
+  private readonly refused = new WeakSet<Socket>();
+
+  private constructor() {
+    // Use `create`.
+  }
+
+  static create(): CallerConnections {
+    return new CallerConnections();
+  }
+
+  /**
+   * Returns undefined, and discards the request, if its connection was refused
+   * or closes after an earlier response, so that no answer could be sent.
+   */
+  accept(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): CallerExchange | undefined {
+    request.on("error", () => undefined);
+    response.on("error", () => undefined);
+    const { socket } = request;
+    if (isHostMissing(request)) this.refuse(new MissingHostError(), socket);
+    if (this.takesNoMore(socket)) {
+      request.resume();
+      return undefined;
+    }
+    const exchange: CallerExchange = {
+      request,
+      response,
+      isRefused: false,
+      refuseLater: () => this.refused.add(socket),
+    };
+    const exchanges = this.openExchanges.get(socket) ?? new Set();
+    this.openExchanges.set(socket, exchanges.add(exchange));
+    response.once("close", () => exchanges.delete(exchange));
+    return exchange;
+  }
+
+  /**
+   * Handles `clientError`. Answers to requests that were read before are sent
+   * first.
+   */
+  refuse(error: ClientError, socket: Socket): void {
+    if (error.code === "ECONNRESET") socket.destroy();
+    // A connection that is no longer writable closes after its last answer.
+    if (!socket.writable || this.refused.has(socket)) return;
+    this.refused.add(socket);
+    const exchanges = [...(this.openExchanges.get(socket) ?? [])];
+    for (const exchange of exchanges) {
+      exchange.isRefused = !exchange.request.complete;
+    }
+    const earlierAnswers = exchanges
+      .filter(({ isRefused }) => !isRefused)
+      .map(({ response }) => closed(response));
+    void Promise.all(earlierAnswers).then(() => {
+      if (socket.writable) endWith(socket, unreadableAnswer(error));
+    });
+  }
+
+  private takesNoMore(socket: Socket): boolean {
+    if (this.refused.has(socket) || !socket.writable) return true;
+    const exchanges = [...(this.openExchanges.get(socket) ?? [])];
+    return exchanges.some(({ response }) => closesConnection(response));
+  }
+}
+
+/** A request of HTTP/1.1 without the Host header that it needs. */
+class MissingHostError extends Error {
+  readonly code = "ERR_HOST_MISSING";
+}
+
+function isHostMissing({ httpVersion, headers }: IncomingMessage): boolean {
+  return httpVersion === "1.1" && headers.host === undefined;
+}
+
+function closesConnection(response: ServerResponse): boolean {
+  return response.getHeader("connection") === "close";
+}
+
+function closed(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    response.once("close", resolve);
+  });
+}
+
+/** Sends the text and ends the connection. */
+function endWith(socket: Socket, text: string): void {
+  socket.end(text);
+  const timer = setTimeout(() => {
+    socket.destroy();
+  }, REFUSED_LINGER_MS);
+  socket.once("close", () => {
+    clearTimeout(timer);
+  });
+}
--- a/src/daemon/entry/caller-server.ts
+++ b/src/daemon/entry/caller-server.ts
@@ -8,6 +8,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import {
   raise,
   toFailure,
@@ -16,6 +17,10 @@
 } from "../../internal.js";
 import { sendJson } from "../operators-server.js";
 import { createAnswerWriter, sendError } from "./answer-writer.js";
+import {
+  CallerConnections,
+  type CallerExchange,
+} from "./caller-connections.js";
 import {
   authenticate,
   isProfileAllowed,
@@ -23,7 +28,6 @@
   readCallerRequest,
   type CallerLimits,
 } from "./request-reader.js";
-import { answerUnreadable } from "./unreadable-request.js";
 import type { AnswerWriter, CallerRequest } from "./caller-request.js";
 
 export interface CallerServerOptions {
@@ -41,29 +45,33 @@
 
 export function createCallerServer(options: CallerServerOptions): Server {
   const { limits } = options;
+  const connections = CallerConnections.create();
   const server = createServer(
     {
       maxHeaderSize: limits.headBytes,
+      // Checked by CallerConnections, which also discards what follows.
+      requireHostHeader: false,
       headersTimeout: limits.receiveMs,
       requestTimeout: limits.receiveMs,
       connectionsCheckingInterval: Math.min(1000, limits.receiveMs),
     },
     (request, response) => {
-      void handleRequest(request, response, options);
+      const exchange = connections.accept(request, response);
+      if (exchange !== undefined) void handleRequest(exchange, options);
     },
   );
   server.maxConnections = limits.connections;
-  server.on("clientError", answerUnreadable);
+  server.on("clientError", (error, socket: Socket) => {
+    connections.refuse(error, socket);
+  });
   return server;
 }
 
 async function handleRequest(
-  request: IncomingMessage,
-  response: ServerResponse,
+  exchange: CallerExchange,
   options: CallerServerOptions,
 ): Promise<void> {
-  request.on("error", () => undefined);
-  response.on("error", () => undefined);
+  const { request, response } = exchange;
   try {
     if (options.isLeaving()) {
       response.setHeader("connection", "close");
@@ -79,6 +87,7 @@
       configuration,
       options.limits,
     );
+    if (exchange.isRefused) return;
     const { id, streamed } = callerRequest;
     const { limits } = options;
     const writer = createAnswerWriter(response, {
@@ -88,17 +97,19 @@
     });
     await options.serve(callerRequest, writer);
   } catch (error) {
-    sendRefusal(request, response, toFailure(error, 1215));
+    if (!exchange.isRefused) sendRefusal(exchange, toFailure(error, 1215));
   }
 }
 
 /** Closes the connection instead of waiting for the unread rest of a body. */
 function sendRefusal(
-  request: IncomingMessage,
-  response: ServerResponse,
+  { request, response, refuseLater }: CallerExchange,
   error: ApricotdeckError,
 ): void {
-  if (!request.complete) response.setHeader("connection", "close");
+  if (!request.complete) {
+    response.setHeader("connection", "close");
+    refuseLater();
+  }
   sendError(response, error, error.entry.status === 503 ? 1000 : 0);
 }
 
--- a/src/daemon/entry/unreadable-request.ts
+++ b/src/daemon/entry/unreadable-request.ts
@@ -1,19 +1,16 @@
-/** Answers input that Node's HTTP parser rejects. */
-import type { Socket } from "node:net";
+/** Refusals of input that Node's HTTP parser rejects. */
 import { failure, type ApricotdeckError } from "../../internal.js";
 
-interface ClientError extends Error {
+/** Error of the HTTP server's `clientError` event. */
+export interface ClientError extends Error {
   readonly code?: string;
 }
 
 /**
- * Handles `clientError`; at this point there is no request or response object.
+ * Response as it is written to the connection: at this point there is no
+ * response object that could send it.
  */
-export function answerUnreadable(error: ClientError, socket: Socket): void {
-  if (!socket.writable || error.code === "ECONNRESET") {
-    socket.destroy();
-    return;
-  }
+export function unreadableAnswer(error: ClientError): string {
   const { entry, message } = clientFailure(error);
   const body = JSON.stringify({
     error: { message, type: entry.name, outcome: entry.outcome },
@@ -24,7 +21,7 @@
     "content-type: application/json",
     `content-length: ${Buffer.byteLength(body)}`,
   ];
-  socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
+  return `${head.join("\r\n")}\r\n\r\n${body}`;
 }
 
 function clientFailure({ code }: ClientError): ApricotdeckError {
--- a/src/direct/caller-listener.ts
+++ b/src/direct/caller-listener.ts
@@ -9,14 +9,18 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import {
   raise,
   toFailure,
   type ApricotdeckError,
   type Random,
 } from "../internal.js";
+import {
+  CallerConnections,
+  type CallerExchange,
+} from "../daemon/entry/caller-connections.js";
 import { readBody } from "../daemon/entry/request-body.js";
-import { answerUnreadable } from "../daemon/entry/unreadable-request.js";
 import { chooseService, type RouteTable } from "../routing/route-table.js";
 import type { CallerBounds, Route } from "../routing/types.js";
 import { endToEndHeaders } from "./end-to-end-headers.js";
@@ -60,9 +64,12 @@
 const NOT_READY_RETRY_AFTER_MS = 500;
 
 export function createCallerListener(options: CallerListenerOptions): Server {
+  const connections = CallerConnections.create();
   const server = createServer(
     {
       maxHeaderSize: MAXIMUM_PARSER_HEADER_BYTES,
+      // Checked by CallerConnections, which also discards what follows.
+      requireHostHeader: false,
       headersTimeout: DEFAULT_HEADERS_TIMEOUT_MS,
       requestTimeout: 0,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
@@ -70,10 +77,13 @@
       noDelay: true,
     },
     (request, response) => {
-      void handleRequest(request, response, options);
+      const exchange = connections.accept(request, response);
+      if (exchange !== undefined) void handleRequest(exchange, options);
     },
   );
-  server.on("clientError", answerUnreadable);
+  server.on("clientError", (error, socket: Socket) => {
+    connections.refuse(error, socket);
+  });
   return server;
 }
 
@@ -84,20 +94,23 @@
 }
 
 async function handleRequest(
-  request: IncomingMessage,
-  response: ServerResponse,
+  exchange: CallerExchange,
   options: CallerListenerOptions,
 ): Promise<void> {
+  const { request, response } = exchange;
   const arrivedAtMs = performance.now();
-  request.on("error", () => undefined);
-  response.on("error", () => undefined);
   if (options.isLeaving()) response.setHeader("connection", "close");
   try {
     const call = await readCall(request, options, arrivedAtMs);
+    if (exchange.isRefused) return;
     await options.serve(call, response);
   } catch (error) {
+    if (exchange.isRefused) return;
     const refusal = toFailure(error, 1215);
-    if (!request.complete) response.setHeader("connection", "close");
+    if (!request.complete) {
+      response.setHeader("connection", "close");
+      exchange.refuseLater();
+    }
     const retryAfterMs =
       refusal.entry.status === 503 ? NOT_READY_RETRY_AFTER_MS : 0;
     options.fail(response, refusal, retryAfterMs);
--- a/tests/callers/bad-input.test.ts
+++ b/tests/callers/bad-input.test.ts
@@ -1,99 +1,14 @@
 import * as assert from "uvu/assert";
-import {
-  credentialOf,
-  MODEL,
-  siteConfiguration,
-} from "../../demo/configurations.js";
-import { createCallerServer } from "../../src/daemon/entry/caller-server.js";
-import { listen, type ListeningServer } from "../../src/daemon/listening.js";
-import {
-  parseSettings,
-  type EntrySettings,
-} from "../../src/daemon/settings.js";
-import type {
-  AnswerWriter,
-  CallerRequest,
-} from "../../src/daemon/entry/caller-request.js";
+import { MODEL } from "../../demo/configurations.js";
 import { describe, it } from "../support/describe.js";
 import { sendRaw } from "../support/raw-call.js";
-
-type Limits = EntrySettings["limits"];
-
-const credential = credentialOf("dyfrwr", 0);
-const authorization = `authorization: Bearer ${credential}`;
-
-function createLimits(changes: Partial<Limits>): Limits {
-  const settings = parseSettings(
-    JSON.stringify({
-      role: "entry",
-      name: "entry",
-      dataCentre: "lac",
-      platform: { log: "http://127.0.0.1:1", vmList: "http://127.0.0.1:1" },
-      limits: { headBytes: 2048, bodyBytes: 2048, receiveMs: 300, ...changes },
-    }),
-    "test",
-  ) as EntrySettings;
-  return settings.limits;
-}
-
-interface TestServer extends AsyncDisposable {
-  readonly address: string;
-  /** Requests that passed all checks. */
-  readonly served: CallerRequest[];
-}
-
-async function startServer(changes: Partial<Limits> = {}): Promise<TestServer> {
-  const served: CallerRequest[] = [];
-  const baseConfiguration = siteConfiguration("dyfrwr", 4);
-  const variant = { adapter: "welsh", version: "v2" };
-  const target = { kind: "model", model: MODEL, ...variant } as const;
-  const welshProfile = {
-    ...baseConfiguration.profiles[0],
-    name: "welsh",
-    target,
-  };
-  const configuration = {
-    ...baseConfiguration,
-    profiles: [...baseConfiguration.profiles, welshProfile],
-  };
-  const server = createCallerServer({
-    limits: createLimits(changes),
-    configuration: () => configuration,
-    isLeaving: () => false,
-    serve: (callerRequest: CallerRequest, writer: AnswerWriter) => {
-      served.push(callerRequest);
-      const contentType = { name: "content-type", value: "application/json" };
-      writer.head(200, [contentType], true);
-      writer.piece(Buffer.from("{}"));
-      writer.end(true);
-      return Promise.resolve();
-    },
-  });
-  const listening: ListeningServer = await listen(server, {
-    host: "127.0.0.1",
-    port: 0,
-  });
-  return {
-    address: listening.address,
-    served,
-    [Symbol.asyncDispose]: () => listening[Symbol.asyncDispose](),
-  };
-}
-
-function completion(body: string, headers: readonly string[] = []): string {
-  return [
-    "POST /v1/completions HTTP/1.1",
-    "host: entry",
-    "connection: close",
-    authorization,
-    `content-length: ${Buffer.byteLength(body)}`,
-    ...headers,
-    "",
-    body,
-  ].join("\r\n");
-}
-
-const validBody = JSON.stringify({ model: MODEL, prompt: "note" });
+import {
+  authorization,
+  completion,
+  credential,
+  startServer,
+  validBody,
+} from "./test-server.js";
 
 interface BadInput {
   readonly name: string;
