Mark the end of every answer by a length or chunks

Cause: an answer without length or chunks was passed on without them, so only the end of the connection ended it, and the kernel closes a killed process's connections in order. The reset of an answer that breaks off needs a living process. Callers of HTTP/1.0 got every stream and every large answer in that way.

Change: buffered answers always have a length; streams and large answers always come in chunks, with the last one only after the backend server's mark or the regular close of its connection. Callers of HTTP/1.0 get an answer once it is complete, or an error (1223) if it is too large for that. JSON for operators and the readiness answer have a length too. An answer whose head announced a marked end still gets no last chunk without that mark.

Replaced tests: those that wanted an unframed answer to stay unframed (direct-path, response-completeness, unmarked-answers, early-ends) rested on the claim that closing the connection leaves the caller uncertain. By RFC 9112, section 8, such a response is complete once its connection is closed, so the caller wasn't uncertain, and the entry's end looked the same. The new ones want the framing and the whole body, and no end after a reset. The one about HTTP/1.0 wanted a reset; it now wants that no byte of the answer is sent.

--- a/src/daemon/entry/answer-framing.ts
+++ b/src/daemon/entry/answer-framing.ts
@@ -1,18 +1,17 @@
 /**
- * Framing of an answer's end. An answer with neither a content length nor
- * chunked coding ends when the connection closes, which looks the same when the
- * backend server's process dies halfway. Adding a length or chunked coding
- * would mark a truncated answer as complete, so such an answer is also
- * delimited by connection close towards the caller.
+ * Framing of an answer's end. Every answer is sent with a length or in chunks.
+ * One that ends with its connection would look complete whenever this process
+ * ends, because the kernel then closes its connections in order.
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
-/** Delimits the body by connection close; call before the head is written. */
-export function delimitByConnectionClose(response: ServerResponse): void {
-  response.removeHeader("transfer-encoding");
-  response.removeHeader("content-length");
-  response.setHeader("connection", "close");
+/**
+ * Whether the caller understands chunked coding. An answer to any other caller,
+ * one of HTTP/1.0, is held back until its length is known.
+ */
+export function canBeChunked(response: ServerResponse): boolean {
+  return response.useChunkedEncodingByDefault;
 }
 
 /**
@@ -25,9 +24,9 @@
 export const RESET_DELAY_MS = 50;
 
 /**
- * Ends an answer that can't be completed. Without a length or chunked coding
- * the connection is reset, since a normal close would make the truncated answer
- * look complete. With either of them, the caller sees the truncation anyway.
+ * Ends an answer that can't be completed. Without chunked coding the connection
+ * is reset, so that callers that ignore a length don't take the truncated answer
+ * for a complete one. With it, they see the truncation anyway.
  */
 export function breakOff(response: ServerResponse): void {
   const isTruncationVisible = response.chunkedEncoding || !response.headersSent;
--- a/src/daemon/entry/answer-writer.ts
+++ b/src/daemon/entry/answer-writer.ts
@@ -4,10 +4,10 @@
  * reported by its status code.
  */
 import type { ServerResponse } from "node:http";
-import type { ApricotdeckError } from "../../internal.js";
+import { failure, type ApricotdeckError } from "../../internal.js";
 import type { Header } from "../../wire/generated/session.js";
 import type { CallerLimits } from "./request-reader.js";
-import { breakOff, delimitByConnectionClose } from "./answer-framing.js";
+import { breakOff, canBeChunked } from "./answer-framing.js";
 import type { AnswerWriter } from "./caller-request.js";
 
 export const OUTCOME_HEADER = "apricotdeck-outcome";
@@ -37,10 +37,12 @@
     if (!response.writableFinished) callerGone.abort();
   });
   response.setHeader(REQUEST_HEADER, options.request);
-  const { signal } = callerGone;
-  return options.streamed
-    ? createStreamWriter(response, options, signal)
-    : createBufferedWriter(response, options, signal);
+  if (!options.streamed) {
+    return createBufferedWriter(response, options, callerGone);
+  }
+  return canBeChunked(response)
+    ? createStreamWriter(response, options, callerGone.signal)
+    : createHeldStreamWriter(response, options, callerGone);
 }
 
 function createStreamWriter(
@@ -49,6 +51,8 @@
   signal: AbortSignal,
 ): AnswerWriter {
   let head: ResponseHead | undefined;
+  /** Whether the head that was sent promised a marked end. */
+  let isEndMarked = false;
   let pendingEvents: string[] = [];
   let lastWriteAtMs = Date.now();
   const startStallTimer = createWriteStallTimer(response, limits);
@@ -59,6 +63,11 @@
     lastWriteAtMs = Date.now();
     if (!response.write(text)) startStallTimer();
   };
+  const start = (): void => {
+    if (response.headersSent) return;
+    isEndMarked = head?.isEndMarked ?? false;
+    startStream(response, head);
+  };
   const keepAlive = setInterval(() => {
     if (!response.headersSent || response.destroyed) return;
     if (Date.now() - lastWriteAtMs >= limits.keepAliveMs) {
@@ -74,7 +83,7 @@
       head = { status, headers, isEndMarked };
     },
     piece: (data) => {
-      if (!response.headersSent) startStream(response, head);
+      start();
       pendingEvents.push(formatEvent(data.toString()));
       // Batches the pieces of one event-loop turn into one write.
       if (pendingEvents.length === 1) setImmediate(flush);
@@ -83,10 +92,10 @@
       head = undefined;
     },
     end: (isEndConfirmed) => {
-      if (!response.headersSent) startStream(response, head);
+      start();
       if (isEndConfirmed) pendingEvents.push(END_OF_STREAM_EVENT);
       flush();
-      if (canEndNormally(response, isEndConfirmed)) response.end();
+      if (canEndNormally(isEndMarked, isEndConfirmed)) response.end();
       else breakOffAfterWriting(response, KEEP_ALIVE_COMMENT);
     },
     fail: (error, retryAfterMs = NO_RETRY_AFTER_MS) => {
@@ -97,10 +106,29 @@
   };
 }
 
+/** Sends a stream in one piece with its length. */
+function createHeldStreamWriter(
+  response: ServerResponse,
+  options: AnswerWriterOptions,
+  callerGone: AbortController,
+): AnswerWriter {
+  const writer = createBufferedWriter(response, options, callerGone);
+  return {
+    ...writer,
+    piece: (data) => {
+      writer.piece(Buffer.from(formatEvent(data.toString())));
+    },
+    end: (isEndConfirmed) => {
+      if (isEndConfirmed) writer.piece(Buffer.from(END_OF_STREAM_EVENT));
+      writer.end(isEndConfirmed);
+    },
+  };
+}
+
 function createBufferedWriter(
   response: ServerResponse,
   { limits }: AnswerWriterOptions,
-  signal: AbortSignal,
+  callerGone: AbortController,
 ): AnswerWriter {
   let status = 200;
   let isEndMarked = false;
@@ -109,8 +137,14 @@
   /** Ignores a later attempt's answer during the delay before the reset. */
   let isBrokenOff = false;
   const startStallTimer = createWriteStallTimer(response, limits);
+  const refuseAsTooLarge = (): void => {
+    isBrokenOff = true;
+    parts = [];
+    sendError(response, failure(1223, { limit: limits.answerBytes }));
+    callerGone.abort();
+  };
   return {
-    signal,
+    signal: callerGone.signal,
     head: (code, headers, isMarked) => {
       if (isBrokenOff) return;
       status = code;
@@ -124,10 +158,11 @@
         parts.push(data);
         return;
       }
-      if (!response.headersSent) {
-        if (!isEndMarked) delimitByConnectionClose(response);
-        response.writeHead(status);
+      if (!canBeChunked(response)) {
+        refuseAsTooLarge();
+        return;
       }
+      if (!response.headersSent) response.writeHead(status);
       for (const part of parts) response.write(part);
       parts = [];
       if (!response.write(data)) startStallTimer();
@@ -145,13 +180,12 @@
     end: (isEndConfirmed) => {
       if (isBrokenOff) return;
       if (response.headersSent) {
-        if (canEndNormally(response, isEndConfirmed)) response.end();
+        if (canEndNormally(isEndMarked, isEndConfirmed)) response.end();
         else breakOff(response);
         return;
       }
       const body = Buffer.concat(parts);
-      if (isEndConfirmed) response.setHeader("content-length", body.length);
-      else delimitByConnectionClose(response);
+      response.setHeader("content-length", body.length);
       response.setHeader(
         OUTCOME_HEADER,
         isEndConfirmed ? "answered" : "unmarked",
@@ -160,6 +194,7 @@
       response.end(body);
     },
     fail: (error, retryAfterMs = NO_RETRY_AFTER_MS) => {
+      if (isBrokenOff) return;
       // Without the end of its body, the answer can't look complete.
       if (response.headersSent) breakOff(response);
       else sendError(response, error, retryAfterMs);
@@ -176,14 +211,14 @@
 }
 
 /**
- * With chunked coding, a normal end marks the answer as complete and therefore
- * needs a confirmed end. Without it, a normal end makes no such claim.
+ * An answer whose head promised a marked end is complete only once that end is
+ * confirmed. Any other one ends where its backend server closed the connection.
  */
 function canEndNormally(
-  response: ServerResponse,
+  isEndMarked: boolean,
   isEndConfirmed: boolean,
 ): boolean {
-  return isEndConfirmed || !response.chunkedEncoding;
+  return isEndConfirmed || !isEndMarked;
 }
 
 /** Breaks the answer off once the text and everything before it were sent. */
@@ -197,7 +232,6 @@
   response: ServerResponse,
   head: ResponseHead | undefined,
 ): void {
-  if (head?.isEndMarked !== true) delimitByConnectionClose(response);
   for (const { name, value } of head?.headers ?? []) {
     response.setHeader(name, value);
   }
--- a/src/daemon/operators-server.ts
+++ b/src/daemon/operators-server.ts
@@ -108,6 +108,10 @@
   status: number,
   body: unknown,
 ): void {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+  });
+  response.end(text);
 }
--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -37,8 +37,8 @@
   ) => void;
   /** Returns undefined, or the reason for which the attempt must be aborted. */
   readonly onData: (chunk: Buffer, flow: FlowControl) => string | undefined;
-  /** Bytes of an event whose end hasn't arrived. */
-  readonly partialBytes?: () => number;
+  /** Bytes that the sink holds back, such as those of an incomplete event. */
+  readonly unsentBytes?: () => number;
   /** Returns undefined if the stream is complete, otherwise what is missing. */
   readonly onEnd: () => string | undefined;
 }
@@ -246,7 +246,11 @@
       if (bufferedBytes > maximumBufferedBytes) {
         this.breakOff(controller, "caller reads too slowly");
       }
-      this.hold(controller, bufferedBytes + this.partialBytes());
+      const unsentBytes = this.options.sink?.unsentBytes?.() ?? 0;
+      if (unsentBytes > maximumBufferedBytes) {
+        this.breakOff(controller, "answer too large");
+      }
+      this.hold(controller, bufferedBytes + unsentBytes);
       return;
     }
     this.bodyChunks.push(chunk);
@@ -255,10 +259,6 @@
     this.hold(controller, this.receivedBytes);
   }
 
-  private partialBytes(): number {
-    return this.options.sink?.partialBytes?.() ?? 0;
-  }
-
   private hold(controller: Dispatcher.DispatchController, bytes: number): void {
     if (this.isEnded || this.options.held?.tryHold(bytes) !== false) return;
     this.breakOff(controller, "responses hold too much memory");
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -208,8 +208,8 @@
     return createServer((request, response) => {
       const isReadinessPath = request.url === this.options.readinessPath;
       const ready = isReadinessPath && this.isReady;
-      response.writeHead(isReadinessPath ? (ready ? 200 : 503) : 404);
-      response.end();
+      const status = isReadinessPath ? (ready ? 200 : 503) : 404;
+      response.writeHead(status, { "content-length": 0 }).end();
     });
   }
 }
--- a/src/direct/event-relay.ts
+++ b/src/direct/event-relay.ts
@@ -3,13 +3,17 @@
  * or more attempts. The head is sent together with the first event, so until
  * then a failure can still be reported by its status. If another runner
  * continues the stream, the head of the first one stays.
+ *
+ * The stream is sent in chunks. A caller that doesn't understand them gets it in
+ * one piece when it is complete.
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import { delimitByConnectionClose } from "../daemon/entry/answer-framing.js";
+import { canBeChunked } from "../daemon/entry/answer-framing.js";
 import type { FlowControl, StreamSink } from "./attempt.js";
 import { endToEndResponseHeaders } from "./end-to-end-headers.js";
 import { EventSplitter } from "./event-splitter.js";
 import { EventBounds } from "./response-bounds.js";
+import type { EndMark } from "./types.js";
 
 export interface EventRelayOptions {
   readonly response: ServerResponse;
@@ -24,17 +28,18 @@
 interface ResponseHead {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+  readonly endMark: EndMark;
 }
 
 export class EventRelay {
   private lastForwardedId: number;
   private previousEventAtMs = performance.now();
   private head: ResponseHead | undefined;
-  /**
-   * Whether only the close of the connection marks the end of the response, so
-   * that an aborted response looks like a complete one.
-   */
-  private endsWithConnection = false;
+  /** Whether an event was forwarded, so that the head no longer changes. */
+  private hasForwarded = false;
+  /** Events that are held back until the stream is complete. */
+  private readonly heldEvents: Buffer[] = [];
+  private heldBytes = 0;
 
   private constructor(private readonly options: EventRelayOptions) {
     this.lastForwardedId = options.lastEventId;
@@ -62,11 +67,12 @@
   sink(): StreamSink {
     const splitter = EventSplitter.create();
     const bounds = EventBounds.create();
+    let endMark: EndMark = "connection";
     return {
-      partialBytes: () => splitter.partialBytes,
-      onHead: (status, headers, endMark) => {
-        this.endsWithConnection = endMark === "connection";
-        if (!this.hasStarted) this.head = { status, headers };
+      unsentBytes: () => splitter.partialBytes + this.heldBytes,
+      onHead: (status, headers, mark) => {
+        endMark = mark;
+        if (!this.hasForwarded) this.head = { status, headers, endMark };
       },
       onData: (chunk, flow) => {
         const events = splitter.push(chunk);
@@ -82,19 +88,24 @@
       },
       onEnd: () => {
         if (splitter.hasPartialEvent) return "ended inside an event";
-        this.sendHead();
-        this.finish();
+        this.finish(endMark);
         return undefined;
       },
     };
   }
 
   private forwardEvent(bytes: Buffer, flow: FlowControl): void {
-    const { response, onEvent } = this.options;
-    this.sendHead();
+    this.hasForwarded = true;
     const nowMs = performance.now();
-    onEvent(nowMs - this.previousEventAtMs);
+    this.options.onEvent(nowMs - this.previousEventAtMs);
     this.previousEventAtMs = nowMs;
+    if (canBeChunked(this.options.response)) this.sendEvent(bytes, flow);
+    else this.holdEvent(bytes);
+  }
+
+  private sendEvent(bytes: Buffer, flow: FlowControl): void {
+    const { response } = this.options;
+    this.sendHead();
     if (response.write(bytes)) return;
     // Until the caller reads on, the attempt buffers the stream up to its
     // limit.
@@ -104,15 +115,28 @@
     });
   }
 
+  private holdEvent(bytes: Buffer): void {
+    this.heldEvents.push(bytes);
+    this.heldBytes += bytes.length;
+  }
+
   /**
-   * Ends the response. If an earlier attempt began a chunked response and the
-   * end of this attempt's response isn't marked, the final chunk must not claim
-   * that the stream is complete: the connection is closed instead. The caller
-   * has received every event and resumes if it misses some.
+   * Ends the response. If the runner whose head was sent announced a framed end
+   * and the last attempt's end isn't framed, the final chunk must not claim that
+   * the stream is complete: the connection is closed instead. The caller has
+   * received every event and resumes if it misses some.
    */
-  private finish(): void {
+  private finish(endMark: EndMark): void {
     const { response } = this.options;
-    if (this.endsWithConnection && response.chunkedEncoding) response.destroy();
+    if (!canBeChunked(response)) {
+      response.setHeader("content-length", this.heldBytes);
+      this.sendHead();
+      response.end(Buffer.concat(this.heldEvents));
+      return;
+    }
+    this.sendHead();
+    const wasEndAnnounced = this.head?.endMark !== "connection";
+    if (wasEndAnnounced && endMark === "connection") response.destroy();
     else response.end();
   }
 
@@ -120,7 +144,6 @@
     const { response } = this.options;
     if (response.headersSent || this.head === undefined) return;
     const { status, headers } = this.head;
-    if (this.endsWithConnection) delimitByConnectionClose(response);
     response.writeHead(status, endToEndResponseHeaders(headers));
   }
 }
--- a/src/direct/open-responses.ts
+++ b/src/direct/open-responses.ts
@@ -37,11 +37,7 @@
     for (const response of this.responses) announceClose(response);
   }
 
-  /**
-   * Breaks open responses off visibly. If the process simply closed the
-   * connections, a caller would take a partial response that has neither a
-   * length nor chunks for a complete one.
-   */
+  /** Breaks open responses off before the process closes their connections. */
   async breakOff(): Promise<void> {
     if (this.responses.size === 0) return;
     for (const response of this.responses) breakOff(response);
@@ -52,10 +48,8 @@
 /**
  * Calls `onSent` when the response has been sent or its connection is closed. A
  * response whose caller reads slowly is still being sent after its request has
- * finished. If its connection were closed as idle, the caller would take a
- * partial response without a length or chunks for a complete one. Such a
- * response therefore counts as open: shutdown waits for it and breaks it off
- * visibly if the process ends first.
+ * finished. It counts as open, so that shutdown waits for it and breaks it off if
+ * the process ends first.
  */
 function onceSent(response: ServerResponse, onSent: () => void): void {
   const isSettled = response.writableFinished || response.closed;
--- a/src/direct/request-conclusion.ts
+++ b/src/direct/request-conclusion.ts
@@ -5,10 +5,7 @@
   type ApricotdeckError,
   type ErrorNumber,
 } from "../internal.js";
-import {
-  breakOff,
-  delimitByConnectionClose,
-} from "../daemon/entry/answer-framing.js";
+import { breakOff } from "../daemon/entry/answer-framing.js";
 import { endMarkOf, reasonOf } from "./attempt-ends.js";
 import type { AttemptRecord } from "./attempt-record.js";
 import { endToEndResponseHeaders } from "./end-to-end-headers.js";
@@ -121,10 +118,9 @@
       this.options.measurements.count("streamsAnswered", { timeliness });
     }
     if (end.kind !== "answered" || this.response.destroyed) return;
-    const { status, headers, body, endMark } = end.answer;
+    const { status, headers, body } = end.answer;
     const { response } = this;
-    if (endMark === "connection") delimitByConnectionClose(response);
-    else response.setHeader("content-length", body.length);
+    response.setHeader("content-length", body.length);
     response.writeHead(status, endToEndResponseHeaders(headers));
     response.end(body);
   }
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -264,6 +264,13 @@
     "All backend servers of the service have asked for rest.",
     "Retry after the given time: then the first rest ends.",
   ),
+  1223: entry(
+    "answer-not-held",
+    502,
+    "broken-off",
+    "The answer is too large to be held back for a caller of HTTP/1.0.",
+    "Use HTTP/1.1, or raise the limit in the settings.",
+  ),
 
   // 1300: claims of requests that may not be repeated
   1301: entry(
--- a/tests/callers/test-server.ts
+++ b/tests/callers/test-server.ts
@@ -21,7 +21,7 @@
 export const credential = credentialOf("dyfrwr", 0);
 export const authorization = `authorization: Bearer ${credential}`;
 
-function createLimits(changes: Partial<Limits>): Limits {
+export function createLimits(changes: Partial<Limits>): Limits {
   const settings = parseSettings(
     JSON.stringify({
       role: "entry",
--- a/tests/callers/unmarked-answers.test.ts
+++ b/tests/callers/unmarked-answers.test.ts
@@ -1,5 +1,4 @@
 import { createServer } from "node:http";
-import { connect } from "node:net";
 import * as assert from "uvu/assert";
 import { createAnswerWriter } from "../../src/daemon/entry/answer-writer.js";
 import type { AnswerWriter } from "../../src/daemon/entry/caller-request.js";
@@ -11,6 +10,7 @@
 import { failure } from "../../src/internal.js";
 import { describe, it } from "../support/describe.js";
 import { callHttp, type ObservedResponse } from "../support/http-call.js";
+import { sendRaw } from "../support/raw-call.js";
 
 const BUFFER_LIMIT_BYTES = 1024;
 const LARGE_PIECE = Buffer.alloc(2 * BUFFER_LIMIT_BYTES, "a");
@@ -61,44 +61,46 @@
   setTimeout(action, FIRST_BYTES_DELAY_MS);
 }
 
-const CLOSE_DELIMITED = {
+const IN_CHUNKS = {
   length: undefined,
-  coding: undefined,
+  coding: "chunked",
   connection: "close",
 };
 
 describe("an answer whose end isn't confirmed", () => {
-  // A length or chunked coding would mark the answer as complete, which the
-  // backend server didn't. The caller gets a body delimited by connection
-  // close and the outcome "unmarked".
-  it("is sent without an end mark of the entry", async () => {
+  // Guards against an answer whose end only the close of its connection tells.
+  // The outcome "unmarked" says that the backend server didn't mark its end.
+  it("is sent with a length and says that its end isn't marked", async () => {
     const observed = await observeAnswer((writer) => {
       writer.head(200, CONTENT_TYPE, false);
       writer.piece(Buffer.from("half of"));
       writer.end(false);
     });
-    assert.equal(framingOf(observed), CLOSE_DELIMITED);
+    assert.equal(framingOf(observed), {
+      length: "7",
+      coding: undefined,
+      connection: "close",
+    });
     assert.is(observed.headers["apricotdeck-outcome"], "unmarked");
     assert.equal([observed.status, observed.body], [200, "half of"]);
     assert.is(observed.connectionError, undefined);
   });
 
-  // The head of an answer over the buffer limit is sent before its end is
-  // known, so chunked coding would require an end mark that may not exist.
-  it("is sent without chunked coding when it exceeds the buffer limit", async () => {
+  // Guards against the same in an answer whose head is sent before its end is
+  // known.
+  it("is sent in chunks when it exceeds the buffer limit", async () => {
     const observed = await observeAnswer((writer) => {
       writer.head(200, CONTENT_TYPE, false);
       writer.piece(LARGE_PIECE);
       writer.end(false);
     });
-    assert.equal(framingOf(observed), CLOSE_DELIMITED);
+    assert.equal(framingOf(observed), IN_CHUNKS);
     assert.is(observed.body.length, LARGE_PIECE.length);
     assert.is(observed.connectionError, undefined);
   });
 
-  // A partly sent answer that is delimited by connection close breaks off: a
-  // normal close would make the truncated answer look complete.
-  it("ends in a reset when it is known to be incomplete", async () => {
+  // Guards against a last chunk that completes an answer that broke off.
+  it("has no end when it is known to be incomplete", async () => {
     const observed = await observeAnswer((writer) => {
       writer.head(200, CONTENT_TYPE, false);
       writer.piece(LARGE_PIECE);
@@ -106,7 +108,7 @@
         writer.fail(failure(1216));
       });
     });
-    assert.equal(framingOf(observed), CLOSE_DELIMITED);
+    assert.equal(framingOf(observed), IN_CHUNKS);
     assert.is(observed.connectionError, "ECONNRESET");
   });
 
@@ -135,7 +137,7 @@
       writer.piece(Buffer.from("half of"));
       writer.end(false);
     }, true);
-    assert.equal(framingOf(observed), CLOSE_DELIMITED);
+    assert.equal(framingOf(observed), IN_CHUNKS);
     assert.is(observed.body, "data: half of\n\n");
     assert.is(observed.connectionError, undefined);
   });
@@ -179,30 +181,24 @@
 });
 
 describe("a caller without support for chunked coding", () => {
-  // An answer over HTTP/1.0 is delimited by connection close, so a normal close
-  // after its first part would make the truncated answer look complete.
-  it("sees a reset when its answer breaks off", async () => {
+  // Guards against a truncated answer that looks complete: it can't be sent in
+  // chunks, so nothing of it may be sent before its end is known.
+  it("gets an error when its answer breaks off", async () => {
     const writeAnswer: WriteAnswer = (writer) => {
       writer.head(200, CONTENT_TYPE, true);
-      writer.piece(LARGE_PIECE);
+      writer.piece(Buffer.from("half of"));
       afterFirstBytes(() => {
         writer.fail(failure(1216));
       });
     };
-    await using server = await startServer(writeAnswer, false);
-    const [host, port] = server.address.split(":");
-    const connectionError = await new Promise<string | undefined>((resolve) => {
-      const socket = connect(Number(port), host);
-      let code: string | undefined;
-      socket.on("error", (error: NodeJS.ErrnoException) => {
-        code = error.code;
-      });
-      socket.on("close", () => {
-        resolve(code);
-      });
-      socket.resume();
-      socket.write("GET / HTTP/1.0\r\n\r\n");
-    });
-    assert.is(connectionError, "ECONNRESET");
+    for (const streamed of [false, true]) {
+      await using server = await startServer(writeAnswer, streamed);
+      const { status, text } = await sendRaw(server.address, [
+        "GET / HTTP/1.0\r\n\r\n",
+      ]);
+      assert.is(status, 502);
+      assert.match(text, /engine-failed/);
+      assert.not.match(text, /half of/);
+    }
   });
 });
--- a/tests/daemon/answer-framing.test.ts
+++ b/tests/daemon/answer-framing.test.ts
@@ -4,7 +4,6 @@
 import {
   RESET_DELAY_MS,
   breakOff,
-  delimitByConnectionClose,
 } from "../../src/daemon/entry/answer-framing.js";
 import { listen } from "../../src/daemon/listening.js";
 import { describe, it } from "../support/describe.js";
@@ -13,6 +12,13 @@
 /** Delay between the first bytes and the last ones. */
 const WRITE_DELAY_MS = 20;
 
+/** Leaves nothing but the end of the connection to end the answer. */
+function delimitByConnectionClose(response: ServerResponse): void {
+  response.removeHeader("transfer-encoding");
+  response.removeHeader("content-length");
+  response.setHeader("connection", "close");
+}
+
 /** Breaks off right after the last bytes, before the caller has read them. */
 function breakOffAfterWrite(response: ServerResponse): void {
   response.write("first ");
--- a/tests/path/early-ends.test.ts
+++ b/tests/path/early-ends.test.ts
@@ -84,11 +84,9 @@
 }
 
 describe("an answer that ends early", () => {
-  // A plain service that answers with neither a length nor chunked coding may
-  // exit halfway, and its connection closes as it does after a complete answer.
-  // The caller must not get the truncated answer with a matching content
-  // length, nor as complete when the connection is reset instead.
-  it("without an end mark gets none from the entry", async () => {
+  // Guards against an answer whose end only the close of its connection tells,
+  // and against one that a backend server's reset ends as if it were whole.
+  it("without an end mark is whole only after a regular close", async () => {
     await using site = await startServiceSite();
     const [{ service }] = site.services;
     service.faults.answerRaw = answerWith(UNMARKED_ANSWER, closeNormally);
@@ -102,7 +100,6 @@
         body: closed.body,
         length: headers["content-length"],
         coding: headers["transfer-encoding"],
-        connection: headers.connection,
         outcome: headers["apricotdeck-outcome"],
       },
       broken: {
@@ -114,9 +111,8 @@
       closed: {
         status: 200,
         body: "half of",
-        length: undefined,
+        length: "7",
         coding: undefined,
-        connection: "close",
         outcome: "unmarked",
       },
       broken: { status: 502, outcome: "broken-off" },
@@ -124,8 +120,8 @@
   });
 
   // The answer exceeds the entry's buffer, so its first part is sent before its
-  // end is known. The caller's connection must then end as the backend server's
-  // did: with a normal close or with a reset.
+  // end is known. It must get its last chunk after a regular close of the
+  // backend server's connection, and none after a reset.
   it("keeps its kind of end when it exceeds the buffer limit", async () => {
     await using site = await startServiceSite();
     const [{ service }] = site.services;
@@ -143,8 +139,8 @@
         await sendNonRepeatableRequest(site, () => {
           firstPart.resolve(undefined);
         });
-      assert.equal([status, headers.connection], [200, "close"]);
-      assert.is(headers["transfer-encoding"], undefined);
+      assert.is(status, 200);
+      assert.is(headers["transfer-encoding"], "chunked");
       assert.is(headers["content-length"], undefined);
       if (end === resetAfterDelay) assert.is(connectionError, "ECONNRESET");
       else {
--- a/tests/platform/direct-path.test.ts
+++ b/tests/platform/direct-path.test.ts
@@ -304,33 +304,29 @@
       assert.not.ok(body.includes("half of"));
     });
 
-    it("framing that the runner's response didn't have", async () => {
-      // The response has no length, and its runner dies inside the body. The
-      // connection closes normally, as it does after a complete response. A
-      // content-length set by the entry would present half of the body as all
-      // of it; closing the connection the same way leaves the caller with the
-      // same uncertainty.
+    it("an end that only the close of its connection tells", async () => {
+      // Guards against a truncated response that looks complete when the entry
+      // ends. The runner's response has no length and ends with its connection.
       await using site = await EntrySite.createWithRunners(
-        answerUntilClose("half of"),
+        answerUntilClose("the answer"),
       );
-      const { status, headers, body } = await site.call({ path: "/once/a" });
-      assert.is(status, 200);
-      assert.is(body, "half of");
-      assert.is(headers["content-length"], undefined);
-      assert.is(headers["transfer-encoding"], undefined);
-      assert.is(headers.connection, "close");
+      const answer = await site.call({ path: "/once/a" });
+      assert.is(answer.status, 200);
+      assert.is(answer.body, "the answer");
+      assert.ok(answer.isComplete);
+      assert.is(answer.headers["content-length"], "10");
     });
 
-    it("a framed end of a stream that had no framing", async () => {
-      // A stream without framing: after the last event the connection closes,
-      // either because the stream is complete or because the runner died.
+    it("a stream's end that only the close of its connection tells", async () => {
+      // Guards against a truncated stream that looks complete when the entry
+      // ends. The runner's stream has no framing and ends with its connection.
       await using site = await EntrySite.createWithRunners(
         answerUntilClose(formatEvent(1) + formatEvent(2)),
       );
       const answer = await site.call({ path: "/stream/a", method: "POST" });
       assert.is(answer.body, formatEvent(1) + formatEvent(2));
-      assert.is(answer.headers["transfer-encoding"], undefined);
-      assert.is(answer.headers.connection, "close");
+      assert.ok(answer.isComplete);
+      assert.is(answer.headers["transfer-encoding"], "chunked");
     });
 
     it("a framed end when only the first part of the stream had framing", async () => {
--- a/tests/platform/response-completeness.test.ts
+++ b/tests/platform/response-completeness.test.ts
@@ -133,45 +133,40 @@
   });
 
   describe("without length or chunks", () => {
-    it("stays without framing when another transfer coding is named", async () => {
-      // The runner names a transfer coding other than chunked, so only the end
-      // of the connection ends the response, and it dies inside the body. An
-      // entry that takes any transfer-encoding header for framing would add a
-      // content-length of its own and pass on half of the body as a complete
-      // response.
-      await using site = await EntrySite.createWithRunners(
-        answerRaw(OTHER_CODING, "half of", "end"),
-      );
-      const answer = await site.call({ path: "/once/a" });
-      assert.is(answer.status, 200);
-      assert.is(answer.headers["content-length"], undefined);
-      assert.is(answer.headers["transfer-encoding"], undefined);
-      assert.is(answer.headers.connection, "close");
-    });
-
-    it("stays without framing when a tab follows the coding", async () => {
-      // undici doesn't recognize a coding followed by a tab as chunked and
-      // reads up to the end of the connection, where the runner died. An entry
-      // that takes the same header for chunked framing would add a
-      // content-length to half of the body.
-      await using site = await EntrySite.createWithRunners(
-        answerRaw(CODING_WITH_TAB, "half of", "end"),
-      );
-      const answer = await site.call({ path: "/once/a" });
-      assert.is(answer.headers["content-length"], undefined);
-      assert.is(answer.headers["transfer-encoding"], undefined);
-    });
+    // Guards against a response whose end only the close of its connection
+    // tells, so that the end of the entry's process would look the same.
+    for (const [name, coding] of [
+      ["another transfer coding", OTHER_CODING],
+      ["a coding followed by a tab", CODING_WITH_TAB],
+    ] as const) {
+      it(`gets a length when ${name} is named`, async () => {
+        await using site = await EntrySite.createWithRunners(
+          answerRaw(coding, "the answer", "end"),
+        );
+        const answer = await site.call({ path: "/once/a" });
+        assert.is(answer.status, 200);
+        assert.is(answer.body, "the answer");
+        assert.is(answer.headers["content-length"], "10");
+        assert.is(answer.headers["transfer-encoding"], undefined);
+      });
+    }
 
-    it("stays without framing in a stream with another transfer coding", async () => {
-      // In a stream, the entry would end its own chunked coding after the
-      // last received event, as if the stream were complete.
+    // Guards against a last chunk before the runner's connection has ended in
+    // order, which would complete a stream that breaks off.
+    it("gets chunks in a stream, and the last one at its regular end", async () => {
       await using site = await EntrySite.createWithRunners(
         answerRaw(OTHER_CODING + EVENTS_STREAM, formatEvent(1), "end"),
       );
-      const answer = await site.call({ path: "/stream/a", method: "POST" });
-      assert.is(answer.body, formatEvent(1));
-      assert.is(answer.headers["transfer-encoding"], undefined);
-      assert.is(answer.headers.connection, "close");
+      const whole = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(whole.body, formatEvent(1));
+      assert.ok(whole.isComplete);
+      assert.is(whole.headers["transfer-encoding"], "chunked");
+      const { runners } = site;
+      const head = OTHER_CODING + EVENTS_STREAM;
+      runners[0].behaviour = answerRaw(head, formatEvent(1), "reset");
+      const broken = await site.call({ path: "/stream/a", method: "POST" });
+      assert.is(broken.body, formatEvent(1));
+      assert.not.ok(broken.isComplete);
     });
   });
 
