Give a silent stream up only where another runner can continue it

Cause: the stall timeout ended the attempt first and asked afterwards whether the stream may be repeated. The same for resumable streams without another runner, attempt or retry, and for the time limit of an event. On the path with sessions an agent gave a silent engine up after 120 s although deadlines may be an hour.

Change: a stalled stream is given up once another runner is free for it and the retry is taken; until then it waits, and only its runner's connections are replaced. The time limit of an event holds only for streams that can be repeated, its size limit for all. A run's idle timeout is at least its deadline.

--- a/src/daemon/agent/run-tasks.ts
+++ b/src/daemon/agent/run-tasks.ts
@@ -65,7 +65,8 @@
       },
     };
     try {
-      if (effect.kind === "resume-run") await runner.resume(run, sink, signal);
+      if (effect.kind === "resume-run")
+        await runner.resume(effect, sink, signal);
       else await runner.start(effect, sink, signal);
       gate.runEnded(run, stream, performance.now());
     } catch (error) {
--- a/src/daemon/agent/runner-client.ts
+++ b/src/daemon/agent/runner-client.ts
@@ -32,7 +32,8 @@
 }
 
 const MAXIMUM_CONNECTIONS = 1024;
-const IDLE_TIMEOUT_MS = 120_000;
+/** A backend server may at least be silent for this time, ms. */
+const MINIMUM_IDLE_TIMEOUT_MS = 120_000;
 const END_OF_STREAM = "[DONE]";
 const PIECE_BYTES = 65_536;
 const HTTP_NOT_FOUND = 404;
@@ -64,8 +65,8 @@
       connections: MAXIMUM_CONNECTIONS,
       pipelining: 1,
       connect: createConnector({}),
-      bodyTimeout: IDLE_TIMEOUT_MS,
-      headersTimeout: IDLE_TIMEOUT_MS,
+      bodyTimeout: MINIMUM_IDLE_TIMEOUT_MS,
+      headersTimeout: MINIMUM_IDLE_TIMEOUT_MS,
     });
     const origin = address.replace(/\/$/, "");
     return new RunnerClient(origin, pool, kind === "model", rest);
@@ -91,12 +92,17 @@
 
   /** Like `start`, for an existing run; throws 1405 if the engine has none. */
   async resume(
-    run: string,
+    { run, deadlineMs }: Pick<RunRequest, "run" | "deadlineMs">,
     sink: AnswerSink,
     signal: AbortSignal,
   ): Promise<void> {
     const path = `/requests/${run}?from=0`;
-    const response = await this.request({ method: "GET", path }, signal);
+    const options = {
+      method: "GET",
+      path,
+      ...idleTimeouts(deadlineMs),
+    } as const;
+    const response = await this.request(options, signal);
     if (response.statusCode === HTTP_NOT_FOUND) {
       await response.body.dump();
       raise(1405, { run });
@@ -195,7 +201,16 @@
   headers["x-priority"] = String(call.priority);
   headers["x-deadline-ms"] = String(deadlineMs);
   const body = call.body.length > 0 ? call.body : null;
-  return { method: call.method, path: call.path, headers, body };
+  const { method, path } = call;
+  return { method, path, headers, body, ...idleTimeouts(deadlineMs) };
+}
+
+/** A silent run is given up no sooner than at its deadline. */
+export function idleTimeouts(
+  deadlineMs: number,
+): Pick<Dispatcher.RequestOptions, "headersTimeout" | "bodyTimeout"> {
+  const timeoutMs = Math.max(MINIMUM_IDLE_TIMEOUT_MS, deadlineMs);
+  return { headersTimeout: timeoutMs, bodyTimeout: timeoutMs };
 }
 
 async function readAnswer(
--- a/src/direct/event-relay.ts
+++ b/src/direct/event-relay.ts
@@ -19,6 +19,8 @@
   readonly response: ServerResponse;
   /** Id of the last event that the caller has received before this request. */
   readonly lastEventId: number;
+  /** Whether another runner may continue the stream. */
+  readonly isRepeatable: boolean;
   /**
    * Called for each forwarded event with the time since the previous one, ms.
    */
@@ -66,7 +68,7 @@
   /** Creates the sink for the response of one attempt. */
   sink(): StreamSink {
     const splitter = EventSplitter.create();
-    const bounds = EventBounds.create();
+    const bounds = EventBounds.create(this.options.isRepeatable);
     let endMark: EndMark = "connection";
     return {
       unsentBytes: () => splitter.partialBytes + this.heldBytes,
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -16,7 +16,7 @@
   REFUSED_RETRY_AFTER_MS,
   type ForwarderOptions,
 } from "./forwarder-options.js";
-import { nextStep, tryMoveStream } from "./next-step.js";
+import { isMoved, nextStep, tryMoveStream } from "./next-step.js";
 import type { HeldBytes } from "./response-budget.js";
 import { RequestConclusion } from "./request-conclusion.js";
 import type { AdmittedRequest } from "./request-scheduler.js";
@@ -88,6 +88,7 @@
             crashTracker,
             waitedMs: () => record.waitedMs,
             shouldMove: (admitted) => this.shouldMove(admitted),
+            tryReplace: (admitted) => this.tryReplace(admitted),
           })
         : undefined;
     this.held = options.budget.open();
@@ -251,8 +252,8 @@
   }
 
   /**
-   * Selects another runner for the request. A stream that was moved away from a
-   * slow runner may return to one already tried rather than fail.
+   * Selects another runner for the request. A stream that was moved away from
+   * its runner may return to one already tried rather than fail.
    */
   private reassign(
     admitted: AdmittedRequest,
@@ -260,8 +261,7 @@
   ): AdmittedRequest | undefined {
     const { scheduler } = this.options;
     const next = scheduler.reassign(admitted, this.triedRunners);
-    const isMoved = end.kind === "given-up" && end.reason === "slow";
-    if (next !== undefined || !isMoved) return next;
+    if (next !== undefined || !isMoved(end)) return next;
     return scheduler.reassign(admitted, NO_RUNNERS);
   }
 
@@ -313,9 +313,6 @@
     const end = await (stream?.run(attempt, admitted) ?? attempt.run());
     this.attempt = undefined;
     if (end.kind !== "answered") this.held.tryHold(0);
-    if (end.kind === "given-up" && end.reason === "stalled") {
-      options.scheduler.onConnectionSilent(admitted);
-    }
     options.measurements.count("attemptsEnded", { end: end.kind });
     this.record.onAttemptEnd(end);
     return end;
@@ -346,6 +343,13 @@
     return tryMoveStream(this.record.history());
   }
 
+  /** Without another runner, the stream waits for the one that it has. */
+  private tryReplace(admitted: AdmittedRequest): boolean {
+    const { scheduler } = this.options;
+    if (!scheduler.hasOtherRunner(admitted, this.triedRunners)) return false;
+    return tryMoveStream(this.record.history());
+  }
+
   private giveUp(reason: GiveUpReason): void {
     if (this.giveUpReason !== undefined) return;
     this.giveUpReason = reason;
--- a/src/direct/next-step.ts
+++ b/src/direct/next-step.ts
@@ -63,10 +63,7 @@
         : failOrBreakOff(history);
     case "given-up":
       // The retry was taken from the budget by `tryMoveStream`.
-      if (end.reason === "slow") return { kind: "repeat" };
-      return end.reason === "stalled" && isRepeatable(history)
-        ? repeatOrFail(history, 1212)
-        : failOrBreakOff(history, 1212);
+      return isMoved(end) ? { kind: "repeat" } : failOrBreakOff(history, 1212);
   }
 }
 
@@ -93,17 +90,21 @@
   return { kind: history.hasStreamStarted ? "break-off" : "deliver" };
 }
 
-function isRepeatable({ route }: AttemptHistory): boolean {
+/** Whether an attempt was given up so that another runner continues it. */
+export function isMoved(end: AttemptEnd): boolean {
+  if (end.kind !== "given-up") return false;
+  return end.reason === "slow" || end.reason === "stalled";
+}
+
+/** Whether a request that may have run may be sent to another runner. */
+export function isRepeatable({
+  route,
+}: Pick<AttemptHistory, "route">): boolean {
   return route.kind === "idempotent" || route.isResumable;
 }
 
-function repeatOrFail(
-  history: AttemptHistory,
-  errorIfRun?: ErrorNumber,
-): NextStep {
-  return tryRepeat(history)
-    ? { kind: "repeat" }
-    : failOrBreakOff(history, errorIfRun);
+function repeatOrFail(history: AttemptHistory): NextStep {
+  return tryRepeat(history) ? { kind: "repeat" } : failOrBreakOff(history);
 }
 
 function tryRepeat(history: AttemptHistory): boolean {
--- a/src/direct/request-scheduler.ts
+++ b/src/direct/request-scheduler.ts
@@ -259,6 +259,15 @@
     return other !== undefined && !this.isSlow(other);
   }
 
+  /** Whether a runner that wasn't tried can take the request. */
+  hasOtherRunner(
+    { request }: AdmittedRequest,
+    tried: ReadonlySet<Runner>,
+  ): boolean {
+    const { groups } = this.serviceOf(request.pool);
+    return groups.runnerForMovedRequest(tried) !== undefined;
+  }
+
   /** A connection to the runner has fallen silent: replaces its connections. */
   onConnectionSilent({ request, runner }: AdmittedRequest): void {
     this.serviceOf(request.pool).pool.replaceConnections(runner);
--- a/src/direct/response-bounds.ts
+++ b/src/direct/response-bounds.ts
@@ -29,12 +29,14 @@
 export class EventBounds {
   private startedAtMs: number | undefined;
 
-  private constructor() {
-    // Instances are created by `create`.
-  }
+  private constructor(private readonly isTimeLimited: boolean) {}
 
-  static create(): EventBounds {
-    return new EventBounds();
+  /**
+   * `isTimeLimited`: false if nothing can replace a stream that was broken off,
+   * so that it may take until its deadline.
+   */
+  static create(isTimeLimited = true): EventBounds {
+    return new EventBounds(isTimeLimited);
   }
 
   /**
@@ -54,6 +56,6 @@
     this.startedAtMs ??= nowMs;
     if (partialBytes > MAXIMUM_EVENT_BYTES) return "event too large";
     const isOverdue = nowMs - this.startedAtMs > MAXIMUM_EVENT_MS;
-    return isOverdue ? "event takes too long" : undefined;
+    return isOverdue && this.isTimeLimited ? "event takes too long" : undefined;
   }
 }
--- a/src/direct/stall.ts
+++ b/src/direct/stall.ts
@@ -6,7 +6,8 @@
  * A group that has lost a rank stalls as a whole, and then no other runner of
  * it does better: moving all of its streams at once would only use up the retry
  * budget. A stream is therefore moved only while others of its service
- * progress.
+ * progress, and only if another runner can continue it: a runner that has
+ * preempted a stream goes on with it after some time.
  */
 
 /**
--- a/src/direct/stream-monitor.ts
+++ b/src/direct/stream-monitor.ts
@@ -4,6 +4,7 @@
 import type { CrashTracker } from "./crash-tracker.js";
 import { EventRelay } from "./event-relay.js";
 import type { ForwarderOptions } from "./forwarder-options.js";
+import { isRepeatable } from "./next-step.js";
 import type { AdmittedRequest } from "./request-scheduler.js";
 import { STALL_CHECK_INTERVAL_MS, isStalled } from "./stall.js";
 import { StreamTimeliness } from "./stream-timeliness.js";
@@ -18,6 +19,11 @@
   readonly waitedMs: () => number;
   /** Whether the stream should leave its runner for a faster one. */
   readonly shouldMove: (admitted: AdmittedRequest) => boolean;
+  /**
+   * Whether another runner can continue the stream in place of one that sends
+   * nothing; takes the retry for it.
+   */
+  readonly tryReplace: (admitted: AdmittedRequest) => boolean;
 }
 
 export class StreamMonitor {
@@ -33,6 +39,7 @@
     this.relay = EventRelay.create({
       response,
       lastEventId: call.fields.lastEventId,
+      isRepeatable: isRepeatable(call),
       onEvent: (pauseMs) => {
         this.onEvent(pauseMs);
       },
@@ -44,20 +51,19 @@
   }
 
   /**
-   * Runs the attempt and gives it up if its stream stalls or should move away
-   * from a slow runner.
+   * Runs the attempt and gives it up if its stream can be continued by another
+   * runner and stalls, or should move away from a slow runner.
    */
   async run(attempt: Attempt, admitted: AdmittedRequest): Promise<AttemptEnd> {
-    const { call, options, shouldMove } = this.input;
+    const { options, shouldMove, tryReplace } = this.input;
     this.currentAdmission = admitted;
     const startedAtMs = performance.now();
+    let hasStalled = false;
     const timer = setInterval(() => {
-      const lastEventAtMs = Math.max(this.relay.lastEventAtMs, startedAtMs);
-      const serviceLastEventAtMs = options.scheduler.lastEventAtMs(
-        call.service,
-      );
-      if (isStalled(performance.now(), lastEventAtMs, serviceLastEventAtMs)) {
-        attempt.giveUp("stalled");
+      if (this.isStalledSince(startedAtMs)) {
+        if (!hasStalled) options.scheduler.onConnectionSilent(admitted);
+        hasStalled = true;
+        if (tryReplace(admitted)) attempt.giveUp("stalled");
       } else if (shouldMove(admitted)) {
         attempt.giveUp("slow");
       }
@@ -69,6 +75,13 @@
     }
   }
 
+  private isStalledSince(startedAtMs: number): boolean {
+    const { call, options } = this.input;
+    const lastEventAtMs = Math.max(this.relay.lastEventAtMs, startedAtMs);
+    const serviceLastEventAtMs = options.scheduler.lastEventAtMs(call.service);
+    return isStalled(performance.now(), lastEventAtMs, serviceLastEventAtMs);
+  }
+
   private onEvent(pauseMs: number): void {
     const { call, crashTracker, options, waitedMs } = this.input;
     crashTracker.onStreamEvent();
--- a/tests/daemon/runner-client.test.ts
+++ b/tests/daemon/runner-client.test.ts
@@ -1,7 +1,10 @@
 import { once } from "node:events";
 import { createServer, type AddressInfo, type Socket } from "node:net";
 import * as assert from "uvu/assert";
-import { RunnerClient } from "../../src/daemon/agent/runner-client.js";
+import {
+  RunnerClient,
+  idleTimeouts,
+} from "../../src/daemon/agent/runner-client.js";
 import { toFailure, type Call } from "../../src/internal.js";
 import { describe, it } from "../support/describe.js";
 
@@ -158,3 +161,15 @@
     }
   });
 });
+
+// Guards against a run that is given up for its engine's silence long before
+// its deadline, though nothing else can finish it.
+describe("a silent backend server", () => {
+  it("is waited for until the deadline of its run", () => {
+    const hourMs = 3_600_000;
+    assert.equal(idleTimeouts(hourMs), {
+      headersTimeout: hourMs,
+      bodyTimeout: hourMs,
+    });
+  });
+});
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -160,6 +160,13 @@
           resumable: true,
           gap_slo_ms: 120,
         },
+        {
+          ...route,
+          name: "live",
+          path_prefix: "/live/",
+          route_kind: "streaming",
+          gap_slo_ms: 120,
+        },
       ],
       services: [{ name: "service", max_conns: 10 }],
       limits: {
