Keep shutting down in order after a second signal

Cause: process.once removes the handler with the first signal, so that the default action of the next one ends the process.

Change: the handlers of SIGTERM stay in place.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -24,7 +24,8 @@
   const leave = (): void => {
     leaving.resolve(undefined);
   };
-  process.once("SIGTERM", leave);
+  // Stays in place: a second signal must not end the process while it drains.
+  process.on("SIGTERM", leave);
   process.once("SIGINT", leave);
   await using daemon = await startDaemon(settings, leave);
   const { name, role } = settings;
--- /dev/null
+++ b/tests/platform/shutdown.test.ts
@@ -0,0 +1,55 @@
+import * as assert from "uvu/assert";
+import { headerNames } from "../../platform/names.js";
+import { formatEvent } from "../../standins/signing-runner.js";
+import { readMessage } from "../support/complete-message.js";
+import { describe, it } from "../support/describe.js";
+import { EntryProcess } from "../support/entry-process.js";
+import { RawConnection } from "../support/raw-connection.js";
+import { pause } from "../support/wait.js";
+import { CREDENTIAL, EntrySite } from "./entry-site.js";
+
+const GRACE_SECONDS = 8;
+const TIMEOUT_MS = 9000;
+const WORK_MS = 1500;
+const SIGNAL_INTERVAL_MS = 300;
+
+function send(caller: RawConnection, path: string): void {
+  const lines = [
+    `POST ${path} HTTP/1.1`,
+    "host: site.example",
+    `${headerNames.attemptId}: call`,
+    `${headerNames.credential}: ${CREDENTIAL}`,
+    "content-length: 0",
+  ];
+  caller.send(`${lines.join("\r\n")}\r\n\r\n`);
+}
+
+describe("an entry process that shuts down", () => {
+  // Guards against a second signal whose default action ends the process and
+  // cuts everything that it still serves.
+  for (const again of ["SIGTERM", "SIGHUP"] as const) {
+    it(`finishes its requests after a further ${again}`, async () => {
+      await using site = await EntrySite.createWithRunners(
+        async ({ response, signatureHeaders }) => {
+          response.writeHead(200, signatureHeaders);
+          response.write(formatEvent(1));
+          await pause(WORK_MS);
+          response.end(formatEvent(2));
+        },
+      );
+      const { address } = site.store;
+      await using entry = await EntryProcess.create(address, GRACE_SECONDS);
+      using caller = await RawConnection.create(entry.callers);
+      send(caller, "/live/a");
+      const hasStarted = (): boolean => caller.statuses.length > 0;
+      assert.ok(await caller.until(hasStarted, TIMEOUT_MS));
+      entry.signal("SIGTERM");
+      await pause(SIGNAL_INTERVAL_MS);
+      entry.signal(again);
+      assert.is(await entry.exited(), 0);
+      const { isComplete, body } = readMessage(caller.text);
+      assert.is(body, formatEvent(1) + formatEvent(2));
+      assert.ok(isComplete);
+    });
+  }
+});
--- /dev/null
+++ b/tests/support/entry-process.ts
@@ -0,0 +1,89 @@
+/** Starts an entry of the direct path as a process of its own. */
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer, type AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { fileURLToPath } from "node:url";
+import { paths } from "../../platform/names.js";
+import { pause } from "./wait.js";
+
+const MAIN_FILE = fileURLToPath(
+  new URL("../../platform/main.js", import.meta.url),
+);
+const HOST = "127.0.0.1";
+const POLL_INTERVAL_MS = 20;
+
+export class EntryProcess implements AsyncDisposable {
+  private constructor(
+    private readonly child: ChildProcess,
+    private readonly folder: string,
+    /** Address for callers, in the form `host:port`. */
+    readonly callers: string,
+    private readonly readiness: string,
+  ) {}
+
+  /** Resolves when the entry is ready. `store`: address of the store. */
+  static async create(
+    store: string,
+    graceSeconds: number,
+  ): Promise<EntryProcess> {
+    const callers = `${HOST}:${await freePort()}`;
+    const readiness = `${HOST}:${await freePort()}`;
+    const folder = mkdtempSync(path.join(tmpdir(), "entry-"));
+    const file = path.join(folder, "settings.jsonc");
+    const place = { role: "entry", name: "process-1", dataCentre: "here" };
+    const addresses = { callers, readiness, store: { address: store } };
+    writeFileSync(
+      file,
+      JSON.stringify({ ...place, ...addresses, graceSeconds }),
+    );
+    const child = spawn(process.execPath, [MAIN_FILE], {
+      env: { ...process.env, APRICOTDECK_BOOT: file },
+      stdio: "ignore",
+    });
+    const entry = new EntryProcess(child, folder, callers, readiness);
+    while (!(await entry.isReady())) await pause(POLL_INTERVAL_MS);
+    return entry;
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
+  /** Resolves with the exit code, or null if a signal ended the process. */
+  async exited(): Promise<number | null> {
+    const { child } = this;
+    if (child.exitCode === null && child.signalCode === null) {
+      await once(child, "exit");
+    }
+    return child.exitCode;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.signal("SIGKILL");
+    await this.exited();
+    rmSync(this.folder, { recursive: true });
+  }
+
+  private async isReady(): Promise<boolean> {
+    try {
+      const { status } = await fetch(
+        `http://${this.readiness}${paths.readiness}`,
+      );
+      return status === 200;
+    } catch {
+      return false;
+    }
+  }
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer().listen(0, HOST);
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return port;
+}
