Don't close connections on which an answer is still being sent

Cause: Node's closeIdleConnections, which Server.close() calls too, counts a connection as idle once end() was called on its response, whatever is still to be sent. On the path with sessions the process also ended without waiting for such answers.

Change: CallerConnections keeps which connections are idle and closes only these, for both listeners. An entry of the path with sessions waits for answers that are being sent, within its grace period.

--- a/src/daemon/entry/caller-connections.ts
+++ b/src/daemon/entry/caller-connections.ts
@@ -1,10 +1,11 @@
 /**
- * Connections of callers. Input that Node's HTTP parser rejects, or that takes
+ * Connections of callers. One is idle once all that was read from it has been
+ * answered and the answers have been sent. Input that Node's HTTP parser rejects, or that takes
  * too long, is refused together with its connection: the refusal says that the
  * request hasn't been run, so nothing that arrives later on that connection may
  * run.
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { unreadableAnswer, type ClientError } from "./unreadable-request.js";
 
@@ -28,7 +29,9 @@
 }
 
 export class CallerConnections {
-  private readonly openExchanges = new WeakMap<Socket, Set<CallerExchange>>();
+  private readonly openExchanges = new Map<Socket, Set<CallerExchange>>();
+  /** Bytes that had been read of each connection when it became idle. */
+  private readonly idle = new Map<Socket, number>();
   private readonly refused = new WeakSet<Socket>();
 
   private constructor() {
@@ -39,6 +42,21 @@
     return new CallerConnections();
   }
 
+  /** Whether answers are awaited or being sent. */
+  get hasOpenExchanges(): boolean {
+    return this.openExchanges.size > 0;
+  }
+
+  /**
+   * Keeps the server from closing connections on which an answer is still being
+   * sent: Node.js counts them as idle once the answer is complete.
+   */
+  protect(server: Server): void {
+    server.closeIdleConnections = () => {
+      this.closeIdle();
+    };
+  }
+
   /**
    * Returns undefined, and discards the request, if its connection was refused
    * or closes after an earlier response, so that no answer could be sent.
@@ -61,9 +79,7 @@
       isRefused: false,
       refuseLater: () => this.refused.add(socket),
     };
-    const exchanges = this.openExchanges.get(socket) ?? new Set();
-    this.openExchanges.set(socket, exchanges.add(exchange));
-    response.once("close", () => exchanges.delete(exchange));
+    this.open(exchange);
     return exchange;
   }
 
@@ -88,6 +104,39 @@
     });
   }
 
+  private open(exchange: CallerExchange): void {
+    const { request, response } = exchange;
+    const { socket } = request;
+    const exchanges = this.exchangesOf(socket);
+    exchanges.add(exchange);
+    response.once("close", () => {
+      exchanges.delete(exchange);
+      if (exchanges.size > 0 || socket.destroyed) return;
+      this.openExchanges.delete(socket);
+      this.idle.set(socket, socket.bytesRead);
+    });
+  }
+
+  private exchangesOf(socket: Socket): Set<CallerExchange> {
+    const open = this.openExchanges.get(socket);
+    if (open !== undefined) return open;
+    const exchanges = new Set<CallerExchange>();
+    this.openExchanges.set(socket, exchanges);
+    if (this.idle.delete(socket)) return exchanges;
+    socket.once("close", () => {
+      this.openExchanges.delete(socket);
+      this.idle.delete(socket);
+    });
+    return exchanges;
+  }
+
+  private closeIdle(): void {
+    for (const [socket, bytesRead] of this.idle) {
+      // Otherwise the next request has begun to arrive.
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    }
+  }
+
   private takesNoMore(socket: Socket): boolean {
     if (this.refused.has(socket) || !socket.writable) return true;
     const exchanges = [...(this.openExchanges.get(socket) ?? [])];
--- a/src/daemon/entry/caller-server.ts
+++ b/src/daemon/entry/caller-server.ts
@@ -17,9 +17,9 @@
 } from "../../internal.js";
 import { sendJson } from "../operators-server.js";
 import { createAnswerWriter, sendError } from "./answer-writer.js";
-import {
+import type {
   CallerConnections,
-  type CallerExchange,
+  CallerExchange,
 } from "./caller-connections.js";
 import {
   authenticate,
@@ -31,6 +31,7 @@
 import type { AnswerWriter, CallerRequest } from "./caller-request.js";
 
 export interface CallerServerOptions {
+  readonly connections: CallerConnections;
   readonly limits: CallerLimits;
   /** Throws 1103 before a configuration is in force. */
   readonly configuration: () => Configuration;
@@ -44,8 +45,7 @@
 const MODELS_PATH = "/v1/models";
 
 export function createCallerServer(options: CallerServerOptions): Server {
-  const { limits } = options;
-  const connections = CallerConnections.create();
+  const { connections, limits } = options;
   const server = createServer(
     {
       maxHeaderSize: limits.headBytes,
@@ -61,6 +61,7 @@
     },
   );
   server.maxConnections = limits.connections;
+  connections.protect(server);
   server.on("clientError", (error, socket: Socket) => {
     connections.refuse(error, socket);
   });
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -5,6 +5,7 @@
 import { createContext, type ProcessContext } from "../process-context.js";
 import type { EntrySettings } from "../settings.js";
 import { BackendDirectory } from "./backend-directory.js";
+import { CallerConnections } from "./caller-connections.js";
 import { createCallerServer } from "./caller-server.js";
 import { queryAttempt } from "./attempt-query.js";
 import { ClaimTasks, claimTaskList } from "./claim-tasks.js";
@@ -13,7 +14,7 @@
 import { Sessions } from "./sessions.js";
 import type { AnswerWriter, CallerRequest } from "./caller-request.js";
 
-/** Interval of drain checks, and time for the last bytes to be sent. */
+/** Interval of drain checks. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 
 export async function startEntry(
@@ -30,6 +31,7 @@
   private readonly directory: BackendDirectory;
   private readonly claims: ClaimTasks;
   private readonly dispatcher: RequestDispatcher;
+  private readonly callers = CallerConnections.create();
   private callerListener!: ListeningServer;
 
   private constructor(
@@ -101,8 +103,10 @@
       await pause(DRAIN_POLL_INTERVAL_MS, this.core.signal);
     }
     if (Date.now() < deadline) cutRequests = 0;
-    // Leaves time for the last bytes of the last answers to be sent.
-    await pause(DRAIN_POLL_INTERVAL_MS, this.core.signal);
+    // Callers may read their answers slowly.
+    while (this.callers.hasOpenExchanges && Date.now() < deadline) {
+      await pause(DRAIN_POLL_INTERVAL_MS, this.core.signal);
+    }
     this.context.emit(103, { cutRequests });
   }
 
@@ -125,6 +129,7 @@
       ...claimTaskList(this.claims),
     ]);
     const server = createCallerServer({
+      connections: this.callers,
       limits: settings.limits,
       configuration: () => core.configuration.configuration,
       isLeaving: () => core.leaving,
--- a/src/direct/caller-listener.ts
+++ b/src/direct/caller-listener.ts
@@ -81,6 +81,7 @@
       if (exchange !== undefined) void handleRequest(exchange, options);
     },
   );
+  connections.protect(server);
   server.on("clientError", (error, socket: Socket) => {
     connections.refuse(error, socket);
   });
--- a/tests/callers/test-server.ts
+++ b/tests/callers/test-server.ts
@@ -8,6 +8,7 @@
   AnswerWriter,
   CallerRequest,
 } from "../../src/daemon/entry/caller-request.js";
+import { CallerConnections } from "../../src/daemon/entry/caller-connections.js";
 import { createCallerServer } from "../../src/daemon/entry/caller-server.js";
 import { listen, type ListeningServer } from "../../src/daemon/listening.js";
 import {
@@ -63,6 +64,7 @@
     profiles: [...baseConfiguration.profiles, welshProfile],
   };
   const server = createCallerServer({
+    connections: CallerConnections.create(),
     limits: createLimits(changes),
     configuration: () => configuration,
     isLeaving: () => isLeaving,
--- a/tests/path/early-ends.test.ts
+++ b/tests/path/early-ends.test.ts
@@ -8,14 +8,20 @@
 } from "../../demo/configurations.js";
 import { startSite, type Site } from "../../demo/site.js";
 import { createDeferred } from "../../src/internal.js";
+import { readMessage } from "../support/complete-message.js";
 import { describe, it } from "../support/describe.js";
 import { callHttp, type ObservedResponse } from "../support/http-call.js";
+import { RawConnection } from "../support/raw-connection.js";
+import { pause } from "../support/wait.js";
 
 /** Long enough for the head and first bytes to be received before a reset. */
 const RESET_DELAY_MS = 100;
 
 /** More than an entry buffers by default. */
 const LARGE_BYTES = 24 * 1024 * 1024;
+/** More than the socket buffers hold, within the buffer of an entry. */
+const SLOWLY_READ_BYTES = 12 * 1024 * 1024;
+const SLOW_READ_MS = 1500;
 
 const UNMARKED_ANSWER =
   "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nhalf of";
@@ -166,3 +172,36 @@
     }
   });
 });
+
+// Guards against an entry that shuts down once all requests have ended, while
+// callers that read slowly are still being sent their answers.
+describe("an answer to a slow caller of an entry that shuts down", () => {
+  it("is sent to its end", async () => {
+    await using site = await startServiceSite();
+    const [{ service }] = site.services;
+    const [{ daemon }] = site.entries;
+    service.faults.answerRaw = answerWith(
+      UNMARKED_ANSWER + "a".repeat(SLOWLY_READ_BYTES),
+      closeNormally,
+    );
+    using caller = await RawConnection.create(daemon.process.callers);
+    caller.pause();
+    const lines = [
+      "GET /services/records/valves/7 HTTP/1.1",
+      "host: entry",
+      `authorization: Bearer ${credentialOf("dyfrwr", 1)}`,
+      "apricotdeck-profile: orders",
+    ];
+    caller.send(`${lines.join("\r\n")}\r\n\r\n`);
+    await pause(SLOW_READ_MS);
+    daemon.process.kill("SIGTERM");
+    await pause(SLOW_READ_MS);
+    daemon.process.kill("SIGTERM");
+    caller.resume();
+    assert.is(await daemon.process.exited, 0);
+    await caller.until(() => caller.isEnded || caller.isClosed, SLOW_READ_MS);
+    const { isComplete, body } = readMessage(caller.text);
+    assert.is(body.length, "half of".length + SLOWLY_READ_BYTES);
+    assert.ok(isComplete);
+  });
+});
--- a/tests/platform/shutdown.test.ts
+++ b/tests/platform/shutdown.test.ts
@@ -1,6 +1,6 @@
 import * as assert from "uvu/assert";
 import { headerNames } from "../../platform/names.js";
-import { formatEvent } from "../../standins/signing-runner.js";
+import { answerRaw, formatEvent } from "../../standins/signing-runner.js";
 import { readMessage } from "../support/complete-message.js";
 import { describe, it } from "../support/describe.js";
 import { EntryProcess } from "../support/entry-process.js";
@@ -12,6 +12,10 @@
 const TIMEOUT_MS = 9000;
 const WORK_MS = 1500;
 const SIGNAL_INTERVAL_MS = 300;
+/** More than the socket buffers hold when the caller doesn't read. */
+const LARGE_BYTES = 12_000_000;
+/** Longer than an entry that shuts down takes new connections, ms. */
+const SLOW_READ_MS = 4000;
 
 function send(caller: RawConnection, path: string): void {
   const lines = [
@@ -52,4 +56,30 @@
       assert.ok(isComplete);
     });
   }
+
+  // Guards against a connection that is closed as idle while its answer is
+  // still being sent.
+  for (const head of ["", `content-length: ${LARGE_BYTES}\r\n`]) {
+    const framing = head === "" ? "without" : "with";
+    it(`sends an answer ${framing} a length to a slow caller`, async () => {
+      const body = "a".repeat(LARGE_BYTES);
+      await using site = await EntrySite.createWithRunners(
+        answerRaw(head, body, "end"),
+      );
+      const { address } = site.store;
+      await using entry = await EntryProcess.create(address, GRACE_SECONDS);
+      using caller = await RawConnection.create(entry.callers);
+      caller.pause();
+      send(caller, "/once/a");
+      await pause(SIGNAL_INTERVAL_MS);
+      entry.signal("SIGTERM");
+      await pause(SLOW_READ_MS);
+      caller.resume();
+      assert.is(await entry.exited(), 0);
+      await caller.until(() => caller.isEnded || caller.isClosed, TIMEOUT_MS);
+      const { isComplete, body: received } = readMessage(caller.text);
+      assert.is(received.length, LARGE_BYTES);
+      assert.ok(isComplete);
+    });
+  }
 });
--- a/tests/support/raw-connection.ts
+++ b/tests/support/raw-connection.ts
@@ -51,8 +51,13 @@
     if (!this.socket.destroyed) this.socket.write(text, () => undefined);
   }
 
-  end(): void {
-    this.socket.end();
+  /** Reads nothing until `resume`. */
+  pause(): void {
+    this.socket.pause();
+  }
+
+  resume(): void {
+    this.socket.resume();
   }
 
   /** Resolves with false if the condition isn't met within the time. */
