Follow the store within three seconds of its return

Callers could use a key that had been taken away, later than the bounds allow, after the store had given no response for some seconds.

Cause: a long poll of 2 s that began just before the store's return and got no response was given up 1.2 s later than that, and up to 0.5 s passed before the next one.

Change: during an outage reads don't wait for a record. The long poll of the configuration takes 1.5 s, so that an outage too short for a call to fail is also noticed in time.

tests/platform/topic-follower: "follows a store that was silent within the timeout of a call" failed before and passes now.

--- a/src/direct/entry-topics.ts
+++ b/src/direct/entry-topics.ts
@@ -40,9 +40,11 @@
 
 /**
  * Long-poll timeout of the configuration topic, ms. The store answers as soon
- * as there is a change; a silent connection is detected after this time.
+ * as there is a change. A silent connection is detected after this time and the
+ * timeout of a call, which together stay under the three seconds within which
+ * entries must follow the store again.
  */
-const CONFIGURATION_LONG_POLL_TIMEOUT_MS = 2000;
+const CONFIGURATION_LONG_POLL_TIMEOUT_MS = 1500;
 /**
  * Long-poll timeout of notes of planners and other entries, ms. Notes are rare,
  * and an undetected silent connection only delays them.
--- a/src/platform/topic-follower.ts
+++ b/src/platform/topic-follower.ts
@@ -27,7 +27,10 @@
 export interface TopicFollowerOptions {
   readonly name: string;
   readonly topic: KeyedTopic;
-  /** How long the store holds a read open if there is no record, ms. */
+  /**
+   * How long the store holds a read open if there is no record, ms. During an
+   * outage it holds none open.
+   */
   readonly waitMs: number;
   /** Pause after each successful read, ms. */
   readonly intervalMs: () => number;
@@ -118,7 +121,7 @@
   }
 
   private async read(calledAtMs: number): Promise<void> {
-    const { topic, waitMs, onSnapshot, onChanges } = this.options;
+    const { topic, onSnapshot, onChanges } = this.options;
     if (this.offset === undefined) {
       const page = await topic.newest(this.signal);
       this.updateEra(page.era);
@@ -127,7 +130,7 @@
       this.applyPage(page, onSnapshot);
       return;
     }
-    const page = await topic.changes(this.offset, waitMs, this.signal);
+    const page = await topic.changes(this.offset, this.waitMs, this.signal);
     // In a new era offsets are reused, so records before this one may be
     // unread.
     if (page.era !== this.era) {
@@ -138,6 +141,15 @@
     this.applyPage(page, onChanges);
   }
 
+  /**
+   * During an outage reads don't wait for a record: one that begins before the
+   * store is back and gets no response would only be given up after the waiting
+   * time.
+   */
+  private get waitMs(): number {
+    return this.failures === 0 ? this.options.waitMs : 0;
+  }
+
   private scheduleFullRead(cause: FullReadCause): void {
     this.offset = undefined;
     this.cause = cause;
--- a/tests/platform/topic-follower.test.ts
+++ b/tests/platform/topic-follower.test.ts
@@ -7,11 +7,17 @@
 import { followTopic } from "../../src/platform/topic-follower.js";
 import { KeyedStore } from "../../standins/keyed-store.js";
 import { describe, it } from "../support/describe.js";
+import { pause } from "../support/wait.js";
 
 const TOPIC = "keyed.things";
 /** Many times as long as any step takes, ms. */
 const MAXIMUM_WAIT_MS = 10_000;
 
+/** By this time after a failed call the next one has begun, ms. */
+const NEXT_CALL_MS = 600;
+/** Timeout of a call, the longest pause before the next one, and slack, ms. */
+const MAXIMUM_RETURN_MS = 2200;
+
 class TopicObserver implements AsyncDisposable {
   readonly received = new Map<string, string | undefined>();
   /**
@@ -36,6 +42,7 @@
   static async create(
     prepareStore: (store: KeyedStore) => void = () => undefined,
     failingKey?: string,
+    waitMs = 300,
   ): Promise<TopicObserver> {
     const store = await KeyedStore.create();
     prepareStore(store);
@@ -44,7 +51,7 @@
       StoreClient.create(store.address),
     );
     observer.failingKey = failingKey;
-    observer.start();
+    observer.start(waitMs);
     return observer;
   }
 
@@ -64,7 +71,7 @@
     await this.store[Symbol.asyncDispose]();
   }
 
-  private start(): void {
+  private start(waitMs: number): void {
     const applyRecords = (records: readonly KeyedRecord[]): void => {
       for (const { key, value } of records) {
         if (key === this.failingKey)
@@ -78,7 +85,7 @@
       {
         name: TOPIC,
         topic: this.client.keyedTopic(TOPIC),
-        waitMs: 300,
+        waitMs,
         intervalMs: () => 5,
         random: () => 0.5,
         emit: ignoreEvents,
@@ -109,6 +116,24 @@
 }
 
 describe("follower of a keyed topic", () => {
+  // Guards against a removed record that stays in use after an outage: a long
+  // poll that begins before the store is back gets no response, and is given up
+  // only after its waiting time.
+  it("follows a store that was silent within the timeout of a call", async () => {
+    const noFault = undefined;
+    await using observer = await TopicObserver.create(noFault, noFault, 3000);
+    const { store } = observer;
+    await observer.waitUntil(() => observer.snapshotCount === 1);
+    store.availability = "silent";
+    await observer.waitUntil(() => observer.outageCount === 1);
+    await pause(NEXT_CALL_MS);
+    store.availability = "well";
+    store.put(TOPIC, "a", 1);
+    const returnedAtMs = performance.now();
+    await observer.waitUntil(() => observer.received.get("a") === "1");
+    assert.ok(performance.now() - returnedAtMs < MAXIMUM_RETURN_MS);
+  });
+
   it("receives writes and removals", async () => {
     await using observer = await TopicObserver.create();
     observer.store.put(TOPIC, "a", 1);
