--- a/src/daemon/entry/caller-connections.ts
+++ b/src/daemon/entry/caller-connections.ts
@@ -1,9 +1,12 @@
 /**
- * Connections of callers. One is idle once all that was read from it has been
- * answered and the answers have been sent. Input that Node's HTTP parser rejects, or that takes
- * too long, is refused together with its connection: the refusal says that the
- * request hasn't been run, so nothing that arrives later on that connection may
- * run.
+ * Connections of callers, for the listeners of both paths.
+ *
+ * Input that Node's HTTP parser rejects, or that takes too long, is refused
+ * together with its connection: the refusal says that the request hasn't been
+ * run, so nothing that arrives later on that connection may run.
+ *
+ * A connection is idle once everything that was read from it has been answered
+ * and the answers have been sent. Only idle ones are closed during a shutdown.
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -84,8 +87,9 @@
   }
 
   /**
-   * Handles `clientError`. Answers to requests that were read before are sent
-   * first.
+   * Handles `clientError`: sends the refusal and ends the connection. Answers to
+   * requests that were read before are sent first; a request whose body was
+   * being read is dropped.
    */
   refuse(error: ClientError, socket: Socket): void {
     if (error.code === "ECONNRESET") socket.destroy();
