Share calls, raw requests and limits between tests

Tests wrote the same call of a session, the same POST as raw text, the same limits of a caller server and the same raw head of an answer again. They use createCall, rawRequest, createLimits and answerRaw now. RawConnection.errorCode was never read. No assertion changed.

--- a/tests/callers/answer-ends.test.ts
+++ b/tests/callers/answer-ends.test.ts
@@ -1,12 +1,15 @@
 import { createServer } from "node:http";
 import * as assert from "uvu/assert";
-import { headerNames } from "../../platform/names.js";
 import { createAnswerWriter } from "../../src/daemon/entry/answer-writer.js";
 import type { AnswerWriter } from "../../src/daemon/entry/caller-request.js";
 import { listen } from "../../src/daemon/listening.js";
 import { createDeferred } from "../../src/internal.js";
-import { formatEvent, type Behaviour } from "../../standins/signing-runner.js";
-import { CREDENTIAL, EntrySite } from "../platform/entry-site.js";
+import {
+  answerRaw,
+  formatEvent,
+  type Behaviour,
+} from "../../standins/signing-runner.js";
+import { EntrySite, rawRequest } from "../platform/entry-site.js";
 import { readMessage } from "../support/complete-message.js";
 import { describe, it } from "../support/describe.js";
 import { RawConnection } from "../support/raw-connection.js";
@@ -96,11 +99,9 @@
   { head, parts, closes }: RunnerAnswer,
   isContinued: Promise<unknown>,
 ): Behaviour {
-  return async ({ request: { socket }, signatureHeaders }) => {
-    const lines = Object.entries(signatureHeaders).map(
-      ([name, value]) => `${name}: ${value}\r\n`,
-    );
-    socket.write(`HTTP/1.1 200 OK\r\n${lines.join("")}${head}\r\n${parts[0]}`);
+  return async (exchange) => {
+    const { socket } = exchange.request;
+    answerRaw(head, parts[0])(exchange);
     await isContinued;
     socket.write(parts[1]);
     if (closes) socket.end();
@@ -116,14 +117,7 @@
     answerInHalves(answer, promise),
   );
   const caller = await RawConnection.create(site.entry.addresses.callers);
-  const lines = [
-    `POST ${answer.path} HTTP/${version}`,
-    "host: site.example",
-    `${headerNames.attemptId}: call`,
-    `${headerNames.credential}: ${CREDENTIAL}`,
-    "content-length: 0",
-  ];
-  caller.send(`${lines.join("\r\n")}\r\n\r\n`);
+  caller.send(rawRequest(answer.path, { version }));
   return {
     caller,
     continue: () => {
--- a/tests/callers/refused-connections.test.ts
+++ b/tests/callers/refused-connections.test.ts
@@ -2,7 +2,7 @@
 import { headerNames } from "../../platform/names.js";
 import { REFUSED_LINGER_MS } from "../../src/daemon/entry/caller-connections.js";
 import { answerWith, type Behaviour } from "../../standins/signing-runner.js";
-import { CREDENTIAL, EntrySite } from "../platform/entry-site.js";
+import { EntrySite, rawRequest } from "../platform/entry-site.js";
 import { describe, it } from "../support/describe.js";
 import { RawConnection } from "../support/raw-connection.js";
 import { pause } from "../support/wait.js";
@@ -38,17 +38,10 @@
   });
   // The entry applies a new configuration within its polling interval.
   await pause(PASS_ON_MS);
-  const lines = [
-    "POST /once/order HTTP/1.1",
-    "host: site.example",
-    `${headerNames.attemptId}: order`,
-    `${headerNames.credential}: ${CREDENTIAL}`,
-    `${headerNames.deadlineMs}: 6000`,
-    "content-length: 5",
-  ];
+  const headers = [`${headerNames.deadlineMs}: 6000`];
   return {
     address: site.entry.addresses.callers,
-    request: `${lines.join("\r\n")}\r\n\r\norder`,
+    request: rawRequest("/once/order", { headers, body: "order" }),
     served: () => site.runners[0].receivedRequests.length,
     leave: () => void site.entry.leave(),
     [Symbol.asyncDispose]: () => site[Symbol.asyncDispose](),
--- a/tests/callers/unmarked-answers.test.ts
+++ b/tests/callers/unmarked-answers.test.ts
@@ -3,14 +3,11 @@
 import { createAnswerWriter } from "../../src/daemon/entry/answer-writer.js";
 import type { AnswerWriter } from "../../src/daemon/entry/caller-request.js";
 import { listen } from "../../src/daemon/listening.js";
-import {
-  parseSettings,
-  type EntrySettings,
-} from "../../src/daemon/settings.js";
 import { failure } from "../../src/internal.js";
 import { describe, it } from "../support/describe.js";
 import { callHttp, type ObservedResponse } from "../support/http-call.js";
 import { sendRaw } from "../support/raw-call.js";
+import { createLimits } from "./test-server.js";
 
 const BUFFER_LIMIT_BYTES = 1024;
 const LARGE_PIECE = Buffer.alloc(2 * BUFFER_LIMIT_BYTES, "a");
@@ -18,21 +15,11 @@
 /** Long enough for the caller to receive the first bytes. */
 const FIRST_BYTES_DELAY_MS = 100;
 
-const settings = parseSettings(
-  JSON.stringify({
-    role: "entry",
-    name: "entry",
-    dataCentre: "lac",
-    platform: { log: "http://127.0.0.1:1", vmList: "http://127.0.0.1:1" },
-    limits: { answerBytes: BUFFER_LIMIT_BYTES },
-  }),
-  "test",
-) as EntrySettings;
+const limits = createLimits({ answerBytes: BUFFER_LIMIT_BYTES });
 
 type WriteAnswer = (writer: AnswerWriter) => void;
 
 async function startServer(writeAnswer: WriteAnswer, streamed: boolean) {
-  const { limits } = settings;
   const server = createServer((_request, response) => {
     writeAnswer(
       createAnswerWriter(response, { request: "r", streamed, limits }),
--- a/tests/daemon/runner-client.test.ts
+++ b/tests/daemon/runner-client.test.ts
@@ -5,7 +5,8 @@
   RunnerClient,
   idleTimeouts,
 } from "../../src/daemon/agent/runner-client.js";
-import { toFailure, type Call } from "../../src/internal.js";
+import { toFailure } from "../../src/internal.js";
+import { createCall } from "../support/call.js";
 import { describe, it } from "../support/describe.js";
 
 const DEADLINE_MS = 2000;
@@ -23,23 +24,6 @@
   }, RESET_AFTER_MS);
 };
 
-function callOf(method: string): Call {
-  return {
-    request: "request-1",
-    account: "account-1",
-    method,
-    path: "/",
-    headers: [],
-    body: new Uint8Array(0),
-    streamed: false,
-    repeatable: false,
-    priority: 0,
-    costTokens: 1,
-    idempotencyKey: "",
-    model: "",
-  };
-}
-
 interface ObservedAnswer {
   readonly isEndMarked: boolean | undefined;
   readonly text: string;
@@ -78,7 +62,11 @@
       text += data.toString();
     },
   };
-  const work = { run: "run", call: callOf(method), deadlineMs: DEADLINE_MS };
+  const work = {
+    run: "run",
+    call: createCall({ method }),
+    deadlineMs: DEADLINE_MS,
+  };
   const signal = AbortSignal.timeout(DEADLINE_MS);
   let error = 0;
   try {
--- a/tests/daemon/runner-rest.test.ts
+++ b/tests/daemon/runner-rest.test.ts
@@ -1,24 +1,16 @@
 import * as assert from "uvu/assert";
 import { RunnerRest } from "../../src/daemon/agent/runner-rest.js";
 import { RunnerClient } from "../../src/daemon/agent/runner-client.js";
-import type { Call, EventNumber } from "../../src/internal.js";
+import type { EventNumber } from "../../src/internal.js";
 import { startEngine } from "../../standins/engine.js";
+import { createCall } from "../support/call.js";
 import { describe, it } from "../support/describe.js";
 
-const CALL: Call = {
-  request: "request-1",
-  account: "account-1",
+const CALL = createCall({
   method: "POST",
   path: "/v1/completions",
-  headers: [],
   body: Buffer.from("{}"),
-  streamed: false,
-  repeatable: false,
-  priority: 0,
-  costTokens: 1,
-  idempotencyKey: "",
-  model: "",
-};
+});
 
 class Fixture {
   nowMs = 0;
--- a/tests/path/cut-heads.test.ts
+++ b/tests/path/cut-heads.test.ts
@@ -9,6 +9,7 @@
 import type { AttemptEnd } from "../../src/direct/types.js";
 import { toFailure } from "../../src/internal.js";
 import { EntrySite } from "../platform/entry-site.js";
+import { createCall } from "../support/call.js";
 import {
   ATTEMPT_ID,
   CUT_PATH,
@@ -155,20 +156,7 @@
   client: RunnerClient,
   path: string,
 ): Promise<number> {
-  const call = {
-    request: "request-1",
-    account: "account-1",
-    method: "GET",
-    path,
-    headers: [],
-    body: new Uint8Array(0),
-    streamed: false,
-    repeatable: false,
-    priority: 0,
-    costTokens: 1,
-    idempotencyKey: "",
-    model: "",
-  };
+  const call = createCall({ path });
   const sink = { head: () => undefined, piece: () => undefined };
   const request = { run: "run", call, deadlineMs: DEADLINE_MS };
   try {
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -40,6 +40,22 @@
   readonly signal?: AbortSignal;
 }
 
+/** A POST as raw text, for callers that read and write bytes. */
+export function rawRequest(
+  path: string,
+  { version = "1.1", body = "", headers = [] as readonly string[] } = {},
+): string {
+  const lines = [
+    `POST ${path} HTTP/${version}`,
+    `host: ${HOST}`,
+    `${headerNames.attemptId}: call`,
+    `${headerNames.credential}: ${CREDENTIAL}`,
+    ...headers,
+    `content-length: ${Buffer.byteLength(body)}`,
+  ];
+  return `${lines.join("\r\n")}\r\n\r\n${body}`;
+}
+
 let attemptCount = 0;
 
 export class EntrySite implements AsyncDisposable {
--- a/tests/platform/shutdown.test.ts
+++ b/tests/platform/shutdown.test.ts
@@ -1,12 +1,11 @@
 import * as assert from "uvu/assert";
-import { headerNames } from "../../platform/names.js";
 import { answerRaw, formatEvent } from "../../standins/signing-runner.js";
 import { readMessage } from "../support/complete-message.js";
 import { describe, it } from "../support/describe.js";
 import { EntryProcess } from "../support/entry-process.js";
 import { RawConnection } from "../support/raw-connection.js";
 import { pause } from "../support/wait.js";
-import { CREDENTIAL, EntrySite } from "./entry-site.js";
+import { EntrySite, rawRequest } from "./entry-site.js";
 
 const GRACE_SECONDS = 8;
 const TIMEOUT_MS = 9000;
@@ -17,17 +16,6 @@
 /** Longer than an entry that shuts down takes new connections, ms. */
 const SLOW_READ_MS = 4000;
 
-function send(caller: RawConnection, path: string): void {
-  const lines = [
-    `POST ${path} HTTP/1.1`,
-    "host: site.example",
-    `${headerNames.attemptId}: call`,
-    `${headerNames.credential}: ${CREDENTIAL}`,
-    "content-length: 0",
-  ];
-  caller.send(`${lines.join("\r\n")}\r\n\r\n`);
-}
-
 describe("an entry process that shuts down", () => {
   // Guards against a second signal whose default action ends the process and
   // cuts everything that it still serves.
@@ -44,7 +32,7 @@
       const { address } = site.store;
       await using entry = await EntryProcess.create(address, GRACE_SECONDS);
       using caller = await RawConnection.create(entry.callers);
-      send(caller, "/live/a");
+      caller.send(rawRequest("/live/a"));
       const hasStarted = (): boolean => caller.statuses.length > 0;
       assert.ok(await caller.until(hasStarted, TIMEOUT_MS));
       entry.signal("SIGTERM");
@@ -70,7 +58,7 @@
       await using entry = await EntryProcess.create(address, GRACE_SECONDS);
       using caller = await RawConnection.create(entry.callers);
       caller.pause();
-      send(caller, "/once/a");
+      caller.send(rawRequest("/once/a"));
       await pause(SIGNAL_INTERVAL_MS);
       entry.signal("SIGTERM");
       await pause(SLOW_READ_MS);
--- a/tests/session/end-marks.test.ts
+++ b/tests/session/end-marks.test.ts
@@ -4,12 +4,12 @@
 import { readAgentFrame } from "../../src/daemon/session-frames.js";
 import {
   EntrySessions,
-  type Call,
   type EntryEffect,
   type FinalOutcome,
 } from "../../src/internal.js";
 import { ConservationLedger, isConserved } from "../../src/session/ledger.js";
 import { AgentFrame } from "../../src/wire/generated/session.js";
+import { createCall } from "../support/call.js";
 import { describe, it } from "../support/describe.js";
 
 const RUNNER = "runner-1";
@@ -17,20 +17,7 @@
 const SILENT_HEARTBEATS = 6;
 const EMPTY_CHECKSUM = 0;
 
-const CALL: Call = {
-  request: "request-1",
-  account: "account-1",
-  method: "GET",
-  path: "/",
-  headers: [],
-  body: new Uint8Array(0),
-  streamed: true,
-  repeatable: false,
-  priority: 0,
-  costTokens: 1,
-  idempotencyKey: "",
-  model: "",
-};
+const CALL = createCall({ streamed: true });
 
 type Body = NonNullable<AgentFrame["body"]>;
 type HeadEffect = Extract<EntryEffect, { kind: "head" }>;
--- a/tests/support/raw-connection.ts
+++ b/tests/support/raw-connection.ts
@@ -12,16 +12,12 @@
   isEnded = false;
   /** Whether the connection has been closed by either side. */
   isClosed = false;
-  /** Code of the error that ended the connection. */
-  errorCode: string | undefined;
 
   private constructor(private readonly socket: Socket) {
     socket.on("data", (data: Buffer) => {
       this.text += data.toString("latin1");
     });
-    socket.on("error", ({ code }: NodeJS.ErrnoException) => {
-      this.errorCode = code;
-    });
+    socket.on("error", () => undefined);
     socket.once("end", () => {
       this.isEnded = true;
     });
