--- a/demo/site.ts
+++ b/demo/site.ts
@@ -140,7 +140,10 @@
   };
 }
 
-async function publish(address: string, configuration: unknown): Promise<void> {
+export async function publish(
+  address: string,
+  configuration: unknown,
+): Promise<void> {
   const client = LogClient.create(address);
   const { nextOffset } = await client.read("configuration", { from: 0 });
   const record = encodeEnvelope({
--- a/standins/signing-runner.ts
+++ b/standins/signing-runner.ts
@@ -101,6 +101,7 @@
       return;
     }
     const received = await readRequest(request);
+    if (received === undefined) return;
     response.once("close", () => {
       received.isAborted = !response.writableFinished;
     });
@@ -237,9 +238,16 @@
   return `id: ${id}\ndata: piece ${id}\n\n`;
 }
 
-async function readRequest(request: IncomingMessage): Promise<ReceivedRequest> {
+/** Undefined if the connection closes before the end of the body. */
+async function readRequest(
+  request: IncomingMessage,
+): Promise<ReceivedRequest | undefined> {
   const parts: Buffer[] = [];
-  for await (const part of request) parts.push(part as Buffer);
+  try {
+    for await (const part of request) parts.push(part as Buffer);
+  } catch {
+    return undefined;
+  }
   return {
     method: request.method ?? "",
     target: request.url ?? "",
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -20,7 +20,7 @@
 } from "../../standins/signing-runner.js";
 
 export const CREDENTIAL = "key-one";
-const HOST = "site.example";
+export const HOST = "site.example";
 /** Several times the interval at which an entry reads the register, ms. */
 const EVENTUAL_TIMEOUT_MS = 4000;
 
@@ -56,6 +56,60 @@
   return `${lines.join("\r\n")}\r\n\r\n${body}`;
 }
 
+/** A configuration of one service; `fields` override the default ones. */
+export function createConfiguration(
+  fields: Readonly<Record<string, unknown>>,
+): Readonly<Record<string, unknown>> {
+  const route = {
+    hostname: HOST,
+    timeout_ms: 6000,
+    slo_ms: 400,
+    backend: "service",
+    max_attempts: 2,
+  };
+  return {
+    version: 1,
+    routes: [
+      {
+        ...route,
+        name: "often",
+        path_prefix: "/often/",
+        route_kind: "idempotent",
+      },
+      {
+        ...route,
+        name: "once",
+        path_prefix: "/once/",
+        route_kind: "non_idempotent",
+      },
+      {
+        ...route,
+        name: "stream",
+        path_prefix: "/stream/",
+        route_kind: "streaming",
+        resumable: true,
+        gap_slo_ms: 120,
+      },
+      {
+        ...route,
+        name: "live",
+        path_prefix: "/live/",
+        route_kind: "streaming",
+        gap_slo_ms: 120,
+      },
+    ],
+    services: [{ name: "service", max_conns: 10 }],
+    limits: {
+      max_header_bytes: 4096,
+      max_body_bytes: 1000,
+      header_timeout_ms: 3000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: [{ name: "account-1", api_keys: [CREDENTIAL] }],
+    ...fields,
+  };
+}
+
 let attemptCount = 0;
 
 export class EntrySite implements AsyncDisposable {
@@ -146,54 +200,11 @@
   }
 
   configure(fields: Readonly<Record<string, unknown>>): void {
-    const route = {
-      hostname: HOST,
-      timeout_ms: 6000,
-      slo_ms: 400,
-      backend: "service",
-      max_attempts: 2,
-    };
-    this.store.put(topics.operator, topics.configurationKey, {
-      version: 1,
-      routes: [
-        {
-          ...route,
-          name: "often",
-          path_prefix: "/often/",
-          route_kind: "idempotent",
-        },
-        {
-          ...route,
-          name: "once",
-          path_prefix: "/once/",
-          route_kind: "non_idempotent",
-        },
-        {
-          ...route,
-          name: "stream",
-          path_prefix: "/stream/",
-          route_kind: "streaming",
-          resumable: true,
-          gap_slo_ms: 120,
-        },
-        {
-          ...route,
-          name: "live",
-          path_prefix: "/live/",
-          route_kind: "streaming",
-          gap_slo_ms: 120,
-        },
-      ],
-      services: [{ name: "service", max_conns: 10 }],
-      limits: {
-        max_header_bytes: 4096,
-        max_body_bytes: 1000,
-        header_timeout_ms: 3000,
-        idle_timeout_ms: 15_000,
-      },
-      tenants: [{ name: "account-1", api_keys: [CREDENTIAL] }],
-      ...fields,
-    });
+    this.store.put(
+      topics.operator,
+      topics.configurationKey,
+      createConfiguration(fields),
+    );
   }
 
   async addRunner(
