Bound the memory of all callers' requests together

Callers saw: an entry that ran out of memory, and with it all its requests, while 60 clients sent bodies, each within the limit of 4 MiB, or beyond it without announcing a length.

Cause: each body had a limit, their sum had none, on either path. A request that was given up while it waited in the connection pool kept its body there, uncounted. On the path with sessions a body is held up to three times, as it was read, as the prompt's text and as the message to the agent.

Why it works: a request is counted from its head until it is concluded and the pool has let go of its body, by what the process holds: its objects, the capacity of its buffer, and the copies. Together requests take requestMemoryShare of the memory, 0.15 by default; beyond it only requests that hold less than an even part grow, up to twice the share, so small requests are still served among large ones. The others are refused with 1224, a 503 that says that they haven't run: their bodies weren't complete. A single body of the allowed size is always taken, also with a small share. Event 268, apricotdeck_held_request_bytes, apricotdeck_requests_limited_total.

--- a/src/daemon/entry/caller-server.ts
+++ b/src/daemon/entry/caller-server.ts
@@ -15,6 +15,7 @@
   type ApricotdeckError,
   type Configuration,
 } from "../../internal.js";
+import type { RequestMemory } from "../../intake/request-memory.js";
 import { sendJson } from "../operators-server.js";
 import { createAnswerWriter, sendError } from "./answer-writer.js";
 import type {
@@ -33,6 +34,7 @@
 export interface CallerServerOptions {
   readonly connections: CallerConnections;
   readonly limits: CallerLimits;
+  readonly memory: RequestMemory;
   /** Throws 1103 before a configuration is in force. */
   readonly configuration: () => Configuration;
   readonly isLeaving: () => boolean;
@@ -73,6 +75,7 @@
   options: CallerServerOptions,
 ): Promise<void> {
   const { request, response } = exchange;
+  using held = options.memory.open();
   try {
     if (options.isLeaving()) {
       response.setHeader("connection", "close");
@@ -87,6 +90,7 @@
       request,
       configuration,
       options.limits,
+      held,
     );
     if (exchange.isRefused) return;
     const { id, streamed } = callerRequest;
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -3,6 +3,8 @@
 import { DaemonCore, type Daemon, type DaemonAddresses } from "../daemon.js";
 import { listen, type ListeningServer } from "../listening.js";
 import { createContext, type ProcessContext } from "../process-context.js";
+import { memoryBytesOf } from "../../intake/process-memory.js";
+import { RequestMemory } from "../../intake/request-memory.js";
 import type { EntrySettings } from "../settings.js";
 import { BackendDirectory } from "./backend-directory.js";
 import { CallerConnections } from "./caller-connections.js";
@@ -14,6 +16,8 @@
 import { Sessions } from "./sessions.js";
 import type { AnswerWriter, CallerRequest } from "./caller-request.js";
 
+/** A body as it was read, its prompt, and the message to the agent. */
+const COPIES_OF_BODY = 3;
 /** Interval of drain checks. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 
@@ -131,6 +135,7 @@
     const server = createCallerServer({
       connections: this.callers,
       limits: settings.limits,
+      memory: this.createRequestMemory(),
       configuration: () => core.configuration.configuration,
       isLeaving: () => core.leaving,
       serve: (callerRequest, writer) => this.serve(callerRequest, writer),
@@ -139,6 +144,19 @@
     core.announce();
   }
 
+  private createRequestMemory(): RequestMemory {
+    const { settings, context } = this;
+    const memory = RequestMemory.create({
+      memoryBytes: memoryBytesOf(settings),
+      share: settings.limits.requestMemoryShare,
+      copies: COPIES_OF_BODY,
+      emit: context.emit,
+      measurements: context.measurements,
+    });
+    memory.setLargestBody(settings.limits.bodyBytes);
+    return memory;
+  }
+
   private async serve(
     callerRequest: CallerRequest,
     writer: AnswerWriter,
--- a/src/daemon/entry/request-reader.ts
+++ b/src/daemon/entry/request-reader.ts
@@ -9,6 +9,7 @@
   type Configuration,
   type Profile,
 } from "../../internal.js";
+import type { HeldRequest } from "../../intake/request-memory.js";
 import type { Header } from "../../wire/generated/session.js";
 import type { EntrySettings } from "../settings.js";
 import { readBody } from "./request-body.js";
@@ -46,11 +47,12 @@
 
 type Completion = z.infer<typeof completionSchema>;
 
-/** Throws 1201 to 1208 for a request that can't be served. */
+/** Throws 1201 to 1208, 1218 or 1224 for a request that can't be served. */
 export async function readCallerRequest(
   request: IncomingMessage,
   configuration: Configuration,
   limits: CallerLimits,
+  held: HeldRequest,
 ): Promise<CallerRequest> {
   const account = authenticate(request, configuration);
   const path = pathOf(request);
@@ -60,7 +62,7 @@
   }
   if (isCompletion && request.method !== "POST") raise(1208);
   const profile = resolveProfile(request, configuration, account);
-  const body = await readBody(request, limits.bodyBytes);
+  const body = await readBody(request, limits.bodyBytes, held);
   const common = readCommonFields(request, account, profile, body);
   return isCompletion
     ? createCompletionRequest(common, path)
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -6,6 +6,7 @@
  */
 import * as z from "zod";
 import { DEFAULT_WINDOW_SETTINGS } from "../internal.js";
+import { requestMemoryShare } from "../intake/settings.js";
 import { parseSettingsText, readSettingsText } from "./settings-file.js";
 
 const MIB = 1024 * 1024;
@@ -62,6 +63,12 @@
     ),
 };
 
+const memoryMb = z
+  .number()
+  .min(32)
+  .optional()
+  .describe("Memory of the process, MB; without it, the heap limit counts.");
+
 const callerLimits = z
   .strictObject({
     headBytes: z.int().min(1024).default(16_384),
@@ -92,6 +99,7 @@
       .min(1024)
       .default(16 * MIB)
       .describe("Largest answer held back until it is complete, in bytes."),
+    requestMemoryShare,
   })
   .readonly();
 
@@ -141,6 +149,7 @@
   .strictObject({
     role: z.literal("entry"),
     ...common,
+    memoryMb,
     callers: listen.prefault({}),
     limits: callerLimits.prefault({}),
     claims: z
--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -10,7 +10,7 @@
 import type { RunnerStatement } from "../membership/runner-statement.js";
 import { endMarkOf } from "../shared/answer-end.js";
 import { HTTP_MISDIRECTED_REQUEST } from "./attempt-ends.js";
-import type { HeldBytes } from "./response-budget.js";
+import type { HeldBytes } from "../intake/memory-budget.js";
 import { MAXIMUM_REFUSAL_MS, refusalFault } from "./response-bounds.js";
 import { StreamBuffer } from "./stream-buffer.js";
 import type { RunnerConnections } from "./runner-connections.js";
@@ -65,6 +65,11 @@
   readonly maySend?: () => boolean;
   /** Counts the bytes that this process holds of the response. */
   readonly held?: HeldBytes;
+  /**
+   * Counts the request's body until the connection pool has let go of it: an
+   * attempt that was given up while it waited for a connection stays there.
+   */
+  readonly retainRequest?: () => Disposable;
   /** The runner's response was broken off because of a bound. */
   readonly onBrokenOff?: (reason: string, receivedBytes: number) => void;
   /** Called with the head of an answer to this attempt. */
@@ -120,10 +125,15 @@
    * Sends the request and resolves when the attempt has ended; never rejects.
    */
   async run(): Promise<AttemptEnd> {
-    const { connections, request } = this.options;
+    const { connections, request, retainRequest } = this.options;
+    const retained = retainRequest?.();
+    const release = (): void => {
+      retained?.[Symbol.dispose]();
+    };
     try {
-      connections.dispatch(request, this.handler());
+      connections.dispatch(request, this.handler(release));
     } catch (error) {
+      release();
       this.onError(
         error instanceof Error ? error : new Error("non-Error value thrown"),
       );
@@ -139,7 +149,8 @@
     this.controller?.abort(new Error(reason));
   }
 
-  private handler(): Dispatcher.DispatchHandler {
+  /** `onReleased` is called when the pool no longer holds the request. */
+  private handler(onReleased: () => void): Dispatcher.DispatchHandler {
     return {
       onRequestStart: (controller) => {
         this.controller = controller;
@@ -154,9 +165,11 @@
         this.onData(controller, chunk);
       },
       onResponseEnd: () => {
+        onReleased();
         this.streamBuffer.end();
       },
       onResponseError: (_controller, error) => {
+        onReleased();
         this.onError(error);
       },
     };
--- a/src/direct/caller-listener.ts
+++ b/src/direct/caller-listener.ts
@@ -21,6 +21,7 @@
   type CallerExchange,
 } from "../daemon/entry/caller-connections.js";
 import { readBody } from "../daemon/entry/request-body.js";
+import type { HeldRequest, RequestMemory } from "../intake/request-memory.js";
 import { chooseService, type RouteTable } from "../routing/route-table.js";
 import type { CallerBounds, Route } from "../routing/types.js";
 import { endToEndHeaders } from "./end-to-end-headers.js";
@@ -38,7 +39,12 @@
   readonly isLeaving: () => boolean;
   /** Whether new requests are refused. */
   readonly isClosed: () => boolean;
-  readonly serve: (call: DirectCall, response: ServerResponse) => Promise<void>;
+  readonly memory: RequestMemory;
+  readonly serve: (
+    call: DirectCall,
+    response: ServerResponse,
+    held: HeldRequest,
+  ) => Promise<void>;
   readonly fail: (
     response: ServerResponse,
     error: ApricotdeckError,
@@ -101,10 +107,11 @@
   const { request, response } = exchange;
   const arrivedAtMs = performance.now();
   if (options.isLeaving()) response.setHeader("connection", "close");
+  using held = options.memory.open();
   try {
-    const call = await readCall(request, options, arrivedAtMs);
+    const call = await readCall(request, held, options, arrivedAtMs);
     if (exchange.isRefused) return;
-    await options.serve(call, response);
+    await options.serve(call, response, held);
   } catch (error) {
     if (exchange.isRefused) return;
     const refusal = toFailure(error, 1215);
@@ -118,9 +125,10 @@
   }
 }
 
-/** Throws 1103, 1201, 1202, 1205, 1207, 1209 or 1213. */
+/** Throws 1103, 1201, 1202, 1205, 1207, 1209, 1213, 1218 or 1224. */
 async function readCall(
   request: IncomingMessage,
+  held: HeldRequest,
   options: CallerListenerOptions,
   arrivedAtMs: number,
 ): Promise<DirectCall> {
@@ -128,7 +136,7 @@
   if (routes === undefined) return raise(1103);
   const { bounds } = routes.configuration;
   checkHeaderSize(request, bounds);
-  const body = await readBody(request, bounds.bodyBytes);
+  const body = await readBody(request, bounds.bodyBytes, held);
   if (options.isClosed()) raise(1213);
   // Reading the body can take long, so the configuration that applies now is
   // used.
--- a/src/direct/entry-parts.ts
+++ b/src/direct/entry-parts.ts
@@ -1,8 +1,10 @@
 /** Creates the deciding parts of an entry and connects them to each other. */
 import type { ServerResponse } from "node:http";
-import { getHeapStatistics } from "node:v8";
 import { sendError } from "../daemon/entry/answer-writer.js";
 import type { Emit, Measurements } from "../internal.js";
+import { MemoryBudget } from "../intake/memory-budget.js";
+import { memoryBytesOf } from "../intake/process-memory.js";
+import { RequestMemory, type HeldRequest } from "../intake/request-memory.js";
 import { Evacuations } from "../evacuation/evacuations.js";
 import { ColdRunners } from "../limits/cold-runners.js";
 import { ColdServices } from "../limits/cold-services.js";
@@ -26,11 +28,9 @@
 import type { DirectEntryOptions } from "./entry-options.js";
 import { Forwarder } from "./forwarder.js";
 import { portState } from "./port-state.js";
-import { ResponseBudget } from "./response-budget.js";
 import { RequestScheduler } from "./request-scheduler.js";
 import { createRequestLimits } from "./request-limits.js";
 import { connectRunner, monotonicUnixMs } from "./runner-connections.js";
-import type { DirectEntrySettings } from "./settings.js";
 import { SlowRunnerProbe } from "./slow-runner-probe.js";
 import type { DirectCall } from "./types.js";
 
@@ -42,6 +42,9 @@
   readonly onConfigured: (configuration: SiteConfiguration) => void;
 }
 
+/** Share of the process's memory that responses may take. */
+const RESPONSES_SHARE_OF_MEMORY = 0.25;
+
 const now = (): number => performance.now();
 
 export class EntryParts {
@@ -60,6 +63,7 @@
   readonly registerReader: RegisterReader;
   readonly directory: BackendServerDirectory;
   readonly suspects: SuspectTracker;
+  readonly requestMemory: RequestMemory;
   private readonly coldServices: ColdServices;
   private readonly forwarder: Forwarder;
   private loadClient: EntryLoadClient | undefined;
@@ -67,6 +71,13 @@
   private constructor(private readonly options: EntryPartsOptions) {
     const { entry, emit, measurements } = options;
     this.findings = RecordFindings.create({ emit, measurements });
+    this.requestMemory = RequestMemory.create({
+      memoryBytes: memoryBytesOf(entry.settings),
+      share: entry.settings.requestMemoryShare,
+      copies: 1,
+      emit,
+      measurements,
+    });
     this.coldServices = ColdServices.create(emit);
     this.coldRunners = this.createColdRunners();
     this.evacuations = this.createEvacuations();
@@ -93,8 +104,12 @@
     return new EntryParts(options);
   }
 
-  serve(call: DirectCall, response: ServerResponse): Promise<void> {
-    return this.forwarder.serve(call, response);
+  serve(
+    call: DirectCall,
+    response: ServerResponse,
+    held: HeldRequest,
+  ): Promise<void> {
+    return this.forwarder.serve(call, response, held);
   }
 
   /** Starts the shared view of load if the settings ask for one. */
@@ -315,8 +330,8 @@
       limits: this.limits,
       coldRunners: this.coldRunners,
       statements: this.statements,
-      budget: ResponseBudget.create(
-        memoryBytesOf(entry.settings),
+      budget: MemoryBudget.create(
+        memoryBytesOf(entry.settings) * RESPONSES_SHARE_OF_MEMORY,
         (heldBytes) => {
           measurements.set("heldResponseBytes", heldBytes);
         },
@@ -335,10 +350,3 @@
     });
   }
 }
-
-/** Memory that the process may use, bytes. */
-function memoryBytesOf({ memoryMb }: DirectEntrySettings): number {
-  return memoryMb === undefined
-    ? getHeapStatistics().heap_size_limit
-    : memoryMb * 1024 * 1024;
-}
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -72,6 +72,7 @@
       },
       onConfigured: ({ bounds }) => {
         applyBounds(this.server, bounds);
+        this.parts.requestMemory.setLargestBody(bounds.bodyBytes);
       },
     });
     this.parts = parts;
@@ -87,8 +88,11 @@
       routes: () => parts.configuration.routes,
       isLeaving: () => this.isLeaving,
       isClosed: () => this.isClosed,
-      serve: (call, response) =>
-        this.openResponses.during(response, () => parts.serve(call, response)),
+      memory: parts.requestMemory,
+      serve: (call, response, held) =>
+        this.openResponses.during(response, () =>
+          parts.serve(call, response, held),
+        ),
       fail: sendError,
     });
   }
--- a/src/direct/forwarder-options.ts
+++ b/src/direct/forwarder-options.ts
@@ -3,10 +3,10 @@
 import type { ApricotdeckError, Emit, Measurements } from "../internal.js";
 import type { ColdRunners } from "../limits/cold-runners.js";
 import type { RunnerLimits } from "../limits/runner-limits.js";
+import type { MemoryBudget } from "../intake/memory-budget.js";
 import type { RunnerStatements } from "../membership/runner-statements.js";
 import type { SuspectTracker } from "../suspects/suspect-tracker.js";
 import type { RequestScheduler } from "./request-scheduler.js";
-import type { ResponseBudget } from "./response-budget.js";
 import type { HeaderCodec } from "./types.js";
 
 export interface ForwarderOptions {
@@ -19,7 +19,7 @@
   readonly coldRunners: Pick<ColdRunners, "onAnswer">;
   readonly statements: Pick<RunnerStatements, "onAnswer">;
   /** Bounds what the entry holds of all responses. */
-  readonly budget: ResponseBudget;
+  readonly budget: MemoryBudget;
   /** Sends an error response for a request that no runner has answered. */
   readonly fail: (
     response: ServerResponse,
--- a/src/direct/forwarder.ts
+++ b/src/direct/forwarder.ts
@@ -17,7 +17,8 @@
   type ForwarderOptions,
 } from "./forwarder-options.js";
 import { isMoved, nextStep, tryMoveStream } from "./next-step.js";
-import type { HeldBytes } from "./response-budget.js";
+import type { HeldBytes } from "../intake/memory-budget.js";
+import type { HeldRequest } from "../intake/request-memory.js";
 import { RequestConclusion } from "./request-conclusion.js";
 import type { AdmittedRequest } from "./request-scheduler.js";
 import type { Runner } from "./runner.js";
@@ -50,8 +51,13 @@
     return new Forwarder(options);
   }
 
-  async serve(call: DirectCall, response: ServerResponse): Promise<void> {
-    await RequestForwarding.create(this.options, call, response).run();
+  /** `held`: what the process holds of the request. */
+  async serve(
+    call: DirectCall,
+    response: ServerResponse,
+    held: HeldRequest,
+  ): Promise<void> {
+    await RequestForwarding.create(this.options, call, response, held).run();
   }
 }
 
@@ -70,6 +76,7 @@
     private readonly options: ForwarderOptions,
     private readonly call: DirectCall,
     private readonly response: ServerResponse,
+    private readonly heldRequest: HeldRequest,
   ) {
     const crashTracker = CrashTracker.create(options.suspects, call);
     const record = AttemptRecord.create({
@@ -108,8 +115,9 @@
     options: ForwarderOptions,
     call: DirectCall,
     response: ServerResponse,
+    heldRequest: HeldRequest,
   ): RequestForwarding {
-    return new RequestForwarding(options, call, response);
+    return new RequestForwarding(options, call, response, heldRequest);
   }
 
   async run(): Promise<void> {
@@ -297,6 +305,7 @@
       maximumBufferedBytes: MAXIMUM_BUFFERED_RESPONSE_BYTES,
       maySend: () => options.scheduler.mayBeSent(admitted),
       held: this.held,
+      retainRequest: this.heldRequest.retain,
       onBrokenOff: (reason, bytes) => {
         options.measurements.count("responsesBrokenOff", { reason });
         const { id } = runner.server;
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of the direct path's processes: JSON with comments, validated. */
 import { isDeepStrictEqual } from "node:util";
 import * as z from "zod";
+import { requestMemoryShare } from "../intake/settings.js";
 import {
   parseSettingsText,
   readSettingsText,
@@ -50,6 +51,7 @@
       .describe(
         "Memory of the process, MB, of which a quarter may hold responses; without it, the heap limit counts.",
       ),
+    requestMemoryShare,
     drainMs: z
       .int()
       .min(1000)
--- a/src/direct/response-budget.ts
+++ b/src/intake/memory-budget.ts
@@ -1,42 +1,40 @@
 /**
- * Bounds the bytes that an entry holds of all responses together: bodies that
- * aren't complete, events without their end, and what callers haven't read.
+ * Bounds the bytes that a process holds of many items together, such as bodies
+ * of requests, or responses that aren't complete or haven't been read.
  */
 
-/** The bytes held of one response. */
+/** The bytes held of one item. */
 export interface HeldBytes extends Disposable {
-  /** Sets the bytes held now; false if the response must be broken off. */
+  /** Sets the bytes held now; false if the item must be given up. */
   readonly tryHold: (bytes: number) => boolean;
 }
 
-/** Share of the process's memory that responses may take. */
-const SHARE_OF_MEMORY = 0.25;
-
-export class ResponseBudget {
+export class MemoryBudget {
   private readonly held = new Map<HeldBytes, number>();
   private totalBytes = 0;
 
   private constructor(
-    private readonly capacityBytes: number,
+    private capacity: number,
     private readonly onChanged: (heldBytes: number) => void,
   ) {}
 
-  /**
-   * `memoryBytes`: memory of the process. `onChanged` is called with the bytes
-   * held of all responses.
-   */
+  /** `onChanged` is called with the bytes held of all items. */
   static create(
-    memoryBytes: number,
+    capacityBytes: number,
     onChanged: (heldBytes: number) => void = () => undefined,
-  ): ResponseBudget {
-    return new ResponseBudget(memoryBytes * SHARE_OF_MEMORY, onChanged);
+  ): MemoryBudget {
+    return new MemoryBudget(capacityBytes, onChanged);
   }
 
   get heldBytes(): number {
     return this.totalBytes;
   }
 
-  /** Begins to count one response; disposed of when nothing of it is held. */
+  set capacityBytes(bytes: number) {
+    this.capacity = bytes;
+  }
+
+  /** Begins to count one item; disposed of when nothing of it is held. */
   open(): HeldBytes {
     const held: HeldBytes = {
       tryHold: (bytes) => this.tryHold(held, bytes),
@@ -49,15 +47,15 @@
   }
 
   /**
-   * Beyond the capacity, only responses that hold less than an even part grow,
-   * so that small ones aren't broken off because of large ones. The total
-   * therefore stays under twice the capacity.
+   * Beyond the capacity, only items that hold less than an even part grow, so
+   * that small ones aren't given up because of large ones. The total therefore
+   * stays under twice the capacity.
    */
   private tryHold(held: HeldBytes, bytes: number): boolean {
     const before = this.held.get(held) ?? 0;
     this.set(held, bytes);
-    if (bytes <= before || this.totalBytes <= this.capacityBytes) return true;
-    return bytes <= this.capacityBytes / this.held.size;
+    if (bytes <= before || this.totalBytes <= this.capacity) return true;
+    return bytes <= this.capacity / this.held.size;
   }
 
   private set(held: HeldBytes, bytes: number): void {
--- /dev/null
+++ b/src/intake/request-memory.ts
@@ -0,0 +1,93 @@
+/**
+ * Bounds what a process holds for the requests of all its callers, each from
+ * its head until it is concluded and nothing holds its body any more.
+ */
+import type { Emit, Measurements } from "../internal.js";
+import { MemoryBudget, type HeldBytes } from "./memory-budget.js";
+
+/** What is held for one request. */
+export interface HeldRequest extends Disposable {
+  /** Sets the length held of the body; false if the request must be refused. */
+  readonly tryHoldBody: (bytes: number) => boolean;
+  /**
+   * Counts the request, beyond its own disposal, until the result is disposed
+   * of: something that can't be taken back holds its body.
+   */
+  readonly retain: () => Disposable;
+}
+
+export interface RequestMemoryOptions {
+  /** Memory of the process, bytes. */
+  readonly memoryBytes: number;
+  /** Share of it that requests may take. */
+  readonly share: number;
+  /** Copies of a body that the process makes, the first one included. */
+  readonly copies: number;
+  readonly emit: Emit;
+  readonly measurements: Measurements;
+}
+
+/** Objects for a request and its response, bytes. */
+const EXCHANGE_BYTES = 8192;
+
+export class RequestMemory {
+  private readonly budget: MemoryBudget;
+  private readonly shareBytes: number;
+
+  private constructor(private readonly options: RequestMemoryOptions) {
+    const { memoryBytes, share, measurements } = options;
+    this.shareBytes = memoryBytes * share;
+    this.budget = MemoryBudget.create(this.shareBytes, (heldBytes) => {
+      measurements.set("heldRequestBytes", heldBytes);
+    });
+  }
+
+  static create(options: RequestMemoryOptions): RequestMemory {
+    return new RequestMemory(options);
+  }
+
+  get heldBytes(): number {
+    return this.budget.heldBytes;
+  }
+
+  /** A single body of the allowed size is always taken. */
+  setLargestBody(bytes: number): void {
+    const neededBytes = EXCHANGE_BYTES + this.options.copies * bytes;
+    this.budget.capacityBytes = Math.max(this.shareBytes, neededBytes);
+  }
+
+  open(): HeldRequest {
+    const held = this.budget.open();
+    held.tryHold(EXCHANGE_BYTES);
+    let users = 0;
+    const retain = (): Disposable => {
+      users += 1;
+      let isReleased = false;
+      return {
+        [Symbol.dispose]: () => {
+          if (isReleased) return;
+          isReleased = true;
+          users -= 1;
+          if (users === 0) held[Symbol.dispose]();
+        },
+      };
+    };
+    const own = retain();
+    return {
+      retain,
+      tryHoldBody: (bytes) => this.tryHoldBody(held, bytes),
+      [Symbol.dispose]: () => {
+        own[Symbol.dispose]();
+      },
+    };
+  }
+
+  private tryHoldBody(held: HeldBytes, bytes: number): boolean {
+    const { emit, measurements, copies } = this.options;
+    if (held.tryHold(EXCHANGE_BYTES + copies * bytes)) return true;
+    const reason = "memory";
+    emit(268, { reason, bytes, heldBytes: this.heldBytes });
+    measurements.count("requestsLimited", { reason });
+    return false;
+  }
+}
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -271,6 +271,13 @@
     "The answer is too large to be held back for a caller of HTTP/1.0.",
     "Use HTTP/1.1, or raise the limit in the settings.",
   ),
+  1224: entry(
+    "request-memory-full",
+    503,
+    "not-run",
+    "The requests that this process holds take too much memory.",
+    "Retry after the given time, or send a smaller request.",
+  ),
 
   // 1300: claims of requests that may not be repeated
   1301: entry(
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -723,6 +723,18 @@
       cause: "accepted, formed or restarted",
     },
   ),
+
+  // 268: limits for what clients send
+  268: entry(
+    "request-limited",
+    "info",
+    "A request was refused, or lost with its connection, because of a limit for what callers send.",
+    {
+      reason: "which limit",
+      bytes: "what the request would have held, bytes",
+      heldBytes: "what all requests hold, bytes",
+    },
+  ),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -148,6 +148,21 @@
     labels: [],
     meaning: "Bytes of runners' responses that the entry holds.",
   },
+  heldRequestBytes: {
+    name: "apricotdeck_held_request_bytes",
+    kind: "gauge",
+    unit: "bytes",
+    labels: [],
+    meaning: "Bytes that the process holds for callers' requests.",
+  },
+  requestsLimited: {
+    name: "apricotdeck_requests_limited_total",
+    kind: "counter",
+    unit: "requests",
+    labels: ["reason"],
+    meaning:
+      "Requests that were refused, or lost with their connection, because of a limit for what callers send.",
+  },
   responsesBrokenOff: {
     name: "apricotdeck_responses_broken_off_total",
     kind: "counter",
--- a/tests/callers/test-server.ts
+++ b/tests/callers/test-server.ts
@@ -15,10 +15,14 @@
   parseSettings,
   type EntrySettings,
 } from "../../src/daemon/settings.js";
+import { RequestMemory } from "../../src/intake/request-memory.js";
+import { ignoreEvents, ignoreMeasurements } from "../../src/internal.js";
 import { pause } from "../support/wait.js";
 
 type Limits = EntrySettings["limits"];
 
+const MEMORY_BYTES = 64 * 1024 * 1024;
+
 export const credential = credentialOf("dyfrwr", 0);
 export const authorization = `authorization: Bearer ${credential}`;
 
@@ -66,6 +70,13 @@
   const server = createCallerServer({
     connections: CallerConnections.create(),
     limits: createLimits(changes),
+    memory: RequestMemory.create({
+      memoryBytes: MEMORY_BYTES,
+      share: 1,
+      copies: 1,
+      emit: ignoreEvents,
+      measurements: ignoreMeasurements,
+    }),
     configuration: () => configuration,
     isLeaving: () => isLeaving,
     serve: async (callerRequest: CallerRequest, writer: AnswerWriter) => {
--- a/tests/clients/direct-site.ts
+++ b/tests/clients/direct-site.ts
@@ -148,7 +148,7 @@
     address,
     zone: "here",
     version: "v1",
-    slots: 8,
+    slots: 64,
     state: "ready",
     cold_left_ms: 0,
     sequence: 1,
--- a/tests/direct/response-budget.test.ts
+++ b/tests/intake/memory-budget.test.ts
@@ -1,16 +1,15 @@
 import * as assert from "uvu/assert";
 import { EventBounds } from "../../src/direct/response-bounds.js";
-import { ResponseBudget } from "../../src/direct/response-budget.js";
+import { MemoryBudget } from "../../src/intake/memory-budget.js";
 import { describe, it } from "../support/describe.js";
 
-const MEMORY_BYTES = 4000;
 const CAPACITY_BYTES = 1000;
 
-describe("response budget", () => {
+describe("memory budget", () => {
   it("breaks off large responses beyond the capacity, not small ones", () => {
     // Guards against an entry that is killed for its memory because many
     // responses grow at once, and against small ones that fall with them.
-    const budget = ResponseBudget.create(MEMORY_BYTES);
+    const budget = MemoryBudget.create(CAPACITY_BYTES);
     const large = budget.open();
     assert.ok(large.tryHold(CAPACITY_BYTES));
     const small = budget.open();
@@ -23,7 +22,7 @@
 
   it("holds at most twice the capacity", () => {
     // Guards against responses that each stay small and together don't.
-    const budget = ResponseBudget.create(MEMORY_BYTES);
+    const budget = MemoryBudget.create(CAPACITY_BYTES);
     const responses = Array.from({ length: 50 }, () => budget.open());
     for (let bytes = 10; bytes <= CAPACITY_BYTES; bytes += 10) {
       for (const held of responses) {
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -159,6 +159,7 @@
         logLevel: "error",
         drainMs: 2000,
         graceSeconds: 3,
+        requestMemoryShare: 0.15,
         metrics: "127.0.0.1:0",
         callers: "127.0.0.1:0",
         readiness: "127.0.0.1:0",
