Limit callers' connections and the requests on each of them

Callers saw: an entry that ended when 8 clients sent 20,000 requests each without awaiting answers; and an entry that couldn't reach its runners or its store once clients held all descriptors.

Cause: Node.js reads pipelined requests for as long as no answer waits to be sent, so each connection could hold any number of them, each with its objects. The number of connections had no limit on the direct path, and one of 20,000, more than the descriptors of an entry, on the path with sessions.

Why it works: a connection with more than 64 requests that await answers is closed (openRequestsPerConnection). Accepted connections get the descriptors that the process's own connections don't need, and at least half (descriptors); one more closes one that has never sent a request, or else the longest idle one. A request that would be refused for its memory behind others closes its connection, since the refusal would have to be held. Heads that aren't complete count, five times their length, towards the memory of requests, and the largest go first. Event 269, apricotdeck_open_connections, apricotdeck_connections_closed_total.

--- a/src/daemon/entry/caller-server.ts
+++ b/src/daemon/entry/caller-server.ts
@@ -15,6 +15,7 @@
   type ApricotdeckError,
   type Configuration,
 } from "../../internal.js";
+import type { ConnectionGuard } from "../../intake/connection-guard.js";
 import type { RequestMemory } from "../../intake/request-memory.js";
 import { sendJson } from "../operators-server.js";
 import { createAnswerWriter, sendError } from "./answer-writer.js";
@@ -34,6 +35,7 @@
 export interface CallerServerOptions {
   readonly connections: CallerConnections;
   readonly limits: CallerLimits;
+  readonly guard: ConnectionGuard;
   readonly memory: RequestMemory;
   /** Throws 1103 before a configuration is in force. */
   readonly configuration: () => Configuration;
@@ -47,7 +49,7 @@
 const MODELS_PATH = "/v1/models";
 
 export function createCallerServer(options: CallerServerOptions): Server {
-  const { connections, limits } = options;
+  const { connections, guard, limits } = options;
   const server = createServer(
     {
       maxHeaderSize: limits.headBytes,
@@ -58,12 +60,13 @@
       connectionsCheckingInterval: Math.min(1000, limits.receiveMs),
     },
     (request, response) => {
+      if (!guard.admit(request, response)) return;
       const exchange = connections.accept(request, response);
       if (exchange !== undefined) void handleRequest(exchange, options);
     },
   );
-  server.maxConnections = limits.connections;
   connections.protect(server);
+  guard.protect(server);
   server.on("clientError", (error, socket: Socket) => {
     connections.refuse(error, socket);
   });
@@ -102,7 +105,12 @@
     });
     await options.serve(callerRequest, writer);
   } catch (error) {
-    if (!exchange.isRefused) sendRefusal(exchange, toFailure(error, 1215));
+    if (exchange.isRefused) return;
+    const refusal = toFailure(error, 1215);
+    // A refusal would be held until the answers before it have been sent.
+    if (refusal.number === 1224 && options.guard.isBehindOthers(request))
+      options.guard.closeConnectionOf(request, "memory");
+    else sendRefusal(exchange, refusal);
   }
 }
 
--- a/src/daemon/entry/entry.ts
+++ b/src/daemon/entry/entry.ts
@@ -3,6 +3,11 @@
 import { DaemonCore, type Daemon, type DaemonAddresses } from "../daemon.js";
 import { listen, type ListeningServer } from "../listening.js";
 import { createContext, type ProcessContext } from "../process-context.js";
+import { ConnectionGuard } from "../../intake/connection-guard.js";
+import {
+  acceptedConnectionLimit,
+  descriptorsOf,
+} from "../../intake/descriptors.js";
 import { memoryBytesOf } from "../../intake/process-memory.js";
 import { RequestMemory } from "../../intake/request-memory.js";
 import type { EntrySettings } from "../settings.js";
@@ -18,6 +23,8 @@
 
 /** A body as it was read, its prompt, and the message to the agent. */
 const COPIES_OF_BODY = 3;
+/** An agent's session, and calls beside it. */
+const CONNECTIONS_PER_AGENT = 3;
 /** Interval of drain checks. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 
@@ -132,10 +139,12 @@
       { name: "vm-list", run: (signal) => directory.run(signal) },
       ...claimTaskList(this.claims),
     ]);
+    const memory = this.createRequestMemory();
     const server = createCallerServer({
       connections: this.callers,
       limits: settings.limits,
-      memory: this.createRequestMemory(),
+      memory,
+      guard: this.createConnectionGuard(memory),
       configuration: () => core.configuration.configuration,
       isLeaving: () => core.leaving,
       serve: (callerRequest, writer) => this.serve(callerRequest, writer),
@@ -157,6 +166,25 @@
     return memory;
   }
 
+  private createConnectionGuard(memory: RequestMemory): ConnectionGuard {
+    const { settings, context } = this;
+    const { limits } = settings;
+    const descriptors = descriptorsOf(settings);
+    return ConnectionGuard.create({
+      listener: "callers",
+      maximumConnections: () => {
+        const outgoing = CONNECTIONS_PER_AGENT * this.directory.list().length;
+        const accepted = acceptedConnectionLimit({ descriptors, outgoing });
+        return Math.min(limits.connections, accepted);
+      },
+      maximumOpenRequests: limits.openRequestsPerConnection,
+      memory,
+      now: () => performance.now(),
+      emit: context.emit,
+      measurements: context.measurements,
+    });
+  }
+
   private async serve(
     callerRequest: CallerRequest,
     writer: AnswerWriter,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -6,7 +6,11 @@
  */
 import * as z from "zod";
 import { DEFAULT_WINDOW_SETTINGS } from "../internal.js";
-import { requestMemoryShare } from "../intake/settings.js";
+import {
+  descriptors,
+  openRequestsPerConnection,
+  requestMemoryShare,
+} from "../intake/settings.js";
 import { parseSettingsText, readSettingsText } from "./settings-file.js";
 
 const MIB = 1024 * 1024;
@@ -53,6 +57,7 @@
   operators: listen.prefault({}),
   platform,
   transport: transport.prefault({}),
+  descriptors,
   logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
   graceMs: z
     .int()
@@ -100,6 +105,7 @@
       .default(16 * MIB)
       .describe("Largest answer held back until it is complete, in bytes."),
     requestMemoryShare,
+    openRequestsPerConnection,
   })
   .readonly();
 
--- a/src/direct/caller-listener.ts
+++ b/src/direct/caller-listener.ts
@@ -21,6 +21,7 @@
   type CallerExchange,
 } from "../daemon/entry/caller-connections.js";
 import { readBody } from "../daemon/entry/request-body.js";
+import type { ConnectionGuard } from "../intake/connection-guard.js";
 import type { HeldRequest, RequestMemory } from "../intake/request-memory.js";
 import { chooseService, type RouteTable } from "../routing/route-table.js";
 import type { CallerBounds, Route } from "../routing/types.js";
@@ -39,6 +40,7 @@
   readonly isLeaving: () => boolean;
   /** Whether new requests are refused. */
   readonly isClosed: () => boolean;
+  readonly guard: ConnectionGuard;
   readonly memory: RequestMemory;
   readonly serve: (
     call: DirectCall,
@@ -70,6 +72,7 @@
 const NOT_READY_RETRY_AFTER_MS = 500;
 
 export function createCallerListener(options: CallerListenerOptions): Server {
+  const { guard } = options;
   const connections = CallerConnections.create();
   const server = createServer(
     {
@@ -83,11 +86,13 @@
       noDelay: true,
     },
     (request, response) => {
+      if (!guard.admit(request, response)) return;
       const exchange = connections.accept(request, response);
       if (exchange !== undefined) void handleRequest(exchange, options);
     },
   );
   connections.protect(server);
+  guard.protect(server);
   server.on("clientError", (error, socket: Socket) => {
     connections.refuse(error, socket);
   });
@@ -115,6 +120,11 @@
   } catch (error) {
     if (exchange.isRefused) return;
     const refusal = toFailure(error, 1215);
+    // A refusal would be held until the answers before it have been sent.
+    if (refusal.number === 1224 && options.guard.isBehindOthers(request)) {
+      options.guard.closeConnectionOf(request, "memory");
+      return;
+    }
     if (!request.complete) {
       response.setHeader("connection", "close");
       exchange.refuseLater();
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -11,13 +11,19 @@
 import { listen, type ListeningServer } from "../daemon/listening.js";
 import { registerMetrics } from "../daemon/metrics-registry.js";
 import { startMetricsServer } from "../daemon/operators-server.js";
-import { HybridClock, type Emit } from "../internal.js";
+import { ConnectionGuard } from "../intake/connection-guard.js";
+import {
+  acceptedConnectionLimit,
+  descriptorsOf,
+} from "../intake/descriptors.js";
+import { HybridClock, type Emit, type Measurements } from "../internal.js";
 import { RELEASE } from "../release.js";
 import { applyBounds, createCallerListener } from "./caller-listener.js";
 import type { DirectEntryOptions } from "./entry-options.js";
 import { EntryParts } from "./entry-parts.js";
 import { EntryRecords } from "./entry-records.js";
 import { OpenResponses } from "./open-responses.js";
+import { MAXIMUM_CONNECTIONS_PER_RUNNER } from "./runner-connections.js";
 import { changedFields, hostPortOf, type DirectSettings } from "./settings.js";
 
 export type { DirectEntryOptions };
@@ -42,6 +48,7 @@
   private readonly events: EventLog;
   private readonly emit: Emit;
   private readonly registry;
+  private readonly measurements: Measurements;
   private readonly parts: EntryParts;
   private readonly records: EntryRecords;
   private readonly stopController = new AbortController();
@@ -63,6 +70,7 @@
     const labels = { process: name, data_centre: dataCentre };
     const { registry, measurements } = registerMetrics(labels);
     this.registry = registry;
+    this.measurements = measurements;
     const parts = EntryParts.create({
       entry: options,
       emit,
@@ -89,6 +97,7 @@
       isLeaving: () => this.isLeaving,
       isClosed: () => this.isClosed,
       memory: parts.requestMemory,
+      guard: this.createConnectionGuard(),
       serve: (call, response, held) =>
         this.openResponses.during(response, () =>
           parts.serve(call, response, held),
@@ -208,6 +217,24 @@
     this.timers.add(timer);
   }
 
+  private createConnectionGuard(): ConnectionGuard {
+    const { settings } = this.options;
+    const descriptors = descriptorsOf(settings);
+    return ConnectionGuard.create({
+      listener: "callers",
+      maximumConnections: () =>
+        acceptedConnectionLimit({
+          descriptors,
+          outgoing: MAXIMUM_CONNECTIONS_PER_RUNNER * this.runnerCount,
+        }),
+      maximumOpenRequests: settings.openRequestsPerConnection,
+      memory: this.parts.requestMemory,
+      now: () => performance.now(),
+      emit: this.emit,
+      measurements: this.measurements,
+    });
+  }
+
   private readinessServer(): ReturnType<typeof createServer> {
     return createServer((request, response) => {
       const isReadinessPath = request.url === this.options.readinessPath;
--- a/src/direct/runner-connections.ts
+++ b/src/direct/runner-connections.ts
@@ -11,7 +11,7 @@
  */
 const IDLE_CONNECTION_TIMEOUT_MS = 4000;
 /** Maximum connections of one entry to one runner. */
-const MAXIMUM_CONNECTIONS_PER_RUNNER = 24;
+export const MAXIMUM_CONNECTIONS_PER_RUNNER = 24;
 
 export interface RunnerConnections {
   readonly dispatch: Dispatcher["dispatch"];
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -1,7 +1,11 @@
 /** Settings of the direct path's processes: JSON with comments, validated. */
 import { isDeepStrictEqual } from "node:util";
 import * as z from "zod";
-import { requestMemoryShare } from "../intake/settings.js";
+import {
+  descriptors,
+  openRequestsPerConnection,
+  requestMemoryShare,
+} from "../intake/settings.js";
 import {
   parseSettingsText,
   readSettingsText,
@@ -30,6 +34,7 @@
   metrics: address
     .optional()
     .describe("Address at which metrics are served; without it, none are."),
+  descriptors,
   logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
   graceSeconds: z
     .number()
@@ -52,6 +57,7 @@
         "Memory of the process, MB, of which a quarter may hold responses; without it, the heap limit counts.",
       ),
     requestMemoryShare,
+    openRequestsPerConnection,
     drainMs: z
       .int()
       .min(1000)
--- /dev/null
+++ b/src/intake/connection-guard.ts
@@ -0,0 +1,164 @@
+/**
+ * Limits the connections of one HTTP listener, the requests on each of them,
+ * and the heads that haven't been read to their end.
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Emit, Measurements, Now } from "../internal.js";
+import { chooseToClose, type ConnectionUse } from "./connection-choice.js";
+import type { HeldBytes } from "./memory-budget.js";
+import type { RequestMemory } from "./request-memory.js";
+
+export interface ConnectionGuardOptions {
+  /** Name of the listener in events and metrics. */
+  readonly listener: string;
+  readonly maximumConnections: () => number;
+  /** Requests on one connection that haven't been answered completely. */
+  readonly maximumOpenRequests: number;
+  /** Counts heads that aren't complete; without it, they aren't counted. */
+  readonly memory?: RequestMemory;
+  readonly now: Now;
+  readonly emit: Emit;
+  readonly measurements: Measurements;
+}
+
+export type CloseReason =
+  "too many connections" | "too many requests" | "heads" | "memory";
+
+interface Connection extends ConnectionUse {
+  readonly socket: Socket;
+  openRequests: number;
+  hasSentRequest: boolean;
+  restingSinceMs: number;
+  /** Bytes read of it up to the end of the last request. */
+  requestEndBytes: number;
+  /** Whether the body of the last request is still being read. */
+  isReadingBody: boolean;
+}
+
+/** Interval at which incomplete heads are counted, ms. */
+const COUNT_INTERVAL_MS = 250;
+/** What the parsed strings of a head take, as a multiple of its length. */
+const HEAD_COST_FACTOR = 5;
+
+export class ConnectionGuard {
+  private readonly connections = new Map<Socket, Connection>();
+
+  private constructor(private readonly options: ConnectionGuardOptions) {}
+
+  static create(options: ConnectionGuardOptions): ConnectionGuard {
+    return new ConnectionGuard(options);
+  }
+
+  /** Watches the server's connections until it closes. */
+  protect(server: Server): void {
+    server.on("connection", (socket: Socket) => {
+      this.add(socket);
+    });
+    const { memory } = this.options;
+    if (memory === undefined) return;
+    const heldHeads = memory.openOther();
+    const timer = setInterval(() => {
+      this.limitHeads(heldHeads);
+    }, COUNT_INTERVAL_MS);
+    server.once("close", () => {
+      clearInterval(timer);
+      heldHeads[Symbol.dispose]();
+    });
+  }
+
+  /** False if the request's connection is closed: nothing can be answered. */
+  admit(request: IncomingMessage, response: ServerResponse): boolean {
+    const connection = this.connections.get(request.socket);
+    if (connection === undefined) return false;
+    connection.openRequests += 1;
+    connection.hasSentRequest = true;
+    connection.isReadingBody = true;
+    const onRead = (): void => {
+      connection.isReadingBody = false;
+      connection.requestEndBytes = connection.socket.bytesRead;
+    };
+    request.once("end", onRead);
+    response.once("close", () => {
+      connection.openRequests -= 1;
+      connection.restingSinceMs = this.options.now();
+      if (request.complete) onRead();
+    });
+    if (connection.openRequests <= this.options.maximumOpenRequests)
+      return true;
+    this.close(connection, "too many requests");
+    return false;
+  }
+
+  /** Whether answers to earlier requests go out before that to this one. */
+  isBehindOthers({ socket }: IncomingMessage): boolean {
+    return (this.connections.get(socket)?.openRequests ?? 0) > 1;
+  }
+
+  /** Closes the request's connection, with all requests on it. */
+  closeConnectionOf({ socket }: IncomingMessage, reason: CloseReason): void {
+    const connection = this.connections.get(socket);
+    if (connection !== undefined) this.close(connection, reason);
+  }
+
+  private add(socket: Socket): void {
+    const connection: Connection = {
+      socket,
+      openRequests: 0,
+      hasSentRequest: false,
+      restingSinceMs: this.options.now(),
+      requestEndBytes: 0,
+      isReadingBody: false,
+    };
+    if (this.connections.size >= this.options.maximumConnections()) {
+      const chosen = chooseToClose(this.connections.values());
+      this.close(chosen ?? connection, "too many connections");
+      if (chosen === undefined) return;
+    }
+    this.connections.set(socket, connection);
+    this.onCountChanged();
+    socket.once("close", () => {
+      this.forget(socket);
+    });
+  }
+
+  private limitHeads(held: HeldBytes): void {
+    const unfinished = [...this.connections.values()]
+      .map((connection) => ({
+        connection,
+        bytes: HEAD_COST_FACTOR * unfinishedHeadBytes(connection),
+      }))
+      .filter(({ bytes }) => bytes > 0)
+      .sort((a, b) => b.bytes - a.bytes);
+    let total = unfinished.reduce((sum, { bytes }) => sum + bytes, 0);
+    for (const { connection, bytes } of unfinished) {
+      if (held.tryHold(total)) return;
+      this.close(connection, "heads");
+      total -= bytes;
+    }
+    held.tryHold(total);
+  }
+
+  private close({ socket }: Connection, reason: CloseReason): void {
+    const { listener, emit, measurements } = this.options;
+    emit(269, { listener, reason, connections: this.connections.size });
+    measurements.count("connectionsClosed", { listener, reason });
+    this.forget(socket);
+    socket.destroy();
+  }
+
+  private forget(socket: Socket): void {
+    if (this.connections.delete(socket)) this.onCountChanged();
+  }
+
+  private onCountChanged(): void {
+    const { listener, measurements } = this.options;
+    const { size } = this.connections;
+    measurements.set("openConnections", size, { listener });
+  }
+}
+
+function unfinishedHeadBytes(connection: Connection): number {
+  const { socket, isReadingBody, requestEndBytes } = connection;
+  return isReadingBody ? 0 : socket.bytesRead - requestEndBytes;
+}
--- a/src/intake/request-memory.ts
+++ b/src/intake/request-memory.ts
@@ -56,6 +56,11 @@
     this.budget.capacityBytes = Math.max(this.shareBytes, neededBytes);
   }
 
+  /** Counts what belongs to no request, such as heads that aren't complete. */
+  openOther(): HeldBytes {
+    return this.budget.open();
+  }
+
   open(): HeldRequest {
     const held = this.budget.open();
     held.tryHold(EXCHANGE_BYTES);
--- a/src/intake/settings.ts
+++ b/src/intake/settings.ts
@@ -9,3 +9,19 @@
   .describe(
     "Share of the memory that callers' requests may take together; more are refused, large ones first. A single request of the allowed size is always taken.",
   );
+
+export const openRequestsPerConnection = z
+  .int()
+  .min(1)
+  .default(64)
+  .describe(
+    "Requests of one caller's connection that may await their answers; with more, the connection is closed.",
+  );
+
+export const descriptors = z
+  .int()
+  .min(64)
+  .optional()
+  .describe(
+    "Descriptors that the process may open; without it, its limit in the operating system counts. Connections of clients get what its own don't need, and at least half.",
+  );
--- a/src/shared/events.ts
+++ b/src/shared/events.ts
@@ -735,6 +735,16 @@
       heldBytes: "what all requests hold, bytes",
     },
   ),
+  269: entry(
+    "connection-closed",
+    "info",
+    "A connection was closed because of a limit for what clients may hold.",
+    {
+      listener: "which listener accepted it",
+      reason: "which limit",
+      connections: "connections of the listener",
+    },
+  ),
 } as const satisfies Readonly<Record<number, EventEntry>>;
 
 export type EventNumber = keyof typeof eventTable;
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -163,6 +163,21 @@
     meaning:
       "Requests that were refused, or lost with their connection, because of a limit for what callers send.",
   },
+  openConnections: {
+    name: "apricotdeck_open_connections",
+    kind: "gauge",
+    unit: "connections",
+    labels: ["listener"],
+    meaning: "Accepted connections by listener.",
+  },
+  connectionsClosed: {
+    name: "apricotdeck_connections_closed_total",
+    kind: "counter",
+    unit: "connections",
+    labels: ["listener", "reason"],
+    meaning:
+      "Accepted connections that were closed because of a limit for what clients may hold.",
+  },
   responsesBrokenOff: {
     name: "apricotdeck_responses_broken_off_total",
     kind: "counter",
--- a/tests/callers/test-server.ts
+++ b/tests/callers/test-server.ts
@@ -15,6 +15,7 @@
   parseSettings,
   type EntrySettings,
 } from "../../src/daemon/settings.js";
+import { ConnectionGuard } from "../../src/intake/connection-guard.js";
 import { RequestMemory } from "../../src/intake/request-memory.js";
 import { ignoreEvents, ignoreMeasurements } from "../../src/internal.js";
 import { pause } from "../support/wait.js";
@@ -67,15 +68,23 @@
     ...baseConfiguration,
     profiles: [...baseConfiguration.profiles, welshProfile],
   };
+  const limits = createLimits(changes);
+  const sinks = { emit: ignoreEvents, measurements: ignoreMeasurements };
   const server = createCallerServer({
     connections: CallerConnections.create(),
-    limits: createLimits(changes),
+    limits,
     memory: RequestMemory.create({
       memoryBytes: MEMORY_BYTES,
       share: 1,
       copies: 1,
-      emit: ignoreEvents,
-      measurements: ignoreMeasurements,
+      ...sinks,
+    }),
+    guard: ConnectionGuard.create({
+      listener: "callers",
+      maximumConnections: () => limits.connections,
+      maximumOpenRequests: limits.openRequestsPerConnection,
+      now: () => performance.now(),
+      ...sinks,
     }),
     configuration: () => configuration,
     isLeaving: () => isLeaving,
--- a/tests/platform/entry-site.ts
+++ b/tests/platform/entry-site.ts
@@ -160,6 +160,7 @@
         drainMs: 2000,
         graceSeconds: 3,
         requestMemoryShare: 0.15,
+        openRequestsPerConnection: 64,
         metrics: "127.0.0.1:0",
         callers: "127.0.0.1:0",
         readiness: "127.0.0.1:0",
