Refuse a body that doesn't end in its request's time

Callers saw: nothing, while an entry of the direct path held what it had read of a body that stopped, or came byte by byte, for as long as its client liked.

Cause: the head of a request had a timeout, its body had none (requestTimeout is 0 there).

Why it works: a body has until its route's timeout or its caller's deadline, whichever is earlier, and without a route the idle timeout; later its request couldn't be served anyway. It is refused with 1206, whose 408 is true, since a request runs only once its body is complete, and its memory is free then. A body that comes together with its head starts no timer.

--- a/src/daemon/entry/request-body.ts
+++ b/src/daemon/entry/request-body.ts
@@ -4,21 +4,32 @@
 import { BodyBuffer } from "../../intake/body-buffer.js";
 import type { HeldRequest } from "../../intake/request-memory.js";
 
+export interface BodyBounds {
+  /** Largest allowed length, bytes. */
+  readonly limitBytes: number;
+  readonly held: Pick<HeldRequest, "tryHoldBody">;
+  /**
+   * Time for the whole body, ms; asked only for a body that doesn't arrive
+   * together with its head. Without it, the server's own timeout counts.
+   */
+  readonly timeoutMs?: () => number;
+}
+
 /**
- * `limit` is in bytes. Rejects with 1205 for a larger body and with 1224 if all
- * requests hold too much; the rest of the body is then discarded. Rejects with
- * 1218 if the connection is closed before the end.
+ * Rejects with 1205 for a body that is too large, with 1206 for one that takes
+ * too long and with 1224 if all requests hold too much; the rest of the body is
+ * then discarded. Rejects with 1218 if the connection is closed before the end.
  */
 export async function readBody(
   request: IncomingMessage,
-  limit: number,
-  held: Pick<HeldRequest, "tryHoldBody">,
+  { limitBytes: limit, held, timeoutMs }: BodyBounds,
 ): Promise<Buffer> {
   const declaredLength = Number(request.headers["content-length"] ?? 0);
   if (declaredLength > limit) raise(1205, { limit });
   if (!held.tryHoldBody(0)) raise(1224);
   const body = BodyBuffer.create(limit);
-  await new Promise<void>((resolve, reject) => {
+  let timer: NodeJS.Timeout | undefined;
+  const ended = new Promise<void>((resolve, reject) => {
     const refuse = (error: ApricotdeckError): void => {
       // Without a listener, the parts that follow are discarded.
       request.off("data", onData);
@@ -35,6 +46,17 @@
     request.once("close", () => {
       reject(failure(1218));
     });
+    setImmediate(() => {
+      if (request.complete || timeoutMs === undefined) return;
+      timer = setTimeout(() => {
+        refuse(failure(1206));
+      }, timeoutMs());
+    });
   });
-  return body.read();
+  try {
+    await ended;
+    return body.read();
+  } finally {
+    clearTimeout(timer);
+  }
 }
--- a/src/daemon/entry/request-reader.ts
+++ b/src/daemon/entry/request-reader.ts
@@ -62,7 +62,10 @@
   }
   if (isCompletion && request.method !== "POST") raise(1208);
   const profile = resolveProfile(request, configuration, account);
-  const body = await readBody(request, limits.bodyBytes, held);
+  const body = await readBody(request, {
+    limitBytes: limits.bodyBytes,
+    held,
+  });
   const common = readCommonFields(request, account, profile, body);
   return isCompletion
     ? createCompletionRequest(common, path)
--- a/src/direct/caller-listener.ts
+++ b/src/direct/caller-listener.ts
@@ -5,6 +5,7 @@
  */
 import {
   createServer,
+  type IncomingHttpHeaders,
   type IncomingMessage,
   type Server,
   type ServerResponse,
@@ -135,7 +136,7 @@
   }
 }
 
-/** Throws 1103, 1201, 1202, 1205, 1207, 1209, 1213, 1218 or 1224. */
+/** Throws 1103, 1201, 1202, 1205 to 1207, 1209, 1213, 1218 or 1224. */
 async function readCall(
   request: IncomingMessage,
   held: HeldRequest,
@@ -146,7 +147,11 @@
   if (routes === undefined) return raise(1103);
   const { bounds } = routes.configuration;
   checkHeaderSize(request, bounds);
-  const body = await readBody(request, bounds.bodyBytes, held);
+  const body = await readBody(request, {
+    limitBytes: bounds.bodyBytes,
+    held,
+    timeoutMs: () => bodyTimeoutOf(request, routes, options.codec),
+  });
   if (options.isClosed()) raise(1213);
   // Reading the body can take long, so the configuration that applies now is
   // used.
@@ -161,8 +166,8 @@
 ): DirectCall {
   const routes = options.routes() ?? raise(1103);
   const target = request.url ?? "/";
-  const path = target.split("?", 1).at(0) ?? "/";
-  const route = routes.findRoute(hostnameOf(request), path);
+  const path = pathOf(target);
+  const route = routes.findRoute(hostnameOf(request.headers), path);
   if (route === undefined) return raise(1207, { path: path.slice(0, 100) });
   const fields = options.codec.readCall(request.headers);
   const account = accountOf(routes, route, fields);
@@ -186,8 +191,8 @@
 }
 
 /** Host without the port, as in the route table. */
-function hostnameOf({ headers }: IncomingMessage): string {
-  return (headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
+function hostnameOf({ host = "" }: IncomingHttpHeaders): string {
+  return host.replace(/:\d+$/, "").toLowerCase();
 }
 
 function accountOf(
@@ -204,6 +209,22 @@
   return { name: account.name, priority: account.priority ?? route.priority };
 }
 
+/** A body that takes longer than its request may comes too late, ms. */
+function bodyTimeoutOf(
+  { headers, url = "/" }: IncomingMessage,
+  routes: RouteTable,
+  codec: HeaderCodec,
+): number {
+  const route = routes.findRoute(hostnameOf(headers), pathOf(url));
+  return route === undefined
+    ? routes.configuration.bounds.idleMs
+    : timeoutOf(route, codec.readCall(headers));
+}
+
+function pathOf(target: string): string {
+  return target.split("?", 1).at(0) ?? "/";
+}
+
 function timeoutOf({ timeoutMs }: Route, { deadlineMs }: CallFields): number {
   return Math.min(timeoutMs, deadlineMs ?? Number.POSITIVE_INFINITY);
 }
