Limit what clients hold at the listeners for readiness, metrics and operators

Callers saw: an entry that ended when 8 clients asked for its metrics 20,000 times each without reading the answers, and a listener for metrics, or an entry, that had no descriptors left once 700 connections sent nothing there.

Cause: these listeners used Node.js's defaults: no limit on connections, on requests on one of them or on the texts made at once, and 60 s for a head.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -87,6 +87,8 @@
     const { configuration, server } = this;
     this.operatorsServer = await startOperatorsServer(settings.operators, {
       events: context.events,
+      emit: context.emit,
+      measurements: context.measurements,
       metrics: context.metrics,
       isReady: () => !this.leaving && isReady(),
       status: () => this.status(),
--- a/src/daemon/operators-server.ts
+++ b/src/daemon/operators-server.ts
@@ -2,17 +2,17 @@
  * HTTP server for operators: metrics, health, readiness, status, events and
  * graceful shutdown. Its address must never be reachable by callers.
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { Registry, collectDefaultMetrics } from "prom-client";
+import type { Emit, Measurements } from "../internal.js";
 import type { EventLog } from "./event-log.js";
 import type { ListenSettings } from "./settings.js";
 import { listen, type ListeningServer } from "./listening.js";
+import { createSmallServer } from "./small-server.js";
 
 export interface OperatorsSource {
+  readonly emit: Emit;
+  readonly measurements: Measurements;
   readonly events: EventLog;
   readonly metrics: Registry;
   readonly isReady: () => boolean;
@@ -25,15 +25,20 @@
 const METRICS_PATH = "/metrics";
 const HTTP_NOT_FOUND = 404;
 
+interface MetricsSource {
+  readonly metrics: Registry;
+  readonly metricsText: () => Promise<string>;
+}
+
 type Handler = (
   url: URL,
   response: ServerResponse,
-  source: OperatorsSource,
+  source: OperatorsSource & MetricsSource,
 ) => Promise<void> | void;
 
 const handlers: Readonly<Partial<Record<string, Handler>>> = {
-  "GET /metrics": async (_url, response, { metrics }) => {
-    await sendMetrics(response, metrics);
+  "GET /metrics": async (_url, response, source) => {
+    await sendMetrics(response, source);
   },
   "GET /health": (_url, response) => {
     sendJson(response, 200, { healthy: true });
@@ -62,8 +67,13 @@
   source: OperatorsSource,
 ): Promise<ListeningServer> {
   collectDefaultMetrics({ register: source.metrics });
-  const server = createServer((request, response) => {
-    void handleRequest(request, response, source);
+  const metricsText = createMetricsText(source.metrics);
+  const server = createSmallServer({
+    ...source,
+    listener: "operators",
+    handle: (request, response) => {
+      void handleRequest(request, response, { ...source, metricsText });
+    },
   });
   return listen(server, settings);
 }
@@ -71,7 +81,7 @@
 async function handleRequest(
   request: IncomingMessage,
   response: ServerResponse,
-  source: OperatorsSource,
+  source: OperatorsSource & MetricsSource,
 ): Promise<void> {
   const url = new URL(request.url ?? "/", "http://operators");
   const handler = handlers[`${request.method ?? ""} ${url.pathname}`];
@@ -85,22 +95,40 @@
 /** Serves only the metrics, for processes operated through the platform. */
 export async function startMetricsServer(
   settings: ListenSettings,
-  metrics: Registry,
+  source: Pick<OperatorsSource, "emit" | "measurements" | "metrics">,
 ): Promise<ListeningServer> {
+  const { metrics } = source;
   collectDefaultMetrics({ register: metrics });
-  const server = createServer((request, response) => {
-    if (request.url === METRICS_PATH) void sendMetrics(response, metrics);
-    else response.writeHead(HTTP_NOT_FOUND).end();
+  const metricsText = createMetricsText(metrics);
+  const server = createSmallServer({
+    ...source,
+    listener: "metrics",
+    handle: (request, response) => {
+      if (request.url === METRICS_PATH)
+        void sendMetrics(response, { metrics, metricsText });
+      else response.writeHead(HTTP_NOT_FOUND).end();
+    },
   });
   return listen(server, settings);
 }
 
+/** Requests that come while the text is being made share it. */
+function createMetricsText(metrics: Registry): () => Promise<string> {
+  let pending: Promise<string> | undefined;
+  return () => {
+    pending ??= metrics.metrics().finally(() => {
+      pending = undefined;
+    });
+    return pending;
+  };
+}
+
 async function sendMetrics(
   response: ServerResponse,
-  metrics: Registry,
+  { metrics, metricsText }: MetricsSource,
 ): Promise<void> {
   response.setHeader("content-type", metrics.contentType);
-  response.end(await metrics.metrics());
+  response.end(await metricsText());
 }
 
 export function sendJson(
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -4,13 +4,14 @@
  * store.
  */
 import { randomUUID } from "node:crypto";
-import { createServer } from "node:http";
+import type { Server } from "node:http";
 import { sendError } from "../daemon/entry/answer-writer.js";
 import { pause } from "../daemon/background-task.js";
 import { EventLog } from "../daemon/event-log.js";
 import { listen, type ListeningServer } from "../daemon/listening.js";
 import { registerMetrics } from "../daemon/metrics-registry.js";
 import { startMetricsServer } from "../daemon/operators-server.js";
+import { createSmallServer } from "../daemon/small-server.js";
 import { ConnectionGuard } from "../intake/connection-guard.js";
 import {
   acceptedConnectionLimit,
@@ -195,7 +196,11 @@
     if (settings.metrics !== undefined) {
       const metrics = hostPortOf(settings.metrics);
       this.listeningServers.push(
-        await startMetricsServer(metrics, this.registry),
+        await startMetricsServer(metrics, {
+          emit: this.emit,
+          measurements: this.measurements,
+          metrics: this.registry,
+        }),
       );
     }
     await this.parts.startLoadView();
@@ -235,12 +240,17 @@
     });
   }
 
-  private readinessServer(): ReturnType<typeof createServer> {
-    return createServer((request, response) => {
-      const isReadinessPath = request.url === this.options.readinessPath;
-      const ready = isReadinessPath && this.isReady;
-      const status = isReadinessPath ? (ready ? 200 : 503) : 404;
-      response.writeHead(status, { "content-length": 0 }).end();
+  private readinessServer(): Server {
+    return createSmallServer({
+      listener: "readiness",
+      emit: this.emit,
+      measurements: this.measurements,
+      handle: (request, response) => {
+        const isReadinessPath = request.url === this.options.readinessPath;
+        const ready = isReadinessPath && this.isReady;
+        const status = isReadinessPath ? (ready ? 200 : 503) : 404;
+        response.writeHead(status, { "content-length": 0 }).end();
+      },
     });
   }
 }
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -238,7 +238,11 @@
     await bindServer(this.server, { peers, transport: PLAIN_TRANSPORT });
     if (settings.metrics !== undefined) {
       const metrics = hostPortOf(settings.metrics);
-      this.metricsServer = await startMetricsServer(metrics, this.registry);
+      this.metricsServer = await startMetricsServer(metrics, {
+        emit: this.emit,
+        measurements: this.measurements,
+        metrics: this.registry,
+      });
     }
     this.loadHub = await startLoadHub(settings, {
       emit: this.emit,
