Limit what clients hold at the listener for other daemons

Callers saw: an agent that ended, and with it the requests at its backend server, because of a single message of 3.9 MiB in frames of one byte, or of 60 messages that stopped before their end.

Cause: the gRPC library keeps the parts of a message, each as an object, until it is complete. Messages could have 32 MiB, and neither their number nor that of the connections had a limit.

Why it works: the daemons accept these connections themselves and hand them to the library. What each has sent since its last complete message counts; beyond peerInputShare of the memory (0.15) the largest is closed. Small parts take many times their length, which shows only in the heap: once half of it is in use, the connection with most of an incomplete message is closed, one every 100 ms. Connections get what the process's own don't need of the descriptors, and one without messages makes room first. Agents of the direct path, whose messages have some ten KB, accept 1 MiB (peerMessageBytes).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,7 +2,7 @@
  * Parts that daemons of both roles share: the current configuration, the HTTP
  * server for operators, the server for other daemons, and background tasks.
  */
-import { Server } from "@grpc/grpc-js";
+import type { Server } from "@grpc/grpc-js";
 import { LogClient } from "../platform/log-client.js";
 import { RELEASE } from "../release.js";
 import { ConfigurationFeedService } from "../wire/generated/configuration.js";
@@ -10,10 +10,9 @@
 import { ConfigurationFollower } from "./configuration/follower.js";
 import type { ListeningServer } from "./listening.js";
 import { startOperatorsServer } from "./operators-server.js";
-import { bindServer } from "./peer-server.js";
+import { PeerListener } from "./peer-listener.js";
 import type { ProcessContext } from "./process-context.js";
 import type { Settings } from "./settings.js";
-import { channelOptions } from "./transport.js";
 
 export interface DaemonAddresses {
   readonly operators: string;
@@ -47,7 +46,7 @@
 export class DaemonCore implements AsyncDisposable {
   readonly log: LogClient;
   readonly configuration: ConfigurationFollower;
-  readonly server = new Server(channelOptions);
+  private readonly peerListener: PeerListener;
   leaving = false;
   private readonly stopController = new AbortController();
   private peerAddress = "";
@@ -56,6 +55,7 @@
   private constructor(private readonly options: DaemonCoreOptions) {
     const { settings, context } = options;
     const { platform, transport } = settings;
+    this.peerListener = PeerListener.create({ ...context, settings });
     this.log = LogClient.create(platform.log);
     this.configuration = ConfigurationFollower.create({
       context,
@@ -69,6 +69,11 @@
     return new DaemonCore(options);
   }
 
+  /** Serves other daemons. */
+  get server(): Server {
+    return this.peerListener.server;
+  }
+
   /** Aborts when the daemon ends. */
   get signal(): AbortSignal {
     return this.stopController.signal;
@@ -96,7 +101,8 @@
     });
     this.runTasks([...this.configurationTasks(), ...tasks]);
     server.addService(ConfigurationFeedService, configuration.feed.service);
-    this.peerAddress = await bindServer(server, settings);
+    const { peers, transport } = settings;
+    this.peerAddress = await this.peerListener.bind(peers, transport);
   }
 
   /** Emits `process-started`; must be called once the daemon accepts work. */
@@ -124,7 +130,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.endTasks();
-    this.server.forceShutdown();
+    await this.peerListener[Symbol.asyncDispose]();
     await this.operatorsServer?.[Symbol.asyncDispose]();
     await this.options.context.events.close();
   }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -8,7 +8,9 @@
 import { DEFAULT_WINDOW_SETTINGS } from "../internal.js";
 import {
   descriptors,
+  memoryMb,
   openRequestsPerConnection,
+  peerInputShare,
   requestMemoryShare,
 } from "../intake/settings.js";
 import { parseSettingsText, readSettingsText } from "./settings-file.js";
@@ -57,7 +59,9 @@
   operators: listen.prefault({}),
   platform,
   transport: transport.prefault({}),
+  memoryMb,
   descriptors,
+  peerInputShare,
   logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
   graceMs: z
     .int()
@@ -68,12 +72,6 @@
     ),
 };
 
-const memoryMb = z
-  .number()
-  .min(32)
-  .optional()
-  .describe("Memory of the process, MB; without it, the heap limit counts.");
-
 const callerLimits = z
   .strictObject({
     headBytes: z.int().min(1024).default(16_384),
@@ -155,7 +153,6 @@
   .strictObject({
     role: z.literal("entry"),
     ...common,
-    memoryMb,
     callers: listen.prefault({}),
     limits: callerLimits.prefault({}),
     claims: z
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -3,7 +3,10 @@
 import * as z from "zod";
 import {
   descriptors,
+  memoryMb,
   openRequestsPerConnection,
+  peerInputShare,
+  peerMessageBytes,
   requestMemoryShare,
 } from "../intake/settings.js";
 import {
@@ -94,6 +97,9 @@
       "Address at which the group's planner calls this agent.",
     ),
     service: z.string().min(1),
+    memoryMb,
+    peerInputShare,
+    peerMessageBytes,
     loadView: address
       .optional()
       .describe(
--- a/src/rankmaps/agent.ts
+++ b/src/rankmaps/agent.ts
@@ -3,14 +3,12 @@
  * the group while it holds the planner lease.
  */
 import { randomUUID } from "node:crypto";
-import { Server } from "@grpc/grpc-js";
 import { pause } from "../daemon/background-task.js";
 import { EventLog } from "../daemon/event-log.js";
-import { bindServer } from "../daemon/peer-server.js";
+import { PeerListener } from "../daemon/peer-listener.js";
 import type { ListeningServer } from "../daemon/listening.js";
 import { registerMetrics } from "../daemon/metrics-registry.js";
 import { startMetricsServer } from "../daemon/operators-server.js";
-import { channelOptions } from "../daemon/transport.js";
 import {
   changedFields,
   hostPortOf,
@@ -91,7 +89,7 @@
   private readonly events: EventLog;
   private readonly emit: Emit;
   private readonly agent: RankAgent;
-  private readonly server = new Server(channelOptions);
+  private readonly peerListener: PeerListener;
   private readonly abortController = new AbortController();
   private readonly ranks: RankConnections;
   private readonly members: GroupMembers;
@@ -124,6 +122,12 @@
     this.measurements = measurements;
     this.events = EventLog.create(name, HybridClock.create(), logLevel);
     this.emit = this.events.emit;
+    this.peerListener = PeerListener.create({
+      settings,
+      emit: this.emit,
+      measurements,
+      messageBytes: settings.peerMessageBytes,
+    });
     this.findings = RecordFindings.create({
       emit: this.emit,
       measurements,
@@ -223,8 +227,8 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.abortController.abort();
-    this.server.forceShutdown();
     this.ranks[Symbol.dispose]();
+    await this.peerListener[Symbol.asyncDispose]();
     await pause(LEAVE_GRACE_MS, new AbortController().signal);
     await this.loadHub?.[Symbol.asyncDispose]();
     await this.metricsServer?.[Symbol.asyncDispose]();
@@ -233,9 +237,10 @@
 
   private async start(): Promise<void> {
     const { settings } = this.options;
-    this.server.addService(RankAgentService, this.agent.service);
+    const { server } = this.peerListener;
+    server.addService(RankAgentService, this.agent.service);
     const peers = hostPortOf(settings.peers);
-    await bindServer(this.server, { peers, transport: PLAIN_TRANSPORT });
+    await this.peerListener.bind(peers, PLAIN_TRANSPORT);
     if (settings.metrics !== undefined) {
       const metrics = hostPortOf(settings.metrics);
       this.metricsServer = await startMetricsServer(metrics, {
--- a/tests/configuration/follower-site.ts
+++ b/tests/configuration/follower-site.ts
@@ -1,7 +1,6 @@
 /**
  * Configuration followers in one process that communicate over real sockets.
  */
-import { Server } from "@grpc/grpc-js";
 import {
   encodeEnvelope,
   type Checkpoint,
@@ -9,10 +8,9 @@
 } from "../../src/internal.js";
 import { ConfigurationFollower } from "../../src/daemon/configuration/follower.js";
 import { runTask } from "../../src/daemon/background-task.js";
-import { bindServer } from "../../src/daemon/peer-server.js";
+import { PeerListener } from "../../src/daemon/peer-listener.js";
 import { createContext } from "../../src/daemon/process-context.js";
 import { parseSettings } from "../../src/daemon/settings.js";
-import { channelOptions } from "../../src/daemon/transport.js";
 import { LogClient } from "../../src/platform/log-client.js";
 import type { Vm } from "../../src/platform/vm-list-client.js";
 import { ConfigurationFeedService } from "../../src/wire/generated/configuration.js";
@@ -108,9 +106,9 @@
     vmList: platform.vmList,
     transport: settings.transport,
   });
-  const server = new Server(channelOptions);
-  server.addService(ConfigurationFeedService, follower.feed.service);
-  const address = await bindServer(server, settings);
+  const listener = PeerListener.create({ ...context, settings });
+  listener.server.addService(ConfigurationFeedService, follower.feed.service);
+  const address = await listener.bind(settings.peers, settings.transport);
   const stopController = new AbortController();
   const { signal } = stopController;
   const tasks = [
@@ -134,7 +132,7 @@
     follower,
     async [Symbol.asyncDispose]() {
       stopController.abort();
-      server.forceShutdown();
+      await listener[Symbol.asyncDispose]();
       await Promise.all(tasks);
     },
   };
--- a/tests/expertmap/group-site.ts
+++ b/tests/expertmap/group-site.ts
@@ -1,5 +1,4 @@
 /** A group on loopback: agents, engines, weight store, log and VM list. */
-import { Server } from "@grpc/grpc-js";
 import {
   createEvenMap,
   type Configuration,
@@ -7,7 +6,7 @@
   type ExpertMap,
 } from "../../src/internal.js";
 import { ExpertMaps } from "../../src/daemon/expert-map/expert-maps.js";
-import { bindServer } from "../../src/daemon/peer-server.js";
+import { PeerListener } from "../../src/daemon/peer-listener.js";
 import { createContext } from "../../src/daemon/process-context.js";
 import {
   parseSettings,
@@ -122,9 +121,9 @@
       configuration: () => this.configuration,
       onSteps: () => undefined,
     });
-    const server = new Server();
-    server.addService(ExpertMapsService, maps.service);
-    const address = await bindServer(server, settings);
+    const listener = PeerListener.create({ ...context, settings });
+    listener.server.addService(ExpertMapsService, maps.service);
+    const address = await listener.bind(settings.peers, settings.transport);
     this.addresses.set(`${name}-peers`, address);
     const stopping = new AbortController();
     const running = runTask({
@@ -135,7 +134,7 @@
     });
     const stop = async (): Promise<void> => {
       stopping.abort();
-      server.forceShutdown();
+      await listener[Symbol.asyncDispose]();
       await running;
       await maps[Symbol.asyncDispose]();
     };
--- a/tests/expertmap/silent-connection.test.ts
+++ b/tests/expertmap/silent-connection.test.ts
@@ -1,8 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { Server } from "@grpc/grpc-js";
 import * as assert from "uvu/assert";
 import { MapPeers } from "../../src/daemon/expert-map/peers.js";
-import { bindServer } from "../../src/daemon/peer-server.js";
+import { PeerListener } from "../../src/daemon/peer-listener.js";
 import { createContext } from "../../src/daemon/process-context.js";
 import { parseSettings } from "../../src/daemon/settings.js";
 import { ExpertMapsService } from "../../src/wire/generated/expertmap.js";
@@ -29,7 +28,9 @@
   // failing with 1602.
   it("arrive again after their connection stopped delivering", async () => {
     let delivered = 0;
-    const server = new Server();
+    const context = createContext(settings);
+    const listener = PeerListener.create({ ...context, settings });
+    const { server } = listener;
     server.addService(ExpertMapsService, {
       deliver: (
         _call: unknown,
@@ -40,9 +41,9 @@
       },
       describe: () => undefined,
     });
-    const address = await bindServer(server, settings);
+    const address = await listener.bind(settings.peers, settings.transport);
     await using relay = await startSilentRelay(() => address);
-    using peers = MapPeers.create(createContext(settings), settings.transport);
+    using peers = MapPeers.create(context, settings.transport);
     peers.setAddresses(new Map([["other", relay.address]]));
     const sendUntilDelivered = async (): Promise<void> => {
       const before = delivered;
@@ -58,6 +59,6 @@
     assert.is(relay.silence(), 1);
     await sendUntilDelivered();
     assert.ok(delivered >= 2);
-    server.forceShutdown();
+    await listener[Symbol.asyncDispose]();
   });
 });
--- a/tests/rankmaps/group-search.test.ts
+++ b/tests/rankmaps/group-search.test.ts
@@ -123,6 +123,8 @@
       store: { address: "127.0.0.1:1", leastLeaseMs: 1000 },
       logLevel: "error",
       graceSeconds: 1,
+      peerInputShare: 0.15,
+      peerMessageBytes: 1_048_576,
       runner: OWN,
       peers: "127.0.0.1:0",
       service: "model",
--- a/tests/transport/mutual-authentication.test.ts
+++ b/tests/transport/mutual-authentication.test.ts
@@ -1,7 +1,7 @@
 import { fileURLToPath } from "node:url";
-import { Metadata, Server } from "@grpc/grpc-js";
+import { Metadata } from "@grpc/grpc-js";
 import * as assert from "uvu/assert";
-import { bindServer } from "../../src/daemon/peer-server.js";
+import { PeerListener } from "../../src/daemon/peer-listener.js";
 import {
   parseSettings,
   type TransportSettings,
@@ -11,7 +11,11 @@
   clientCredentials,
   serverCredentials,
 } from "../../src/daemon/transport.js";
-import { ApricotdeckError } from "../../src/internal.js";
+import {
+  ApricotdeckError,
+  ignoreEvents,
+  ignoreMeasurements,
+} from "../../src/internal.js";
 import {
   ExpertBalanceClient,
   ExpertBalanceService,
@@ -77,8 +81,13 @@
 
 describe("connections between daemons with certificates", () => {
   it("serve only peers with a certificate signed by the authority", async () => {
-    const server = new Server();
-    server.addService(ExpertBalanceService, {
+    const settings = entrySettings();
+    await using listener = PeerListener.create({
+      settings,
+      emit: ignoreEvents,
+      measurements: ignoreMeasurements,
+    });
+    listener.server.addService(ExpertBalanceService, {
       reportWindow: (
         _call: unknown,
         reply: (error: null, value: object) => void,
@@ -86,11 +95,10 @@
         reply(null, {});
       },
     });
-    const address = await bindServer(server, entrySettings());
+    const address = await listener.bind(settings.peers, settings.transport);
     assert.ok(await isAnswered(address, transportOf("daemon")));
     assert.not(await isAnswered(address, transportOf("untrusted")));
     assert.not(await isAnswered(address, plaintext));
-    server.forceShutdown();
   });
 });
 
