Bound the bodies that an agent holds, and drop those of runs that have started

Callers saw: requests lost with an agent that ran out of memory. 60 bodies of 3.9 MiB one after the other, each answered, were enough, when their profile lets them run at most once; several entries together could do the same at once.

Cause: an agent kept a run with its body for 30 s after its end, to answer resumptions, which need no body. Bodies of runs at the same time had no bound but their number, 256.

Why it works: a run is kept without its body. What runs hold is counted, twice their length, from the start to the end of each run. Beyond limits.requestMemoryShare of the memory an attempt is refused with 1404, which says that it hasn't run, so its entry tries another agent; a single body is always taken, and small ones beside large ones.

--- a/src/daemon/agent/agent-sessions.ts
+++ b/src/daemon/agent/agent-sessions.ts
@@ -35,6 +35,7 @@
   writeAgentFrame,
   writeCloseReply,
 } from "../session-frames.js";
+import type { RunBodies } from "./run-bodies.js";
 import type { RunnerRest } from "./runner-rest.js";
 import type { RunnerClient } from "./runner-client.js";
 import { RunTasks } from "./run-tasks.js";
@@ -45,6 +46,7 @@
   readonly context: ProcessContext;
   readonly runner: RunnerClient;
   readonly rest: RunnerRest;
+  readonly bodies: RunBodies;
   readonly group: string;
   readonly attemptLimit: number;
   /** Whether the engine can resend a run's answer when asked by run id. */
@@ -77,10 +79,12 @@
       group,
       incarnation: context.incarnation,
       engineResumes,
-      mayStart: ({ priority }) => {
+      mayStart: (call) => {
         const { leftMs } = options.rest;
         if (leftMs > 0) return { error: 1409, retryAfterMs: leftMs };
-        return this.gate.running < priorityLimit(attemptLimit, priority)
+        const hasRoom =
+          this.gate.running < priorityLimit(attemptLimit, call.priority);
+        return hasRoom && options.bodies.allows(call)
           ? undefined
           : { error: 1404, retryAfterMs: FULL_RETRY_AFTER_MS };
       },
@@ -89,7 +93,7 @@
       },
       emit: context.emit,
     });
-    this.runs = RunTasks.create(options.runner, this.gate);
+    this.runs = RunTasks.create(options.runner, this.gate, options.bodies);
     this.timer = setInterval(() => {
       this.gate.tick(performance.now());
     }, TICK_INTERVAL_MS);
--- a/src/daemon/agent/agent.ts
+++ b/src/daemon/agent/agent.ts
@@ -7,6 +7,7 @@
   type DaemonAddresses,
   type DaemonTask,
 } from "../daemon.js";
+import { memoryBytesOf } from "../../intake/process-memory.js";
 import { EngineClient } from "../expert-map/engine-client.js";
 import { ExpertMaps } from "../expert-map/expert-maps.js";
 import { OrderTask } from "../orders/order-task.js";
@@ -16,6 +17,7 @@
 import { ClaimsService } from "../../wire/generated/claims.js";
 import { ExpertMapsService } from "../../wire/generated/expertmap.js";
 import { AgentService, AgentSessions } from "./agent-sessions.js";
+import { RunBodies } from "./run-bodies.js";
 import { createClaimService } from "./claim-service.js";
 import { reportLoads } from "./load-reports.js";
 import { RunnerRest } from "./runner-rest.js";
@@ -66,6 +68,10 @@
       context,
       runner: this.runner,
       rest,
+      bodies: RunBodies.create({
+        ...context,
+        capacityBytes: memoryBytesOf(settings) * limits.requestMemoryShare,
+      }),
       group,
       attemptLimit: limits.attempts,
       engineResumes: runner.kind === "model",
--- /dev/null
+++ b/src/daemon/agent/run-bodies.ts
@@ -0,0 +1,47 @@
+/** Bounds the memory of the bodies of all requests that an agent runs. */
+import type { Call } from "../../internal.js";
+import { MemoryBudget, type HeldBytes } from "../../intake/memory-budget.js";
+import type { ProcessContext } from "../process-context.js";
+
+export interface RunBodiesOptions extends Pick<
+  ProcessContext,
+  "emit" | "measurements"
+> {
+  readonly capacityBytes: number;
+}
+
+/** The message that brought the body, and what is written to the engine. */
+const COPIES_OF_BODY = 2;
+
+export class RunBodies {
+  private readonly budget: MemoryBudget;
+
+  private constructor(private readonly options: RunBodiesOptions) {
+    const { capacityBytes, measurements } = options;
+    this.budget = MemoryBudget.create(capacityBytes, (heldBytes) => {
+      measurements.set("heldRequestBytes", heldBytes);
+    });
+  }
+
+  static create(options: RunBodiesOptions): RunBodies {
+    return new RunBodies(options);
+  }
+
+  /** False if the request must be refused. */
+  allows({ body }: Call): boolean {
+    const bytes = COPIES_OF_BODY * body.length;
+    if (this.budget.allows(bytes)) return true;
+    const { emit, measurements } = this.options;
+    const reason = "memory";
+    emit(268, { reason, bytes, heldBytes: this.budget.heldBytes });
+    measurements.count("requestsLimited", { reason });
+    return false;
+  }
+
+  /** Counts the body of a run that starts, until its disposal. */
+  hold({ body }: Call): HeldBytes {
+    const held = this.budget.open();
+    held.tryHold(COPIES_OF_BODY * body.length);
+    return held;
+  }
+}
--- a/src/daemon/agent/run-tasks.ts
+++ b/src/daemon/agent/run-tasks.ts
@@ -5,6 +5,7 @@
   type AgentEffect,
   type AgentGate,
 } from "../../internal.js";
+import type { RunBodies } from "./run-bodies.js";
 import type { AnswerSink, RunnerClient } from "./runner-client.js";
 
 type RunEffect = Extract<AgentEffect, { kind: "start-run" | "resume-run" }>;
@@ -18,10 +19,15 @@
   private constructor(
     private readonly runner: RunnerClient,
     private readonly gate: AgentGate,
+    private readonly bodies: RunBodies,
   ) {}
 
-  static create(runner: RunnerClient, gate: AgentGate): RunTasks {
-    return new RunTasks(runner, gate);
+  static create(
+    runner: RunnerClient,
+    gate: AgentGate,
+    bodies: RunBodies,
+  ): RunTasks {
+    return new RunTasks(runner, gate, bodies);
   }
 
   run(effect: RunEffect): void {
@@ -56,6 +62,7 @@
   ): Promise<void> {
     const { gate, runner } = this;
     const { run, stream } = effect;
+    const heldBody = this.bodies.hold(effect.call);
     const sink: AnswerSink = {
       head: (status, headers, isEndMarked) => {
         gate.runHead(run, stream, status, headers, isEndMarked);
@@ -71,6 +78,8 @@
       gate.runEnded(run, stream, performance.now());
     } catch (error) {
       this.reportFailure(effect, toFailure(error, 1216));
+    } finally {
+      heldBody[Symbol.dispose]();
     }
   }
 
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -219,6 +219,7 @@
           .min(10)
           .default(DEFAULT_WINDOW_SETTINGS.windowSteps)
           .describe("Engine steps in one window of the expert balance."),
+        requestMemoryShare,
       })
       .readonly()
       .prefault({}),
--- a/src/intake/memory-budget.ts
+++ b/src/intake/memory-budget.ts
@@ -34,6 +34,13 @@
     this.capacity = bytes;
   }
 
+  /** Whether an item of this size would be taken; a single one always is. */
+  allows(bytes: number): boolean {
+    const { size } = this.held;
+    if (size === 0 || this.totalBytes + bytes <= this.capacity) return true;
+    return bytes <= this.capacity / (size + 1);
+  }
+
   /** Begins to count one item; disposed of when nothing of it is held. */
   open(): HeldBytes {
     const held: HeldBytes = {
--- a/src/session/agent-runs.ts
+++ b/src/session/agent-runs.ts
@@ -21,6 +21,8 @@
   Safeguard,
 } from "./types.js";
 
+const EMPTY_BODY = new Uint8Array(0);
+
 export class AgentRuns {
   private readonly byId = new Map<string, Run>();
   /** By the attempt that currently receives the answer. */
@@ -240,7 +242,9 @@
     attempt: string,
     connection: number,
   ): Run {
-    const run = createRun(id, call, attempt, connection);
+    // Only the start needs the body; the run is kept beyond its end.
+    const callWithoutBody = { ...call, body: EMPTY_BODY };
+    const run = createRun(id, callWithoutBody, attempt, connection);
     this.byId.set(id, run);
     this.byAttempt.set(attempt, run);
     this.unfinished += 1;
--- a/tests/clients/session-site.ts
+++ b/tests/clients/session-site.ts
@@ -36,12 +36,16 @@
   readonly operators: string;
 }
 
+/** Requests of the second one may run at most once. */
+export type Profile = "records" | "orders";
+
 export interface SessionSite extends AsyncDisposable {
   readonly entry: MeasuredProcess;
   readonly agent: MeasuredProcess;
   readonly entryAddresses: Addresses;
   readonly agentAddresses: Addresses;
-  readonly headLines: HeadLines;
+  /** Heads of requests to the service under a profile. */
+  readonly headLinesOf: (profile: Profile) => HeadLines;
   /** Whether an ordinary request is answered, which is tried a few times. */
   readonly answersOrdinaryRequest: () => Promise<boolean>;
 }
@@ -93,11 +97,11 @@
     agent,
     entryAddresses,
     agentAddresses,
-    headLines: () => [
+    headLinesOf: (profile) => () => [
       `POST /services/${SERVICE}/records HTTP/1.1`,
       "host: entry",
       `authorization: Bearer ${credentialOf("dyfrwr", 0)}`,
-      "apricotdeck-profile: records",
+      `apricotdeck-profile: ${profile}`,
     ],
     answersOrdinaryRequest: () => isAnswered(entryAddresses),
     async [Symbol.asyncDispose]() {
--- a/tests/clients/sessions.test.ts
+++ b/tests/clients/sessions.test.ts
@@ -90,7 +90,7 @@
     // of each body, or keeps other callers from being answered.
     it(`answers others during and after ${name}`, async () => {
       await using site = await startSessionSite(LIMITS, delayMs);
-      const behave = behaviour(createBehaviours(site.headLines));
+      const behave = behaviour(createBehaviours(site.headLinesOf("records")));
       {
         using crowd = await Crowd.create(
           site.entryAddresses.callers,
@@ -107,11 +107,29 @@
 
 describe("an entry with sessions whose callers keep to the limits", () => {
   const SMALL_BODY_BYTES = 16_384;
+  const LARGE_BODIES = 60;
+
+  for (const profile of ["records", "orders"] as const) {
+    // Guards against bodies that the agent keeps after their runs have ended.
+    it(`answers large bodies of ${profile} one after the other`, async () => {
+      await using site = await startSessionSite(LIMITS);
+      const { whole } = createBehaviours(site.headLinesOf(profile));
+      using crowd = await Crowd.createInTurn(
+        site.entryAddresses.callers,
+        LARGE_BODIES,
+        whole(LARGE_BODY_BYTES),
+      );
+      for (const { text } of crowd.clients) {
+        assert.match(text, /^HTTP\/1\.1 200 /);
+      }
+      await assertInOrder(site);
+    });
+  }
 
   // Guards against limits that ordinary callers meet, at the entry or agent.
   it("answers many small bodies and a large one", async () => {
     await using site = await startSessionSite(LIMITS);
-    const { whole } = createBehaviours(site.headLines);
+    const { whole } = createBehaviours(site.headLinesOf("records"));
     const { callers } = site.entryAddresses;
     using crowd = await Crowd.create(callers, 60, whole(SMALL_BODY_BYTES));
     await crowd.untilAnswered();
