Give up requests behind others when their caller has left

Callers saw: work at runners, up to six seconds long, for callers that had left, and memory that was held for it, if their requests had been sent without awaiting the answers before.

Cause: when a connection closes, Node.js tells only the response that is being sent; those that wait for it get no "close", which is what gives a request up.

Evidence: "gives up the requests that are behind others too" failed: 4 s after the caller left, the second request ran and was held.

Why it works: the guard of the listener knows the open responses of each connection and closes those that have no socket yet. It also no longer takes the end of one request's body for that of the next one behind it.

--- a/src/intake/connection-guard.ts
+++ b/src/intake/connection-guard.ts
@@ -27,13 +27,14 @@
 
 interface Connection extends ConnectionUse {
   readonly socket: Socket;
-  openRequests: number;
+  /** Responses that haven't been sent completely. */
+  readonly openResponses: Set<ServerResponse>;
   hasSentRequest: boolean;
   restingSinceMs: number;
   /** Bytes read of it up to the end of the last request. */
   requestEndBytes: number;
-  /** Whether the body of the last request is still being read. */
-  isReadingBody: boolean;
+  /** The last request, while its body is being read. */
+  reading: IncomingMessage | undefined;
 }
 
 /** Interval at which incomplete heads are counted, ms. */
@@ -71,28 +72,29 @@
   admit(request: IncomingMessage, response: ServerResponse): boolean {
     const connection = this.connections.get(request.socket);
     if (connection === undefined) return false;
-    connection.openRequests += 1;
+    const { socket, openResponses } = connection;
+    openResponses.add(response);
     connection.hasSentRequest = true;
-    connection.isReadingBody = true;
+    connection.reading = request;
     const onRead = (): void => {
-      connection.isReadingBody = false;
-      connection.requestEndBytes = connection.socket.bytesRead;
+      if (connection.reading !== request) return;
+      connection.reading = undefined;
+      connection.requestEndBytes = socket.bytesRead;
     };
     request.once("end", onRead);
     response.once("close", () => {
-      connection.openRequests -= 1;
+      openResponses.delete(response);
       connection.restingSinceMs = this.options.now();
       if (request.complete) onRead();
     });
-    if (connection.openRequests <= this.options.maximumOpenRequests)
-      return true;
+    if (openResponses.size <= this.options.maximumOpenRequests) return true;
     this.close(connection, "too many requests");
     return false;
   }
 
   /** Whether answers to earlier requests go out before that to this one. */
   isBehindOthers({ socket }: IncomingMessage): boolean {
-    return (this.connections.get(socket)?.openRequests ?? 0) > 1;
+    return (this.connections.get(socket)?.openResponses.size ?? 0) > 1;
   }
 
   /** Closes the request's connection, with all requests on it. */
@@ -102,13 +104,17 @@
   }
 
   private add(socket: Socket): void {
+    const openResponses = new Set<ServerResponse>();
     const connection: Connection = {
       socket,
-      openRequests: 0,
+      openResponses,
+      get openRequests() {
+        return openResponses.size;
+      },
       hasSentRequest: false,
       restingSinceMs: this.options.now(),
       requestEndBytes: 0,
-      isReadingBody: false,
+      reading: undefined,
     };
     if (this.connections.size >= this.options.maximumConnections()) {
       const chosen = chooseToClose(this.connections.values());
@@ -119,6 +125,7 @@
     this.onCountChanged();
     socket.once("close", () => {
       this.forget(socket);
+      closeWaiting(openResponses);
     });
   }
 
@@ -159,6 +166,18 @@
 }
 
 function unfinishedHeadBytes(connection: Connection): number {
-  const { socket, isReadingBody, requestEndBytes } = connection;
-  return isReadingBody ? 0 : socket.bytesRead - requestEndBytes;
+  const { socket, reading, requestEndBytes } = connection;
+  return reading === undefined ? socket.bytesRead - requestEndBytes : 0;
+}
+
+/**
+ * Closes responses that wait for earlier ones: Node.js reports the end of their
+ * connection only on the response that is being sent.
+ */
+function closeWaiting(responses: ReadonlySet<ServerResponse>): void {
+  for (const response of responses) {
+    if (response.socket !== null) continue;
+    response.destroy();
+    response.emit("close");
+  }
 }
--- a/tests/intake/request-memory.test.ts
+++ b/tests/intake/request-memory.test.ts
@@ -2,8 +2,9 @@
 import { RequestMemory } from "../../src/intake/request-memory.js";
 import { ignoreEvents, ignoreMeasurements } from "../../src/internal.js";
 import { neverRespond } from "../../standins/signing-runner.js";
-import { EntrySite } from "../platform/entry-site.js";
+import { EntrySite, rawRequest } from "../platform/entry-site.js";
 import { describe, it } from "../support/describe.js";
+import { RawConnection } from "../support/raw-connection.js";
 
 const MIB = 1024 * 1024;
 const MEMORY_BYTES = 100 * MIB;
@@ -83,4 +84,23 @@
     await Promise.all(calls);
     await site.waitUntil(async () => (await heldBytes()) === 0);
   });
+
+  it("gives up the requests that are behind others too", async () => {
+    // Guards against requests that run, and are held, until their deadline: for
+    // a response that waits for an earlier one, Node.js doesn't report that its
+    // connection has been closed.
+    await using site = await EntrySite.createWithRunners(neverRespond);
+    const [runner] = site.runners;
+    const heldBytes = () => site.gauge("apricotdeck_held_request_bytes");
+    using caller = await RawConnection.create(site.entry.addresses.callers);
+    const request = rawRequest("/often/a", { body: "a".repeat(900) });
+    caller.send(request + request);
+    await site.waitUntil(() => runner.receivedRequests.length === 2);
+    caller[Symbol.dispose]();
+    await site.assertEventually(
+      "nothing is held",
+      async () => (await heldBytes()) === 0,
+    );
+    assert.ok(runner.receivedRequests.every(({ isAborted }) => isAborted));
+  });
 });
