Count a request from its head until its response is sent

Callers saw: nothing yet; an entry could hold any number of requests without bodies, and of refusals that wait for answers before them on a connection.

Cause: a request's objects were counted when it was opened, so the question whether they fit was never answered with no; and the count ended with the handler, while its response could still wait to be sent.

Evidence: "are refused once there are too many" failed (all of 10,000 requests taken with room for 1,280) and passes now.

Why it works: the first thing that is asked for a request is whether its objects fit, before anything else of it is read; else it gets 1224, or its connection is closed if it is behind others. The count ends when the response is closed.

--- a/src/daemon/entry/caller-server.ts
+++ b/src/daemon/entry/caller-server.ts
@@ -79,7 +79,13 @@
 ): Promise<void> {
   const { request, response } = exchange;
   using held = options.memory.open();
+  // A response, a refusal too, may wait for those before it.
+  const heldForResponse = held.retain();
+  response.once("close", () => {
+    heldForResponse[Symbol.dispose]();
+  });
   try {
+    if (!held.tryHoldBody(0)) raise(1224);
     if (options.isLeaving()) {
       response.setHeader("connection", "close");
       raise(1213);
--- a/src/daemon/entry/request-body.ts
+++ b/src/daemon/entry/request-body.ts
@@ -26,7 +26,6 @@
 ): Promise<Buffer> {
   const declaredLength = Number(request.headers["content-length"] ?? 0);
   if (declaredLength > limit) raise(1205, { limit });
-  if (!held.tryHoldBody(0)) raise(1224);
   const body = BodyBuffer.create(limit);
   let timer: NodeJS.Timeout | undefined;
   const ended = new Promise<void>((resolve, reject) => {
--- a/src/direct/caller-listener.ts
+++ b/src/direct/caller-listener.ts
@@ -114,7 +114,13 @@
   const arrivedAtMs = performance.now();
   if (options.isLeaving()) response.setHeader("connection", "close");
   using held = options.memory.open();
+  // A response, a refusal too, may wait for those before it.
+  const heldForResponse = held.retain();
+  response.once("close", () => {
+    heldForResponse[Symbol.dispose]();
+  });
   try {
+    if (!held.tryHoldBody(0)) raise(1224);
     const call = await readCall(request, held, options, arrivedAtMs);
     if (exchange.isRefused) return;
     await options.serve(call, response, held);
--- a/src/intake/request-memory.ts
+++ b/src/intake/request-memory.ts
@@ -7,7 +7,10 @@
 
 /** What is held for one request. */
 export interface HeldRequest extends Disposable {
-  /** Sets the length held of the body; false if the request must be refused. */
+  /**
+   * Sets the length held of the body, next to the request's objects; false if
+   * the request must be refused.
+   */
   readonly tryHoldBody: (bytes: number) => boolean;
   /**
    * Counts the request, beyond its own disposal, until the result is disposed
@@ -63,7 +66,6 @@
 
   open(): HeldRequest {
     const held = this.budget.open();
-    held.tryHold(EXCHANGE_BYTES);
     let users = 0;
     const retain = (): Disposable => {
       users += 1;
--- a/tests/intake/request-memory.test.ts
+++ b/tests/intake/request-memory.test.ts
@@ -104,3 +104,18 @@
     assert.ok(runner.receivedRequests.every(({ isAborted }) => isAborted));
   });
 });
+
+describe("requests that take no memory of their own", () => {
+  it("are refused once there are too many", () => {
+    // Guards against any number of requests without bodies.
+    const memory = createMemory();
+    const objects = Array.from({ length: 10_000 }, () => memory.open());
+    const taken = objects.filter((held) => {
+      if (held.tryHoldBody(0)) return true;
+      held[Symbol.dispose]();
+      return false;
+    });
+    assert.ok(taken.length < objects.length);
+    assert.ok(memory.heldBytes < 2 * CAPACITY_BYTES);
+  });
+});
