Leave out the body of a call in one place

An entry that resumes a run and an agent that keeps one leave the body out in the same way; the second one had been written again. Behaviour is the same.

--- a/src/session/agent-runs.ts
+++ b/src/session/agent-runs.ts
@@ -20,8 +20,7 @@
   Header,
   Safeguard,
 } from "./types.js";
-
-const EMPTY_BODY = new Uint8Array(0);
+import { withoutBody } from "./without-body.js";
 
 export class AgentRuns {
   private readonly byId = new Map<string, Run>();
@@ -243,8 +242,7 @@
     connection: number,
   ): Run {
     // Only the start needs the body; the run is kept beyond its end.
-    const callWithoutBody = { ...call, body: EMPTY_BODY };
-    const run = createRun(id, callWithoutBody, attempt, connection);
+    const run = createRun(id, withoutBody(call), attempt, connection);
     this.byId.set(id, run);
     this.byAttempt.set(attempt, run);
     this.unfinished += 1;
--- a/src/session/entry-attempts.ts
+++ b/src/session/entry-attempts.ts
@@ -4,14 +4,13 @@
 import type { EntryRequests } from "./entry-requests.js";
 import type { EntrySessionsOptions } from "./entry-types.js";
 import type { SessionLimits } from "./limits.js";
+import { withoutBody } from "./without-body.js";
 
 type AttemptDependencies = Pick<
   EntrySessionsOptions,
   "createAttemptId" | "emit"
 >;
 
-const EMPTY_BODY = new Uint8Array(0);
-
 export class EntryAttempts {
   private constructor(
     private readonly dependencies: AttemptDependencies,
@@ -34,9 +33,7 @@
     now: number,
   ): void {
     const isNewWork = request.run === attempt;
-    const call = isNewWork
-      ? request.call
-      : { ...request.call, body: EMPTY_BODY };
+    const call = isNewWork ? request.call : withoutBody(request.call);
     request.phase = "dispatched";
     request.giveUpAt = Number.POSITIVE_INFINITY;
     this.requests.setAttempt(request, attempt);
