Start a body's timer only where it has one, and never after its end

The path with sessions scheduled a callback for each body only to find that its server has a timeout of its own. On the direct path a body that was refused in the same turn got a timer that nothing cleared; when it fired, its refusal had no effect any more.

--- a/src/daemon/entry/request-body.ts
+++ b/src/daemon/entry/request-body.ts
@@ -28,6 +28,7 @@
   if (declaredLength > limit) raise(1205, { limit });
   const body = BodyBuffer.create(limit);
   let timer: NodeJS.Timeout | undefined;
+  let timerStart: NodeJS.Immediate | undefined;
   const ended = new Promise<void>((resolve, reject) => {
     const refuse = (error: ApricotdeckError): void => {
       // Without a listener, the parts that follow are discarded.
@@ -45,8 +46,9 @@
     request.once("close", () => {
       reject(failure(1218));
     });
-    setImmediate(() => {
-      if (request.complete || timeoutMs === undefined) return;
+    if (timeoutMs === undefined) return;
+    timerStart = setImmediate(() => {
+      if (request.complete) return;
       timer = setTimeout(() => {
         refuse(failure(1206));
       }, timeoutMs());
@@ -56,6 +58,7 @@
     await ended;
     return body.read();
   } finally {
+    clearImmediate(timerStart);
     clearTimeout(timer);
   }
 }
