Keep the connections of every listener by one class

The listeners for HTTP and for other daemons each kept a map of connections, chose one to close when there were too many, and counted and reported it. Now both use AcceptedConnections. A connection that is closed is forgotten at once at both, as it was for HTTP; the listener for daemons had kept it until its close event, and had a branch that couldn't be reached.

--- a/src/daemon/peer-listener.ts
+++ b/src/daemon/peer-listener.ts
@@ -13,9 +13,9 @@
   type ServerInterceptor,
 } from "@grpc/grpc-js";
 import {
-  chooseToClose,
-  type ConnectionUse,
-} from "../intake/connection-choice.js";
+  AcceptedConnections,
+  type AcceptedConnection,
+} from "../intake/accepted-connections.js";
 import {
   acceptedConnectionLimit,
   descriptorsOf,
@@ -41,17 +41,22 @@
   readonly messageBytes?: number;
 }
 
-class PeerConnection implements ConnectionUse, PeerInput {
+/** Its key is what the library calls the peer. */
+class PeerConnection implements AcceptedConnection<string>, PeerInput {
   /** Calls end on their own; a connection without messages may go. */
   readonly openRequests = 0;
   hasSentRequest = false;
   restingSinceMs = performance.now();
   private messageEndBytes = 0;
 
-  private constructor(readonly socket: Socket) {}
+  private constructor(
+    readonly key: string,
+    readonly socket: Socket,
+  ) {}
 
   static create(socket: Socket): PeerConnection {
-    return new PeerConnection(socket);
+    const { remoteAddress = "", remotePort = 0 } = socket;
+    return new PeerConnection(`${remoteAddress}:${remotePort}`, socket);
   }
 
   get unfinishedBytes(): number {
@@ -65,7 +70,6 @@
   }
 }
 
-const LISTENER = "peers";
 const CHECK_INTERVAL_MS = 100;
 /** Share of the heap from which on it counts as short. */
 const SHORT_HEAP_SHARE = 0.5;
@@ -73,18 +77,21 @@
 
 export class PeerListener implements AsyncDisposable {
   readonly server: Server;
-  private readonly connections = new Map<string, PeerConnection>();
+  private readonly connections: AcceptedConnections<string, PeerConnection>;
   private readonly listener = createServer();
   private readonly capacityBytes: number;
-  private readonly maximumConnections: number;
   private timer: NodeJS.Timeout | undefined;
 
-  private constructor(private readonly options: PeerListenerOptions) {
+  private constructor(options: PeerListenerOptions) {
     const { settings, messageBytes } = options;
     this.capacityBytes = memoryBytesOf(settings) * settings.peerInputShare;
     const descriptors = descriptorsOf(settings);
-    const use = { descriptors, outgoing: 0 };
-    this.maximumConnections = acceptedConnectionLimit(use);
+    const limit = acceptedConnectionLimit({ descriptors, outgoing: 0 });
+    this.connections = AcceptedConnections.create({
+      ...options,
+      listener: "peers",
+      maximumConnections: () => limit,
+    });
     this.server = new Server({
       ...channelOptions,
       ...(messageBytes === undefined
@@ -124,7 +131,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.timer);
     this.server.forceShutdown();
-    for (const { socket } of this.connections.values()) socket.destroy();
+    for (const { socket } of this.connections.list()) socket.destroy();
     if (!this.listener.listening) return;
     await new Promise((resolve) => {
       this.listener.close(resolve);
@@ -133,20 +140,8 @@
 
   private accept(socket: Socket, injector: ConnectionInjector): void {
     socket.on("error", () => undefined);
-    const { remoteAddress = "", remotePort = 0 } = socket;
     const connection = PeerConnection.create(socket);
-    if (this.connections.size >= this.maximumConnections) {
-      const chosen = chooseToClose(this.connections.values()) ?? connection;
-      this.close(chosen, "too many connections");
-    }
-    const peer = `${remoteAddress}:${remotePort}`;
-    this.connections.set(peer, connection);
-    this.onCountChanged();
-    socket.once("close", () => {
-      this.connections.delete(peer);
-      this.onCountChanged();
-    });
-    injector.injectConnection(socket);
+    if (this.connections.tryAdd(connection)) injector.injectConnection(socket);
   }
 
   /** Notes when a message of a connection is complete. */
@@ -159,7 +154,7 @@
             next(
               new ServerListenerBuilder()
                 .withOnReceiveMessage((message: unknown, pass) => {
-                  this.connections.get(call.getPeer())?.onMessage();
+                  this.connections.find(call.getPeer())?.onMessage();
                   pass(message);
                 })
                 .build(),
@@ -170,27 +165,14 @@
   }
 
   private limitInput(): void {
-    const connections = [...this.connections.values()];
     const { used_heap_size: used, heap_size_limit: limit } =
       getHeapStatistics();
-    const chosen = chooseUnfinished(connections, {
+    const chosen = chooseUnfinished(this.connections.list(), {
       capacityBytes: this.capacityBytes,
       isHeapShort: used > limit * SHORT_HEAP_SHARE,
     });
-    for (const connection of chosen) this.close(connection, "memory");
-  }
-
-  private close({ socket }: PeerConnection, reason: string): void {
-    const { emit, measurements } = this.options;
-    const listener = LISTENER;
-    emit(269, { listener, reason, connections: this.connections.size });
-    measurements.count("connectionsClosed", { listener, reason });
-    socket.destroy();
-  }
-
-  private onCountChanged(): void {
-    const { size } = this.connections;
-    const { measurements } = this.options;
-    measurements.set("openConnections", size, { listener: LISTENER });
+    for (const connection of chosen) {
+      this.connections.close(connection, "memory");
+    }
   }
 }
--- a/src/intake/connection-guard.ts
+++ b/src/intake/connection-guard.ts
@@ -4,29 +4,25 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Emit, Measurements, Now } from "../internal.js";
-import { chooseToClose, type ConnectionUse } from "./connection-choice.js";
+import type { Now } from "../internal.js";
+import {
+  AcceptedConnections,
+  type AcceptedConnection,
+  type AcceptedConnectionsOptions,
+  type CloseReason,
+} from "./accepted-connections.js";
 import type { HeldBytes } from "./memory-budget.js";
 import type { RequestMemory } from "./request-memory.js";
 
-export interface ConnectionGuardOptions {
-  /** Name of the listener in events and metrics. */
-  readonly listener: string;
-  readonly maximumConnections: () => number;
+export interface ConnectionGuardOptions extends AcceptedConnectionsOptions {
   /** Requests on one connection that haven't been answered completely. */
   readonly maximumOpenRequests: number;
   /** Counts heads that aren't complete; without it, they aren't counted. */
   readonly memory?: RequestMemory;
   readonly now: Now;
-  readonly emit: Emit;
-  readonly measurements: Measurements;
 }
 
-export type CloseReason =
-  "too many connections" | "too many requests" | "heads" | "memory";
-
-interface Connection extends ConnectionUse {
-  readonly socket: Socket;
+interface Connection extends AcceptedConnection<Socket> {
   /** Responses that haven't been sent completely. */
   readonly openResponses: Set<ServerResponse>;
   hasSentRequest: boolean;
@@ -43,9 +39,11 @@
 const HEAD_COST_FACTOR = 5;
 
 export class ConnectionGuard {
-  private readonly connections = new Map<Socket, Connection>();
+  private readonly connections: AcceptedConnections<Socket, Connection>;
 
-  private constructor(private readonly options: ConnectionGuardOptions) {}
+  private constructor(private readonly options: ConnectionGuardOptions) {
+    this.connections = AcceptedConnections.create(options);
+  }
 
   static create(options: ConnectionGuardOptions): ConnectionGuard {
     return new ConnectionGuard(options);
@@ -70,7 +68,7 @@
 
   /** False if the request's connection is closed: nothing can be answered. */
   admit(request: IncomingMessage, response: ServerResponse): boolean {
-    const connection = this.connections.get(request.socket);
+    const connection = this.connections.find(request.socket);
     if (connection === undefined) return false;
     const { socket, openResponses } = connection;
     openResponses.add(response);
@@ -88,24 +86,25 @@
       if (request.complete) onRead();
     });
     if (openResponses.size <= this.options.maximumOpenRequests) return true;
-    this.close(connection, "too many requests");
+    this.connections.close(connection, "too many requests");
     return false;
   }
 
   /** Whether answers to earlier requests go out before that to this one. */
   isBehindOthers({ socket }: IncomingMessage): boolean {
-    return (this.connections.get(socket)?.openResponses.size ?? 0) > 1;
+    return (this.connections.find(socket)?.openResponses.size ?? 0) > 1;
   }
 
   /** Closes the request's connection, with all requests on it. */
   closeConnectionOf({ socket }: IncomingMessage, reason: CloseReason): void {
-    const connection = this.connections.get(socket);
-    if (connection !== undefined) this.close(connection, reason);
+    const connection = this.connections.find(socket);
+    if (connection !== undefined) this.connections.close(connection, reason);
   }
 
   private add(socket: Socket): void {
     const openResponses = new Set<ServerResponse>();
-    const connection: Connection = {
+    const isAdded = this.connections.tryAdd({
+      key: socket,
       socket,
       openResponses,
       get openRequests() {
@@ -115,22 +114,16 @@
       restingSinceMs: this.options.now(),
       requestEndBytes: 0,
       reading: undefined,
-    };
-    if (this.connections.size >= this.options.maximumConnections()) {
-      const chosen = chooseToClose(this.connections.values());
-      this.close(chosen ?? connection, "too many connections");
-      if (chosen === undefined) return;
-    }
-    this.connections.set(socket, connection);
-    this.onCountChanged();
+    });
+    if (!isAdded) return;
     socket.once("close", () => {
-      this.forget(socket);
       closeWaiting(openResponses);
     });
   }
 
   private limitHeads(held: HeldBytes): void {
-    const unfinished = [...this.connections.values()]
+    const unfinished = this.connections
+      .list()
       .map((connection) => ({
         connection,
         bytes: HEAD_COST_FACTOR * unfinishedHeadBytes(connection),
@@ -140,29 +133,11 @@
     let total = unfinished.reduce((sum, { bytes }) => sum + bytes, 0);
     for (const { connection, bytes } of unfinished) {
       if (held.tryHold(total)) return;
-      this.close(connection, "heads");
+      this.connections.close(connection, "heads");
       total -= bytes;
     }
     held.tryHold(total);
   }
-
-  private close({ socket }: Connection, reason: CloseReason): void {
-    const { listener, emit, measurements } = this.options;
-    emit(269, { listener, reason, connections: this.connections.size });
-    measurements.count("connectionsClosed", { listener, reason });
-    this.forget(socket);
-    socket.destroy();
-  }
-
-  private forget(socket: Socket): void {
-    if (this.connections.delete(socket)) this.onCountChanged();
-  }
-
-  private onCountChanged(): void {
-    const { listener, measurements } = this.options;
-    const { size } = this.connections;
-    measurements.set("openConnections", size, { listener });
-  }
 }
 
 function unfinishedHeadBytes(connection: Connection): number {
