Hold and refuse a caller's request by the same code on both paths

Both listeners counted a request until its response was closed, and closed the connection of one that is refused behind others, by the same lines. They are one method of RequestMemory and one of ConnectionGuard now.

--- a/src/daemon/entry/caller-server.ts
+++ b/src/daemon/entry/caller-server.ts
@@ -78,12 +78,7 @@
   options: CallerServerOptions,
 ): Promise<void> {
   const { request, response } = exchange;
-  using held = options.memory.open();
-  // A response, a refusal too, may wait for those before it.
-  const heldForResponse = held.retain();
-  response.once("close", () => {
-    heldForResponse[Symbol.dispose]();
-  });
+  using held = options.memory.openUntilClosed(response);
   try {
     if (!held.tryHoldBody(0)) raise(1224);
     if (options.isLeaving()) {
@@ -113,10 +108,8 @@
   } catch (error) {
     if (exchange.isRefused) return;
     const refusal = toFailure(error, 1215);
-    // A refusal would be held until the answers before it have been sent.
-    if (refusal.number === 1224 && options.guard.isBehindOthers(request))
-      options.guard.closeConnectionOf(request, "memory");
-    else sendRefusal(exchange, refusal);
+    if (options.guard.closesInsteadOf(refusal, request)) return;
+    sendRefusal(exchange, refusal);
   }
 }
 
--- a/src/direct/caller-listener.ts
+++ b/src/direct/caller-listener.ts
@@ -113,12 +113,7 @@
   const { request, response } = exchange;
   const arrivedAtMs = performance.now();
   if (options.isLeaving()) response.setHeader("connection", "close");
-  using held = options.memory.open();
-  // A response, a refusal too, may wait for those before it.
-  const heldForResponse = held.retain();
-  response.once("close", () => {
-    heldForResponse[Symbol.dispose]();
-  });
+  using held = options.memory.openUntilClosed(response);
   try {
     if (!held.tryHoldBody(0)) raise(1224);
     const call = await readCall(request, held, options, arrivedAtMs);
@@ -127,11 +122,7 @@
   } catch (error) {
     if (exchange.isRefused) return;
     const refusal = toFailure(error, 1215);
-    // A refusal would be held until the answers before it have been sent.
-    if (refusal.number === 1224 && options.guard.isBehindOthers(request)) {
-      options.guard.closeConnectionOf(request, "memory");
-      return;
-    }
+    if (options.guard.closesInsteadOf(refusal, request)) return;
     if (!request.complete) {
       response.setHeader("connection", "close");
       exchange.refuseLater();
--- a/src/intake/accepted-connections.ts
+++ b/src/intake/accepted-connections.ts
@@ -16,7 +16,7 @@
   readonly measurements: Measurements;
 }
 
-export type CloseReason =
+type CloseReason =
   "too many connections" | "too many requests" | "heads" | "memory";
 
 export class AcceptedConnections<
--- a/src/intake/connection-guard.ts
+++ b/src/intake/connection-guard.ts
@@ -4,12 +4,11 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Now } from "../internal.js";
+import type { ApricotdeckError, Now } from "../internal.js";
 import {
   AcceptedConnections,
   type AcceptedConnection,
   type AcceptedConnectionsOptions,
-  type CloseReason,
 } from "./accepted-connections.js";
 import type { HeldBytes } from "./memory-budget.js";
 import type { RequestMemory } from "./request-memory.js";
@@ -90,15 +89,21 @@
     return false;
   }
 
-  /** Whether answers to earlier requests go out before that to this one. */
-  isBehindOthers({ socket }: IncomingMessage): boolean {
-    return (this.connections.find(socket)?.openResponses.size ?? 0) > 1;
-  }
-
-  /** Closes the request's connection, with all requests on it. */
-  closeConnectionOf({ socket }: IncomingMessage, reason: CloseReason): void {
+  /**
+   * Closes the connection of a request that is refused for its memory behind
+   * others: the refusal would be held until their answers have been sent. False
+   * if the refusal can be sent.
+   */
+  closesInsteadOf(
+    { number }: ApricotdeckError,
+    { socket }: IncomingMessage,
+  ): boolean {
     const connection = this.connections.find(socket);
-    if (connection !== undefined) this.connections.close(connection, reason);
+    const isBehindOthers = (connection?.openRequests ?? 0) > 1;
+    if (number !== 1224 || connection === undefined || !isBehindOthers)
+      return false;
+    this.connections.close(connection, "memory");
+    return true;
   }
 
   private add(socket: Socket): void {
--- a/src/intake/request-memory.ts
+++ b/src/intake/request-memory.ts
@@ -2,6 +2,7 @@
  * Bounds what a process holds for the requests of all its callers, each from
  * its head until it is concluded and nothing holds its body any more.
  */
+import type { ServerResponse } from "node:http";
 import type { Emit, Measurements } from "../internal.js";
 import { MemoryBudget, type HeldBytes } from "./memory-budget.js";
 
@@ -64,6 +65,17 @@
     return this.budget.open();
   }
 
+  /** Counts the request until its response is closed, and its disposal. */
+  openUntilClosed(response: ServerResponse): HeldRequest {
+    const held = this.open();
+    // A response, a refusal too, may wait for those before it.
+    const heldForResponse = held.retain();
+    response.once("close", () => {
+      heldForResponse[Symbol.dispose]();
+    });
+    return held;
+  }
+
   open(): HeldRequest {
     const held = this.budget.open();
     let users = 0;
