--- a/src/daemon/agent/run-bodies.ts
+++ b/src/daemon/agent/run-bodies.ts
@@ -1,12 +1,12 @@
 /** Bounds the memory of the bodies of all requests that an agent runs. */
 import type { Call } from "../../internal.js";
 import { MemoryBudget, type HeldBytes } from "../../intake/memory-budget.js";
-import type { ProcessContext } from "../process-context.js";
+import {
+  reportMemoryLimit,
+  type MemoryReportOptions,
+} from "../../intake/memory-report.js";
 
-export interface RunBodiesOptions extends Pick<
-  ProcessContext,
-  "emit" | "measurements"
-> {
+export interface RunBodiesOptions extends MemoryReportOptions {
   readonly capacityBytes: number;
 }
 
@@ -31,10 +31,7 @@
   allows({ body }: Call): boolean {
     const bytes = COPIES_OF_BODY * body.length;
     if (this.budget.allows(bytes)) return true;
-    const { emit, measurements } = this.options;
-    const reason = "memory";
-    emit(268, { reason, bytes, heldBytes: this.budget.heldBytes });
-    measurements.count("requestsLimited", { reason });
+    reportMemoryLimit(this.options, bytes, this.budget.heldBytes);
     return false;
   }
 
--- a/src/intake/request-memory.ts
+++ b/src/intake/request-memory.ts
@@ -3,8 +3,11 @@
  * its head until it is concluded and nothing holds its body any more.
  */
 import type { ServerResponse } from "node:http";
-import type { Emit, Measurements } from "../internal.js";
 import { MemoryBudget, type HeldBytes } from "./memory-budget.js";
+import {
+  reportMemoryLimit,
+  type MemoryReportOptions,
+} from "./memory-report.js";
 
 /** What is held for one request. */
 export interface HeldRequest extends Disposable {
@@ -20,15 +23,13 @@
   readonly retain: () => Disposable;
 }
 
-export interface RequestMemoryOptions {
+export interface RequestMemoryOptions extends MemoryReportOptions {
   /** Memory of the process, bytes. */
   readonly memoryBytes: number;
   /** Share of it that requests may take. */
   readonly share: number;
   /** Copies of a body that the process makes, the first one included. */
   readonly copies: number;
-  readonly emit: Emit;
-  readonly measurements: Measurements;
 }
 
 /** Objects for a request and its response, bytes. */
@@ -102,11 +103,9 @@
   }
 
   private tryHoldBody(held: HeldBytes, bytes: number): boolean {
-    const { emit, measurements, copies } = this.options;
+    const { copies } = this.options;
     if (held.tryHold(EXCHANGE_BYTES + copies * bytes)) return true;
-    const reason = "memory";
-    emit(268, { reason, bytes, heldBytes: this.heldBytes });
-    measurements.count("requestsLimited", { reason });
+    reportMemoryLimit(this.options, bytes, this.heldBytes);
     return false;
   }
 }
