Share what the tests of processes wrote again

The program's path and settings variable, a free address, and an ordinary client's tries stood in up to four files each. Crowds, bounds, tries and checks are the same.

--- a/tests/clients/direct-site.ts
+++ b/tests/clients/direct-site.ts
@@ -1,8 +1,5 @@
 /** An entry process of the direct path, with its store and its runners. */
-import { once } from "node:events";
-import { createServer, type AddressInfo } from "node:net";
 import { request as sendRequest } from "node:http";
-import { fileURLToPath } from "node:url";
 import { headerNames, paths, topics } from "../../platform/names.js";
 import { KeyedStore } from "../../standins/keyed-store.js";
 import {
@@ -19,21 +16,20 @@
   MeasuredProcess,
   type ProcessLimits,
 } from "../support/measured-process.js";
+import {
+  PLATFORM_PROGRAM,
+  SETTINGS_VARIABLE,
+  freeAddress,
+} from "../support/platform-program.js";
 import { pause } from "../support/wait.js";
 import {
   BODY_LIMIT_BYTES,
   HEAD_LIMIT_BYTES,
   type HeadLines,
 } from "./behaviours.js";
+import { tryAgain } from "./ordinary-client.js";
 
-const PROGRAM = fileURLToPath(
-  new URL("../../platform/main.js", import.meta.url),
-);
-const SETTINGS_VARIABLE = "APRICOTDECK_BOOT";
-const LOOPBACK = "127.0.0.1";
 const POLL_INTERVAL_MS = 50;
-const ORDINARY_TRIES = 40;
-const ORDINARY_INTERVAL_MS = 250;
 export const ORDINARY_BODY = "ordinary";
 
 /** Path whose requests the crowd's runner never answers. */
@@ -73,7 +69,7 @@
   const readiness = await freeAddress();
   const metrics = await freeAddress();
   const process = MeasuredProcess.start({
-    program: PROGRAM,
+    program: PLATFORM_PROGRAM,
     settingsVariable: SETTINGS_VARIABLE,
     settings: {
       role: "entry",
@@ -155,15 +151,6 @@
   });
 }
 
-export async function freeAddress(): Promise<string> {
-  const server = createServer().listen(0, LOOPBACK);
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, "close");
-  return `${LOOPBACK}:${port}`;
-}
-
 /** Status of a GET; 0 if there is no answer. */
 export async function statusOf(url: string): Promise<number> {
   try {
@@ -175,14 +162,11 @@
   }
 }
 
-/** An ordinary caller repeats a request that was refused or not read. */
 async function ordinaryAnswer(callers: string): Promise<string> {
-  for (let tries = 0; tries < ORDINARY_TRIES; tries += 1) {
-    const answer = await callOnce(callers, `ordinary-${tries}`);
-    if (answer !== undefined) return answer;
-    await pause(ORDINARY_INTERVAL_MS);
-  }
-  return "no answer";
+  const answer = await tryAgain((tries) =>
+    callOnce(callers, `ordinary-${tries}`),
+  );
+  return answer ?? "no answer";
 }
 
 function callOnce(callers: string, id: string): Promise<string | undefined> {
--- a/tests/clients/rank-agent-site.ts
+++ b/tests/clients/rank-agent-site.ts
@@ -1,5 +1,4 @@
 /** An agent process of the direct path, beside a runner without a group. */
-import { fileURLToPath } from "node:url";
 import { KeyedStore } from "../../standins/keyed-store.js";
 import { sendJson, startServer } from "../../standins/http.js";
 import { RankClient } from "../../src/rankmaps/rank-client.js";
@@ -8,15 +7,12 @@
   MeasuredProcess,
   type ProcessLimits,
 } from "../support/measured-process.js";
-import { pause } from "../support/wait.js";
-import { freeAddress } from "./direct-site.js";
-
-const PROGRAM = fileURLToPath(
-  new URL("../../platform/main.js", import.meta.url),
-);
-const SETTINGS_VARIABLE = "APRICOTDECK_BOOT";
-const TRIES = 40;
-const TRY_INTERVAL_MS = 250;
+import {
+  PLATFORM_PROGRAM,
+  SETTINGS_VARIABLE,
+  freeAddress,
+} from "../support/platform-program.js";
+import { tryAgain } from "./ordinary-client.js";
 
 export interface RankAgentSite extends AsyncDisposable {
   readonly process: MeasuredProcess;
@@ -36,7 +32,7 @@
   const peers = await freeAddress();
   const metrics = await freeAddress();
   const process = MeasuredProcess.start({
-    program: PROGRAM,
+    program: PLATFORM_PROGRAM,
     settingsVariable: SETTINGS_VARIABLE,
     settings: {
       role: "agent",
@@ -66,14 +62,13 @@
 }
 
 async function isAnswered(peers: string): Promise<boolean> {
-  for (let tries = 0; tries < TRIES; tries += 1) {
+  const answer = await tryAgain(async () => {
     using client = RankClient.create(peers, PLAIN_TRANSPORT);
     try {
-      await client.observe({ withCounts: false, withExperts: false });
-      return true;
+      return await client.observe({ withCounts: false, withExperts: false });
     } catch {
-      await pause(TRY_INTERVAL_MS);
+      return undefined;
     }
-  }
-  return false;
+  });
+  return answer !== undefined;
 }
--- a/tests/clients/session-site.ts
+++ b/tests/clients/session-site.ts
@@ -16,6 +16,7 @@
 } from "../support/measured-process.js";
 import { pause } from "../support/wait.js";
 import type { HeadLines } from "./behaviours.js";
+import { tryAgain } from "./ordinary-client.js";
 
 const PROGRAM = fileURLToPath(
   new URL("../../src/daemon/main.js", import.meta.url),
@@ -24,8 +25,6 @@
 const ENTRY = "entry-0";
 const AGENT = "service-0";
 const POLL_INTERVAL_MS = 50;
-const TRIES = 40;
-const TRY_INTERVAL_MS = 250;
 /** Enough that bodies of the largest size are queued. */
 const QUEUED_TOKENS = 1_000_000_000;
 const LARGEST_WAIT_MS = 30_000;
@@ -152,7 +151,7 @@
 }
 
 async function isAnswered({ callers }: Addresses): Promise<boolean> {
-  for (let tries = 0; tries < TRIES; tries += 1) {
+  const answer = await tryAgain(async () => {
     try {
       const response = await fetch(
         `http://${callers}/services/${SERVICE}/ordinary`,
@@ -167,11 +166,12 @@
         },
       );
       const text = await response.text();
-      if (response.status === 200 && text.includes("small")) return true;
+      const isSound = response.status === 200 && text.includes("small");
+      return isSound ? text : undefined;
     } catch {
-      // The connection was refused or closed; an ordinary caller tries again.
+      // The connection was refused or closed.
+      return undefined;
     }
-    await pause(TRY_INTERVAL_MS);
-  }
-  return false;
+  });
+  return answer !== undefined;
 }
--- a/tests/platform/process.test.ts
+++ b/tests/platform/process.test.ts
@@ -1,27 +1,17 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { mkdtempSync, writeFileSync } from "node:fs";
-import { createServer, type AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import path from "node:path";
-import { fileURLToPath } from "node:url";
 import * as assert from "uvu/assert";
 import { paths } from "../../platform/names.js";
 import { KeyedStore } from "../../standins/keyed-store.js";
 import { describe, it } from "../support/describe.js";
-
-const MAIN_FILE = fileURLToPath(
-  new URL("../../platform/main.js", import.meta.url),
-);
-
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, "close");
-  return port;
-}
+import {
+  PLATFORM_PROGRAM,
+  SETTINGS_VARIABLE,
+  freeAddress,
+} from "../support/platform-program.js";
 
 interface EntryProcess {
   readonly child: ChildProcess;
@@ -33,26 +23,26 @@
 }
 
 async function startEntry(store: KeyedStore): Promise<EntryProcess> {
-  const [callers, readiness] = [await freePort(), await freePort()];
+  const [callers, readiness] = [await freeAddress(), await freeAddress()];
   const file = path.join(mkdtempSync(path.join(tmpdir(), "entry-")), "s.jsonc");
   const settings = {
     role: "entry",
     name: "entry-1",
     dataCentre: "here",
-    callers: `127.0.0.1:${callers}`,
-    readiness: `127.0.0.1:${readiness}`,
+    callers,
+    readiness,
     store: { address: store.address },
     graceSeconds: 1,
   };
   writeFileSync(file, JSON.stringify(settings));
-  const child = spawn(process.execPath, [MAIN_FILE], {
-    env: { ...process.env, APRICOTDECK_BOOT: file },
+  const child = spawn(process.execPath, [PLATFORM_PROGRAM], {
+    env: { ...process.env, [SETTINGS_VARIABLE]: file },
     stdio: ["ignore", "pipe", "pipe"],
   });
   const output: string[] = [];
   child.stdout.on("data", (data: Buffer) => output.push(data.toString()));
   child.stderr.on("data", (data: Buffer) => output.push(data.toString()));
-  const url = `http://127.0.0.1:${readiness}${paths.readiness}`;
+  const url = `http://${readiness}${paths.readiness}`;
   return {
     child,
     file,
@@ -106,8 +96,8 @@
     entry.child.kill("SIGKILL");
     const incomplete = { ...entry.settings, callers: undefined };
     writeFileSync(entry.file, JSON.stringify(incomplete));
-    const child = spawn(process.execPath, [MAIN_FILE], {
-      env: { ...process.env, APRICOTDECK_BOOT: entry.file },
+    const child = spawn(process.execPath, [PLATFORM_PROGRAM], {
+      env: { ...process.env, [SETTINGS_VARIABLE]: entry.file },
       stdio: ["ignore", "ignore", "pipe"],
     });
     const output: string[] = [];
--- a/tests/support/entry-process.ts
+++ b/tests/support/entry-process.ts
@@ -2,17 +2,16 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer, type AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import path from "node:path";
-import { fileURLToPath } from "node:url";
 import { paths } from "../../platform/names.js";
+import {
+  PLATFORM_PROGRAM,
+  SETTINGS_VARIABLE,
+  freeAddress,
+} from "./platform-program.js";
 import { pause } from "./wait.js";
 
-const MAIN_FILE = fileURLToPath(
-  new URL("../../platform/main.js", import.meta.url),
-);
-const HOST = "127.0.0.1";
 const POLL_INTERVAL_MS = 20;
 
 export class EntryProcess implements AsyncDisposable {
@@ -29,8 +28,8 @@
     store: string,
     graceSeconds: number,
   ): Promise<EntryProcess> {
-    const callers = `${HOST}:${await freePort()}`;
-    const readiness = `${HOST}:${await freePort()}`;
+    const callers = await freeAddress();
+    const readiness = await freeAddress();
     const folder = mkdtempSync(path.join(tmpdir(), "entry-"));
     const file = path.join(folder, "settings.jsonc");
     const place = { role: "entry", name: "process-1", dataCentre: "here" };
@@ -39,8 +38,8 @@
       file,
       JSON.stringify({ ...place, ...addresses, graceSeconds }),
     );
-    const child = spawn(process.execPath, [MAIN_FILE], {
-      env: { ...process.env, APRICOTDECK_BOOT: file },
+    const child = spawn(process.execPath, [PLATFORM_PROGRAM], {
+      env: { ...process.env, [SETTINGS_VARIABLE]: file },
       stdio: "ignore",
     });
     const entry = new EntryProcess(child, folder, callers, readiness);
@@ -78,12 +77,3 @@
     }
   }
 }
-
-async function freePort(): Promise<number> {
-  const server = createServer().listen(0, HOST);
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, "close");
-  return port;
-}
